--- /dev/null
+++ b/src/coordination/request/retry_budget.cpp
@@ -0,0 +1,47 @@
+// Budget that keeps retries a bounded share of the requests.
+
+#include "coordination/request/retry_budget.h"
+
+#include <algorithm>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+constexpr std::uint64_t kPermille = 1000; ///< Thousandths in one retry.
+
+} // namespace
+
+RetryBudget::RetryBudget(RetryBudgetSettings aSettings)
+  : settings_(aSettings)
+  , permille_(aSettings.reserve_ * kPermille)
+{
+}
+
+void
+RetryBudget::requestStarted()
+{
+  const std::lock_guard lock(mutex_);
+  permille_ = std::min(permille_ + settings_.ratioPermille_,
+                       settings_.maximum_ * kPermille);
+}
+
+bool
+RetryBudget::tryRetry()
+{
+  const std::lock_guard lock(mutex_);
+  if (permille_ < kPermille) {
+    return false;
+  }
+  permille_ -= kPermille;
+  return true;
+}
+
+std::uint32_t
+RetryBudget::available() const
+{
+  const std::lock_guard lock(mutex_);
+  return static_cast<std::uint32_t>(permille_ / kPermille);
+}
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/request/retry_budget.h
@@ -0,0 +1,40 @@
+// Budget that keeps retries a bounded share of the requests.
+#pragma once
+
+#include <cstdint>
+#include <mutex>
+
+namespace auburnhaven::coordination {
+
+/** Limits of a retry budget. */
+struct RetryBudgetSettings
+{
+  std::uint32_t ratioPermille_ = 100; ///< Retries earned by 1,000 requests.
+  std::uint32_t reserve_ = 10;        ///< Retries at hand at the start.
+  std::uint32_t maximum_ = 100;       ///< Most retries that can be saved up.
+  bool operator==(const RetryBudgetSettings&) const = default;
+};
+
+/** Token bucket that requests fill and retries drain. Thread-safe. */
+class RetryBudget
+{
+public:
+  /** @param aSettings Limits. */
+  explicit RetryBudget(RetryBudgetSettings aSettings = {});
+  /** Adds the share that one new request earns. */
+  void requestStarted();
+  /**
+   * Takes one retry out.
+   * @return Whether the retry may be made.
+   */
+  bool tryRetry();
+  /** @return Whole retries at hand. */
+  std::uint32_t available() const;
+
+private:
+  const RetryBudgetSettings settings_; ///< Limits.
+  mutable std::mutex mutex_;           ///< Guards the following member.
+  std::uint64_t permille_;             ///< Thousandths of a retry at hand.
+};
+
+} // namespace auburnhaven::coordination
