--- /dev/null
+++ b/src/coordination/request/prefix_table.cpp
@@ -0,0 +1,95 @@
+// Hints about which target has cached which prefix of a prompt.
+
+#include "coordination/request/prefix_table.h"
+
+#include "state/digest_func.h"
+
+#include <algorithm>
+
+namespace auburnhaven::coordination {
+
+std::vector<std::uint64_t>
+prefixHashes(std::string_view aPrompt, std::string_view aModel)
+{
+  const std::size_t blocks =
+    std::min(aPrompt.size() / kPrefixBlockBytes, kMaxPrefixBlocks);
+  std::vector<std::uint64_t> hashes;
+  hashes.reserve(blocks);
+  std::uint64_t previous = state::stableHash(aModel);
+  for (std::size_t block = 0; block < blocks; ++block) {
+    previous = state::stableHash(
+      aPrompt.substr(block * kPrefixBlockBytes, kPrefixBlockBytes), previous);
+    hashes.push_back(previous);
+  }
+  return hashes;
+}
+
+TargetNumber
+targetNumber(const state::VmId& aVm, state::FencingNumber aFencing)
+{
+  const auto number =
+    static_cast<TargetNumber>(state::stableHash(aVm.value(), aFencing.value()));
+  return number == 0 ? 1 : number;
+}
+
+PrefixTable::PrefixTable(std::size_t aEntries)
+  : sets_(std::max<std::size_t>(1, aEntries / kWays))
+{
+}
+
+void
+PrefixTable::add(std::uint64_t aHash, TargetNumber aTarget)
+{
+  const std::size_t index = aHash % sets_.size();
+  const std::lock_guard lock(locks_[index % kLocks]);
+  Set& set = sets_[index];
+  std::uint32_t newest = 0;
+  Entry* place = set.data();
+  for (Entry& entry : set) {
+    newest = std::max(newest, entry.stamp_);
+    const bool older = entry.stamp_ < place->stamp_;
+    if (entry.hash_ == aHash || (place->hash_ != aHash && older)) {
+      place = &entry;
+    }
+  }
+  if (place->hash_ != aHash) {
+    *place = { aHash, { aTarget, 0 }, 0 };
+  } else if (place->targets_[0] != aTarget) {
+    place->targets_ = { aTarget, place->targets_[0] };
+  }
+  place->stamp_ = newest + 1;
+}
+
+void
+PrefixTable::remove(std::uint64_t aHash, TargetNumber aTarget)
+{
+  const std::size_t index = aHash % sets_.size();
+  const std::lock_guard lock(locks_[index % kLocks]);
+  for (Entry& entry : sets_[index]) {
+    if (entry.hash_ == aHash) {
+      std::replace(
+        entry.targets_.begin(), entry.targets_.end(), aTarget, TargetNumber(0));
+    }
+  }
+}
+
+PrefixTable::Targets
+PrefixTable::find(std::uint64_t aHash) const
+{
+  const std::size_t index = aHash % sets_.size();
+  const std::lock_guard lock(locks_[index % kLocks]);
+  for (const Entry& entry : sets_[index]) {
+    if (entry.hash_ == aHash) {
+      return entry.targets_;
+    }
+  }
+  return {};
+}
+
+std::size_t
+PrefixTable::bytes() const
+{
+  return sizeof(*this) + sets_.size() * sizeof(Set);
+}
+
+} // namespace auburnhaven::coordination
--- a/src/coordination/request/request_type.h
+++ b/src/coordination/request/request_type.h
@@ -26,7 +26,7 @@
   std::string bodyDigest_;     ///< SHA-256 of the body in hexadecimal.
   std::vector<std::uint64_t> prefixHashes_; ///< Hashes of the prompt's
                                             ///< prefixes, shortest first.
-  state::TimePoint deadline_{}; ///< When the caller stops waiting.
+  state::TimePoint deadline_{};             ///< When the caller stops waiting.
   std::uint32_t maxTokens_ = 0; ///< Most tokens that it may generate.
   bool operator==(const RequestInfo&) const = default;
 };
--- /dev/null
+++ b/src/coordination/request/target_chooser.cpp
@@ -0,0 +1,385 @@
+// Choice of the target for one attempt of a request.
+
+#include "coordination/request/target_chooser.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <utility>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+constexpr std::size_t kDrawsPerChoice =
+  4; ///< Random draws for one choice before all targets are looked at.
+constexpr double kPermille = 1000.0; ///< Thousandths in one.
+
+} // namespace
+
+/** One target of a pool. */
+struct TargetChooser::Candidate
+{
+  const state::ServingCopy* copy_ = nullptr;      ///< The copy, or none.
+  const state::ServiceTarget* service_ = nullptr; ///< The target, or none.
+  TargetStatsPtr stats_;                          ///< Statistics.
+  TargetNumber number_ = 0; ///< Number in the prefix table.
+
+  /** @return VM that takes the requests. */
+  const state::VmId& vm() const { return copy_ ? copy_->head_ : service_->vm_; }
+  /** @return Zone of the target. */
+  const state::ZoneId& zone() const
+  {
+    return copy_ ? copy_->zone_ : service_->zone_;
+  }
+  /** @return Whether its evidence still holds. */
+  bool isOpen(state::TimePoint aNow) const
+  {
+    return copy_ == nullptr || aNow < copy_->evidenceUntil_;
+  }
+};
+
+/** Targets of one serving group or plain service. */
+struct TargetChooser::Pool
+{
+  std::vector<Candidate> local_;  ///< Targets of the own zone.
+  std::vector<Candidate> remote_; ///< Targets of other zones with a gateway.
+  std::unordered_map<TargetNumber, std::size_t>
+    numbers_;                  ///< Index of each local target by number.
+  state::Duration unitTime_{}; ///< Median time of a unit of work, or zero.
+
+  /** Sorts a target in. */
+  void add(Candidate aCandidate,
+           const state::ServingView& aView,
+           const state::ZoneId& aOwnZone)
+  {
+    const auto& leaving = aView.leavingVms_;
+    if (std::binary_search(leaving.begin(), leaving.end(), aCandidate.vm())) {
+      return;
+    }
+    if (aCandidate.zone() == aOwnZone) {
+      numbers_[aCandidate.number_] = local_.size();
+      local_.push_back(std::move(aCandidate));
+      return;
+    }
+    const auto gateways = aView.gateways_.find(aCandidate.zone());
+    if (gateways != aView.gateways_.end() && !gateways->second.empty()) {
+      remote_.push_back(std::move(aCandidate));
+    }
+  }
+
+  /** Works the median time of a unit of work out. */
+  void findUnitTime(state::TimePoint aNow)
+  {
+    std::vector<state::Duration> times;
+    for (const Candidate& candidate : local_) {
+      const state::Duration time = candidate.stats_->unitTime(aNow);
+      if (time > state::Duration::zero()) {
+        times.push_back(time);
+      }
+    }
+    if (!times.empty()) {
+      const auto middle =
+        times.begin() + static_cast<std::ptrdiff_t>((times.size() - 1) / 2);
+      std::nth_element(times.begin(), middle, times.end());
+      unitTime_ = *middle;
+    }
+  }
+};
+
+/** Candidates of one snapshot. */
+struct TargetChooser::Index
+{
+  state::ServingViewPtr view_; ///< The snapshot; the candidates point into it.
+  std::map<state::GroupId, std::shared_ptr<Pool>> groups_; ///< By group.
+  std::map<state::ServiceId, std::shared_ptr<Pool>>
+    services_; ///< By plain service.
+};
+
+TargetChooser::TargetChooser(state::ZoneId aZone,
+                             RandomSource aRandom,
+                             ChooserSettings aSettings)
+  : zone_(std::move(aZone))
+  , settings_(aSettings)
+  , prefixes_(aSettings.prefixEntries_)
+  , random_(std::move(aRandom))
+{
+}
+
+TargetChooser::~TargetChooser() = default;
+
+void
+TargetChooser::setView(const state::ServingViewPtr& aView)
+{
+  const std::lock_guard lock(mutex_);
+  auto index = std::make_shared<Index>();
+  index->view_ = aView;
+  for (const auto& [group, copies] : aView->copies_) {
+    index->groups_[group] = copyPool(*aView, copies);
+  }
+  if (aView->configuration_) {
+    for (const auto& [id, service] : aView->configuration_->services_) {
+      index->services_[id] = servicePool(*aView, service);
+    }
+  }
+  // Statistics that neither the new snapshot nor any work uses are dropped.
+  index_.reset();
+  std::erase_if(
+    stats_, [](const auto& aItem) { return aItem.second.use_count() == 1; });
+  index_ = std::move(index);
+}
+
+std::optional<Choice>
+TargetChooser::choose(const RequestInfo& aInfo,
+                      state::TimePoint aNow,
+                      const std::vector<state::VmId>& aTried)
+{
+  const std::shared_ptr<const Index> current = index();
+  if (!current) {
+    return std::nullopt;
+  }
+  std::shared_ptr<const Pool> pool;
+  if (aInfo.group_.empty()) {
+    const auto found = current->services_.find(aInfo.service_);
+    pool = found == current->services_.end() ? nullptr : found->second;
+  } else {
+    const auto found = current->groups_.find(aInfo.group_);
+    pool = found == current->groups_.end() ? nullptr : found->second;
+  }
+  if (!pool) {
+    return std::nullopt;
+  }
+  double localScore = 0;
+  const Candidate* best =
+    pick(pool->local_, *pool, aInfo, aNow, aTried, localScore);
+  if (best == nullptr || localScore > settings_.spillPressure_) {
+    double remoteScore = 0;
+    const Candidate* remote =
+      pick(pool->remote_, *pool, aInfo, aNow, aTried, remoteScore);
+    remoteScore += settings_.remotePenalty_;
+    if (remote != nullptr && (best == nullptr || remoteScore < localScore)) {
+      best = remote;
+      localScore = remoteScore;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return makeChoice(*best, *current->view_, localScore);
+}
+
+OutstandingWork
+TargetChooser::start(const Choice& aChoice, const RequestInfo& aInfo)
+{
+  for (const std::uint64_t hash : aInfo.prefixHashes_) {
+    prefixes_.add(hash, aChoice.number_);
+  }
+  return OutstandingWork(aChoice.stats_);
+}
+
+std::uint32_t
+TargetChooser::outstanding(const state::VmId& aVm) const
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = stats_.find(aVm);
+  return found == stats_.end() ? 0 : found->second->outstanding();
+}
+
+std::uint64_t
+TargetChooser::random()
+{
+  const std::lock_guard lock(randomMutex_);
+  return random_();
+}
+
+std::shared_ptr<const TargetChooser::Index>
+TargetChooser::index() const
+{
+  const std::lock_guard lock(mutex_);
+  return index_;
+}
+
+TargetStatsPtr
+TargetChooser::statsOf(const state::VmId& aVm)
+{
+  TargetStatsPtr& stats = stats_[aVm];
+  if (!stats) {
+    stats = std::make_shared<TargetStats>();
+  }
+  return stats;
+}
+
+std::shared_ptr<TargetChooser::Pool>
+TargetChooser::copyPool(const state::ServingView& aView,
+                        const std::vector<state::ServingCopy>& aCopies)
+{
+  auto pool = std::make_shared<Pool>();
+  state::TimePoint newest{};
+  for (const state::ServingCopy& copy : aCopies) {
+    newest = std::max(newest, copy.loadObservedAt_);
+    if (copy.open_) {
+      pool->add({ &copy,
+                  nullptr,
+                  statsOf(copy.head_),
+                  targetNumber(copy.head_, copy.fencing_) },
+                aView,
+                zone_);
+    }
+  }
+  pool->findUnitTime(newest);
+  return pool;
+}
+
+std::shared_ptr<TargetChooser::Pool>
+TargetChooser::servicePool(const state::ServingView& aView,
+                           const state::PlainService& aService)
+{
+  auto pool = std::make_shared<Pool>();
+  for (const state::ServiceTarget& target : aService.targets_) {
+    pool->add({ nullptr,
+                &target,
+                statsOf(target.vm_),
+                targetNumber(target.vm_, state::FencingNumber()) },
+              aView,
+              zone_);
+  }
+  return pool;
+}
+
+double
+TargetChooser::score(const Candidate& aCandidate,
+                     const Pool& aPool,
+                     const RequestInfo& aInfo,
+                     state::TimePoint aNow) const
+{
+  double work = aCandidate.stats_->outstanding() + 1.0;
+  double slots = 1.0;
+  double slowness = 1.0;
+  if (aCandidate.copy_ != nullptr) {
+    const state::ServingCopy& copy = *aCandidate.copy_;
+    const double age = std::max(
+      0.0, std::chrono::duration<double>(aNow - copy.loadObservedAt_).count());
+    const double halfLife =
+      std::chrono::duration<double>(settings_.reportHalfLife_).count();
+    const std::uint32_t others = aCandidate.stats_->othersWork(
+      copy.load_.running_ + copy.load_.queued_, copy.loadObservedAt_);
+    work += others * std::exp2(-age / halfLife);
+    slots = std::max(1U, copy.load_.slots_);
+    slowness = copy.slowdownPermille_ / kPermille;
+  }
+  const state::Duration unit = aCandidate.stats_->unitTime(aNow);
+  if (aPool.unitTime_ > state::Duration::zero() &&
+      unit > state::Duration::zero()) {
+    slowness = std::max(slowness,
+                        static_cast<double>(unit.count()) /
+                          static_cast<double>(aPool.unitTime_.count()));
+  }
+  slowness = std::clamp(slowness, 1.0, settings_.maxSlowness_);
+  return work / slots * slowness -
+         settings_.prefixBonus_ * prefixShare(aCandidate, aInfo);
+}
+
+const TargetChooser::Candidate*
+TargetChooser::pick(const std::vector<Candidate>& aCandidates,
+                    const Pool& aPool,
+                    const RequestInfo& aInfo,
+                    state::TimePoint aNow,
+                    const std::vector<state::VmId>& aTried,
+                    double& aScore)
+{
+  const Candidate* best = nullptr;
+  const auto consider = [&](const Candidate& aCandidate, bool aShunnedToo) {
+    const bool tried =
+      std::find(aTried.begin(), aTried.end(), aCandidate.vm()) != aTried.end();
+    if (tried || !aCandidate.isOpen(aNow) || &aCandidate == best ||
+        (!aShunnedToo && aCandidate.stats_->shunnedUntil() > aNow)) {
+      return false;
+    }
+    const double score = this->score(aCandidate, aPool, aInfo, aNow);
+    if (best == nullptr || score < aScore) {
+      best = &aCandidate;
+      aScore = score;
+    }
+    return true;
+  };
+  const Candidate* hit =
+    &aCandidates == &aPool.local_ ? prefixCandidate(aPool, aInfo) : nullptr;
+  std::uint32_t compared = 0;
+  const std::size_t draws = aCandidates.size() > settings_.choices_
+                              ? kDrawsPerChoice * settings_.choices_
+                              : 0;
+  for (std::size_t draw = 0; draw < draws && compared < settings_.choices_;
+       ++draw) {
+    compared +=
+      consider(aCandidates[random() % aCandidates.size()], false) ? 1U : 0U;
+  }
+  if (hit != nullptr) {
+    consider(*hit, false);
+  }
+  for (const bool shunnedToo : { false, true }) {
+    if (compared < settings_.choices_ && best == nullptr) {
+      for (const Candidate& candidate : aCandidates) {
+        consider(candidate, shunnedToo);
+      }
+    }
+  }
+  return best;
+}
+
+const TargetChooser::Candidate*
+TargetChooser::prefixCandidate(const Pool& aPool,
+                               const RequestInfo& aInfo) const
+{
+  const auto& hashes = aInfo.prefixHashes_;
+  for (auto hash = hashes.rbegin(); hash != hashes.rend(); ++hash) {
+    for (const TargetNumber number : prefixes_.find(*hash)) {
+      const auto found = aPool.numbers_.find(number);
+      if (found != aPool.numbers_.end()) {
+        return &aPool.local_[found->second];
+      }
+    }
+  }
+  return nullptr;
+}
+
+double
+TargetChooser::prefixShare(const Candidate& aCandidate,
+                           const RequestInfo& aInfo) const
+{
+  const auto& hashes = aInfo.prefixHashes_;
+  for (std::size_t length = hashes.size(); length > 0; --length) {
+    const PrefixTable::Targets targets = prefixes_.find(hashes[length - 1]);
+    if (std::find(targets.begin(), targets.end(), aCandidate.number_) !=
+        targets.end()) {
+      return static_cast<double>(length) / static_cast<double>(hashes.size());
+    }
+  }
+  return 0;
+}
+
+Choice
+TargetChooser::makeChoice(const Candidate& aCandidate,
+                          const state::ServingView& aView,
+                          double aScore)
+{
+  Choice choice;
+  choice.vm_ = aCandidate.vm();
+  choice.zone_ = aCandidate.zone();
+  choice.stats_ = aCandidate.stats_;
+  choice.number_ = aCandidate.number_;
+  choice.score_ = aScore;
+  if (aCandidate.copy_ != nullptr) {
+    choice.copy_ = aCandidate.copy_->id_;
+    choice.endpoint_ = aCandidate.copy_->endpoint_;
+    choice.fencing_ = aCandidate.copy_->fencing_;
+  } else {
+    choice.endpoint_ = aCandidate.service_->endpoint_;
+  }
+  if (choice.zone_ != zone_) {
+    const auto& gateways = aView.gateways_.at(choice.zone_);
+    choice.gateway_ = gateways[random() % gateways.size()];
+  }
+  return choice;
+}
+
+} // namespace auburnhaven::coordination
