--- /dev/null
+++ b/src/coordination/request/account_limiter.cpp
@@ -0,0 +1,131 @@
+// Limits of client accounts at this daemon.
+
+#include "coordination/request/account_limiter.h"
+
+#include <algorithm>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+constexpr state::Duration kMaxRetryAfter =
+  std::chrono::seconds(30); ///< Longest advice.
+
+} // namespace
+
+void
+AccountLimiter::Bucket::fill(state::TimePoint aNow)
+{
+  const double capacity = std::max(1.0, rate_ * share_);
+  if (filledAt_ == state::TimePoint()) {
+    level_ = capacity;
+  } else if (aNow > filledAt_) {
+    const double seconds =
+      std::chrono::duration<double>(aNow - filledAt_).count();
+    level_ = std::min(capacity, level_ + seconds * rate_ * share_);
+  }
+  filledAt_ = std::max(filledAt_, aNow);
+}
+
+state::Duration
+AccountLimiter::Bucket::timeUntil(double aLevel) const
+{
+  if (level_ >= aLevel) {
+    return {};
+  }
+  const double rate = rate_ * share_;
+  const double limit = std::chrono::duration<double>(kMaxRetryAfter).count();
+  const double seconds =
+    rate <= 0 ? limit : std::min(limit, (aLevel - level_) / rate);
+  return std::chrono::duration_cast<state::Duration>(
+    std::chrono::duration<double>(seconds));
+}
+
+void
+AccountLimiter::configure(const state::Configuration& aConfiguration)
+{
+  const std::lock_guard lock(mutex_);
+  std::erase_if(accounts_, [&](const auto& aItem) {
+    return !aConfiguration.accounts_.contains(aItem.first);
+  });
+  for (const auto& [id, account] : aConfiguration.accounts_) {
+    if (account.requestsPerSecond_ == 0 && account.tokensPerSecond_ == 0) {
+      accounts_.erase(id);
+      continue;
+    }
+    Account& item = accounts_[id];
+    item.requests_.rate_ = account.requestsPerSecond_;
+    item.tokens_.rate_ = account.tokensPerSecond_;
+  }
+}
+
+void
+AccountLimiter::setShare(const state::AccountId& aAccount, LimitShare aShare)
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = accounts_.find(aAccount);
+  if (found != accounts_.end()) {
+    found->second.requests_.share_ = aShare.requests_;
+    found->second.tokens_.share_ = aShare.tokens_;
+  }
+}
+
+LimitVerdict
+AccountLimiter::tryRequest(const state::AccountId& aAccount,
+                           state::TimePoint aNow)
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = accounts_.find(aAccount);
+  if (found == accounts_.end()) {
+    return {};
+  }
+  Account& account = found->second;
+  account.usage_.requests_ += 1;
+  LimitVerdict verdict;
+  if (account.tokens_.rate_ > 0) {
+    account.tokens_.fill(aNow);
+    verdict.retryAfter_ = account.tokens_.timeUntil(0);
+  }
+  if (account.requests_.rate_ > 0) {
+    account.requests_.fill(aNow);
+    verdict.retryAfter_ =
+      std::max(verdict.retryAfter_, account.requests_.timeUntil(1));
+  }
+  verdict.allowed_ = verdict.retryAfter_ == state::Duration::zero();
+  if (verdict.allowed_ && account.requests_.rate_ > 0) {
+    account.requests_.level_ -= 1;
+  }
+  return verdict;
+}
+
+void
+AccountLimiter::charge(const state::AccountId& aAccount,
+                       std::uint64_t aTokens,
+                       state::TimePoint aNow)
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = accounts_.find(aAccount);
+  if (found == accounts_.end()) {
+    return;
+  }
+  Account& account = found->second;
+  account.usage_.tokens_ += static_cast<double>(aTokens);
+  if (account.tokens_.rate_ > 0) {
+    account.tokens_.fill(aNow);
+    account.tokens_.level_ -= static_cast<double>(aTokens);
+  }
+}
+
+UsageMap
+AccountLimiter::takeUsage()
+{
+  const std::lock_guard lock(mutex_);
+  UsageMap usage;
+  for (auto& [id, account] : accounts_) {
+    usage[id] = account.usage_;
+    account.usage_ = {};
+  }
+  return usage;
+}
+
+} // namespace auburnhaven::coordination
