Add the callers' HTTP server, metrics and the chat interface's JSON

Cause: requests need a way in before the gateway can be built on the request life cycle. Change: HTTP/1.1 sessions as stackful coroutines on one event loop a traffic thread, with header, body, time and connection limits, drain and notice of callers that leave; counters and latency summaries by Boost.Accumulators; chat-completions JSON and server-sent events. Conclusion: base for the gateway.

--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -61,6 +61,8 @@
 if(NOT AUBURNHAVEN_CORE_ONLY)
   auburnhaven_layer(transport auburnhaven_protocol nghttp2 boost_context glog gflags unwind)
   target_compile_definitions(auburnhaven_transport PUBLIC BOOST_ASIO_NO_DEPRECATED)
+  # g++ 12 reports a maybe-uninitialized member inside Boost.Accumulators.
+  set_source_files_properties(${SRC}/transport/metrics.cpp PROPERTIES COMPILE_OPTIONS -Wno-maybe-uninitialized)
   # Boost.Beast and Asio dominate the compile time of this layer.
   target_precompile_headers(auburnhaven_transport PRIVATE
     <boost/asio.hpp> <boost/asio/spawn.hpp> <boost/beast.hpp> <functional> <memory> <string> <vector>)
--- /dev/null
+++ b/src/transport/http_server.h
@@ -0,0 +1,136 @@
+// HTTP/1.1 server on the traffic threads.
+#pragma once
+
+#include "state/endpoint_type.h"
+#include "transport/http_type.h"
+#include "transport/traffic_pool.h"
+
+#include <boost/asio/spawn.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace auburnhaven::transport {
+
+/** Sends the response of one request. Used by one coroutine on the session's
+ * thread. */
+class HttpResponder
+{
+public:
+  virtual ~HttpResponder() = default;
+  /**
+   * Sends a whole response. Call once, instead of a stream.
+   * @param aResponse The response.
+   * @param aYield The coroutine.
+   */
+  virtual void send(const HttpResponse& aResponse,
+                    const boost::asio::yield_context& aYield) = 0;
+  /**
+   * Starts a chunked response; aResponse's body is ignored.
+   * @param aResponse Status and headers.
+   * @param aYield The coroutine.
+   * @return Whether the caller is still there.
+   */
+  virtual bool startStream(const HttpResponse& aResponse,
+                           const boost::asio::yield_context& aYield) = 0;
+  /**
+   * Sends one chunk.
+   * @param aData Data, not empty.
+   * @param aYield The coroutine.
+   * @return Whether the caller is still there.
+   */
+  virtual bool writeChunk(std::string_view aData,
+                          const boost::asio::yield_context& aYield) = 0;
+  /**
+   * Ends a chunked response as whole.
+   * @param aYield The coroutine.
+   */
+  virtual void endStream(const boost::asio::yield_context& aYield) = 0;
+  /** Breaks the connection, so that a response in progress never looks whole.
+   */
+  virtual void abort() = 0;
+  /**
+   * Sets what to do when the caller closes its connection before the response
+   * ended.
+   * @param aHandler Called at most once, on the session's thread; empty for
+   * none.
+   */
+  virtual void onCallerGone(std::function<void()> aHandler) = 0;
+  /** @return Whether the caller has closed its connection. */
+  virtual bool callerGone() const = 0;
+};
+
+/** Answers requests. */
+class HttpHandler
+{
+public:
+  virtual ~HttpHandler() = default;
+  /**
+   * Answers one request through the responder. Called on a traffic thread; may
+   * run on several threads at once.
+   * @param aThread Index of the traffic thread.
+   * @param aRequest The request.
+   * @param aResponder Takes the response.
+   * @param aYield Coroutine of the session.
+   */
+  virtual void handle(std::size_t aThread,
+                      const HttpRequest& aRequest,
+                      HttpResponder& aResponder,
+                      const boost::asio::yield_context& aYield) = 0;
+};
+
+/** What the sessions of a server share. Thread-safe. */
+struct HttpServerState
+{
+  std::atomic<bool> draining_{
+    false
+  }; ///< Sessions close after the present response.
+  std::atomic<std::uint64_t> inFlight_{ 0 };    ///< Requests being answered.
+  std::atomic<std::uint64_t> connections_{ 0 }; ///< Open connections.
+};
+
+/** Accepts connections and runs a session coroutine for each. */
+class HttpServer
+{
+public:
+  /**
+   * @param aPool Threads for the sessions.
+   * @param aEndpoint Where to listen.
+   * @param aLimits Limits.
+   * @param aHandler Answers the requests; outlives the pool's threads.
+   */
+  HttpServer(TrafficPool& aPool,
+             state::Endpoint aEndpoint,
+             HttpServerLimits aLimits,
+             HttpHandler& aHandler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /**
+   * Listens. Call once.
+   * @return Empty, or why it could not listen.
+   */
+  std::string start();
+  /** Stops accepting; sessions end after their present request. Safe from any
+   * thread. */
+  void drain();
+  /** @return Requests being answered. Safe from any thread. */
+  std::uint64_t inFlight() const { return state_->inFlight_; }
+  /** @return Port that the server listens on. */
+  std::uint16_t port() const;
+
+private:
+  class Listener;
+
+  TrafficPool& pool_;                      ///< Threads for the sessions.
+  state::Endpoint endpoint_;               ///< Where to listen.
+  HttpServerLimits limits_;                ///< Limits.
+  HttpHandler& handler_;                   ///< Answers the requests.
+  std::shared_ptr<HttpServerState> state_; ///< Shared with the sessions.
+  std::shared_ptr<Listener> listener_;     ///< Accepts connections.
+};
+
+} // namespace auburnhaven::transport
--- /dev/null
+++ b/src/transport/http_session.cpp
@@ -0,0 +1,386 @@
+// One connection of the HTTP server.
+
+#include "transport/http_session.h"
+
+#include <boost/asio.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/beast.hpp>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+
+namespace auburnhaven::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+using Parser = http::request_parser<http::string_body>;
+
+/** Counts a request in flight for as long as it lives. */
+class InFlight
+{
+public:
+  /** @param aState Where to count. */
+  explicit InFlight(HttpServerState& aState)
+    : state_(aState)
+  {
+    ++state_.inFlight_;
+  }
+  ~InFlight() { --state_.inFlight_; }
+  InFlight(const InFlight&) = delete;
+  InFlight& operator=(const InFlight&) = delete;
+
+private:
+  HttpServerState& state_; ///< Where to count.
+};
+
+/** @return The library's view of a string. */
+beast::string_view
+view(std::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+/** @return The request in the server's own type. */
+HttpRequest
+convert(http::request<http::string_body>&& aMessage)
+{
+  HttpRequest request;
+  request.method_ = std::string(aMessage.method_string());
+  const std::string target(aMessage.target());
+  const std::size_t question = target.find('?');
+  request.path_ = target.substr(0, question);
+  request.query_ =
+    question == std::string::npos ? std::string() : target.substr(question + 1);
+  for (const auto& field : aMessage) {
+    request.headers_.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  request.body_ = std::move(aMessage.body());
+  return request;
+}
+
+/** What to answer to a request that could not be read; status 0 for nothing. */
+struct ReadFault
+{
+  std::uint32_t status_ = 0; ///< Status code.
+  std::string_view code_;    ///< Code in the error body.
+};
+
+/** @return The answer to a read error. */
+ReadFault
+describe(const boost::system::error_code& aError, bool aHasBytes)
+{
+  if (aError == http::error::body_limit) {
+    return { 413, "body_too_large" };
+  }
+  if (aError == http::error::header_limit ||
+      aError == http::error::buffer_overflow) {
+    return { 431, "header_too_large" };
+  }
+  if (aError == beast::error::timeout) {
+    return aHasBytes ? ReadFault{ 408, "request_timeout" } : ReadFault{};
+  }
+  const bool malformed =
+    aError.category() ==
+    http::make_error_code(http::error::bad_method).category();
+  const bool closed = aError == http::error::end_of_stream ||
+                      aError == http::error::partial_message;
+  return malformed && !closed ? ReadFault{ 400, "malformed_request" }
+                              : ReadFault{};
+}
+
+/** Session of one connection; also the responder of its present request. */
+class HttpSession
+  : public HttpResponder
+  , public std::enable_shared_from_this<HttpSession>
+{
+public:
+  /** Takes over an accepted connection. */
+  HttpSession(tcp::socket aSocket, HttpSessionContext aContext)
+    : stream_(std::move(aSocket))
+    , context_(std::move(aContext))
+  {
+    ++context_.state_->connections_;
+  }
+  ~HttpSession() override { --context_.state_->connections_; }
+  HttpSession(const HttpSession&) = delete;
+  HttpSession& operator=(const HttpSession&) = delete;
+
+  /** Serves requests until the connection ends. */
+  void run(const asio::yield_context& aYield)
+  {
+    boost::system::error_code ignored;
+    stream_.socket().set_option(tcp::no_delay(true), ignored);
+    while (serveOne(aYield)) {
+    }
+    closeSlowly(aYield);
+  }
+
+  void send(const HttpResponse& aResponse,
+            const asio::yield_context& aYield) override
+  {
+    http::response<http::string_body> message(
+      static_cast<http::status>(aResponse.status_), version_);
+    fill(message, aResponse);
+    message.body() = aResponse.body_;
+    message.prepare_payload();
+    stream_.expires_after(context_.limits_.writeTimeout_);
+    boost::system::error_code error;
+    http::async_write(stream_, message, aYield[error]);
+    noteWrite(error);
+  }
+
+  bool startStream(const HttpResponse& aResponse,
+                   const asio::yield_context& aYield) override
+  {
+    http::response<http::empty_body> message(
+      static_cast<http::status>(aResponse.status_), version_);
+    fill(message, aResponse);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    stream_.expires_after(context_.limits_.writeTimeout_);
+    boost::system::error_code error;
+    http::async_write_header(stream_, serializer, aYield[error]);
+    return noteWrite(error);
+  }
+
+  bool writeChunk(std::string_view aData,
+                  const asio::yield_context& aYield) override
+  {
+    if (gone_) {
+      return false;
+    }
+    stream_.expires_after(context_.limits_.writeTimeout_);
+    boost::system::error_code error;
+    asio::async_write(
+      stream_,
+      http::make_chunk(asio::buffer(aData.data(), aData.size())),
+      aYield[error]);
+    return noteWrite(error);
+  }
+
+  void endStream(const asio::yield_context& aYield) override
+  {
+    if (gone_) {
+      return;
+    }
+    stream_.expires_after(context_.limits_.writeTimeout_);
+    boost::system::error_code error;
+    asio::async_write(stream_, http::make_chunk_last(), aYield[error]);
+    noteWrite(error);
+  }
+
+  void abort() override
+  {
+    gone_ = true;
+    keepAlive_ = false;
+    boost::system::error_code ignored;
+    stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    stream_.close();
+  }
+
+  void onCallerGone(std::function<void()> aHandler) override
+  {
+    goneHandler_ = std::move(aHandler);
+  }
+
+  bool callerGone() const override { return gone_; }
+
+private:
+  /** Reads and answers one request. @return Whether to go on. */
+  bool serveOne(const asio::yield_context& aYield)
+  {
+    Parser parser;
+    parser.header_limit(context_.limits_.maxHeaderBytes_);
+    parser.body_limit(context_.limits_.maxBodyBytes_);
+    boost::system::error_code error;
+    if (!waitForBytes(aYield)) {
+      return false;
+    }
+    read(parser, error, aYield);
+    if (error) {
+      refuse(describe(error, buffer_.size() > 0 || parser.got_some()), aYield);
+      return false;
+    }
+    const InFlight counted(*context_.state_);
+    version_ = parser.get().version();
+    keepAlive_ = parser.keep_alive();
+    const HttpRequest request = convert(parser.release());
+    goneHandler_ = nullptr;
+    watchCaller();
+    context_.handler_->handle(context_.thread_, request, *this, aYield);
+    goneHandler_ = nullptr;
+    stopWatching();
+    return keepAlive_ && !gone_ && !context_.state_->draining_;
+  }
+
+  /** Waits for the first byte of a request. @return Whether one came in time.
+   */
+  bool waitForBytes(const asio::yield_context& aYield)
+  {
+    if (buffer_.size() > 0) {
+      return true;
+    }
+    stream_.expires_after(context_.limits_.idleTimeout_);
+    boost::system::error_code error;
+    const std::size_t size =
+      stream_.async_read_some(buffer_.prepare(kReadBytes), aYield[error]);
+    buffer_.commit(size);
+    return !error && size > 0;
+  }
+
+  /** Reads header and body within their time limits. */
+  void read(Parser& aParser,
+            boost::system::error_code& aError,
+            const asio::yield_context& aYield)
+  {
+    stream_.expires_after(context_.limits_.headerTimeout_);
+    http::async_read_header(stream_, buffer_, aParser, aYield[aError]);
+    if (aError) {
+      return;
+    }
+    if (beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
+      http::response<http::empty_body> proceed(http::status::continue_,
+                                               aParser.get().version());
+      http::async_write(stream_, proceed, aYield[aError]);
+      if (aError) {
+        return;
+      }
+    }
+    stream_.expires_after(context_.limits_.bodyTimeout_);
+    http::async_read(stream_, buffer_, aParser, aYield[aError]);
+  }
+
+  /** Answers a request that could not be read. */
+  void refuse(const ReadFault& aFault, const asio::yield_context& aYield)
+  {
+    if (aFault.status_ == 0) {
+      return;
+    }
+    keepAlive_ = false;
+    HttpResponse response;
+    response.status_ = aFault.status_;
+    response.body_ = R"({"error":{"outcome":"not_run","code":")" +
+                     std::string(aFault.code_) + "\"}}";
+    send(response, aYield);
+  }
+
+  /** Sets the headers that each response has. */
+  template<class Message>
+  void fill(Message& aMessage, const HttpResponse& aResponse)
+  {
+    if (context_.state_->draining_) {
+      keepAlive_ = false;
+    }
+    aMessage.set(http::field::server, "auburnhaven");
+    aMessage.set(http::field::content_type, view(aResponse.contentType_));
+    for (const HttpHeader& header : aResponse.headers_) {
+      aMessage.set(view(header.name_), view(header.value_));
+    }
+    aMessage.keep_alive(keepAlive_);
+  }
+
+  /** Notes the end of a write. @return Whether the caller is still there. */
+  bool noteWrite(const boost::system::error_code& aError)
+  {
+    if (aError) {
+      markGone();
+    }
+    return !gone_;
+  }
+
+  /** Marks the caller as gone and tells the handler once. */
+  void markGone()
+  {
+    gone_ = true;
+    const auto handler = std::exchange(goneHandler_, nullptr);
+    if (handler) {
+      handler();
+    }
+  }
+
+  /** Notices when the caller closes its connection while its request is
+   * answered. */
+  void watchCaller()
+  {
+    ++watch_;
+    stream_.socket().async_receive(
+      asio::buffer(peek_),
+      asio::socket_base::message_peek,
+      [self = shared_from_this(), watch = watch_](
+        const boost::system::error_code& aError, std::size_t aSize) {
+        const bool closed =
+          aError != asio::error::operation_aborted && (aError || aSize == 0);
+        if (closed && watch == self->watch_) {
+          self->markGone();
+        }
+      });
+  }
+
+  /** Ends the watch on the caller. */
+  void stopWatching()
+  {
+    ++watch_;
+    boost::system::error_code ignored;
+    if (stream_.socket().is_open()) {
+      stream_.socket().cancel(ignored);
+    }
+  }
+
+  /** Closes so that the caller can still read the last response. */
+  void closeSlowly(const asio::yield_context& aYield)
+  {
+    boost::system::error_code error;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, error);
+    std::array<char, kReadBytes> rest{};
+    std::size_t left = kMaxDrainReads;
+    while (!error && left-- > 0) {
+      stream_.expires_after(kDrainTimeout);
+      stream_.async_read_some(asio::buffer(rest), aYield[error]);
+    }
+    stream_.close();
+  }
+
+  static constexpr std::size_t kReadBytes = 4096; ///< Bytes asked for at once.
+  static constexpr std::size_t kMaxDrainReads =
+    64; ///< Reads after the last response.
+  static constexpr std::chrono::milliseconds kDrainTimeout{
+    500
+  }; ///< Wait for each of them.
+
+  beast::tcp_stream stream_;   ///< The connection.
+  HttpSessionContext context_; ///< What the session needs from its server.
+  beast::flat_buffer
+    buffer_; ///< Bytes read but not parsed, pipelined requests included.
+  std::array<char, 1> peek_{}; ///< Takes the byte that the watch peeks.
+  std::function<void()>
+    goneHandler_;           ///< Told when the caller closes its connection.
+  std::uint64_t watch_ = 0; ///< Number of the present watch.
+  unsigned version_ = 11;   ///< HTTP version of the present request.
+  bool keepAlive_ =
+    true;             ///< Whether the connection goes on after the response.
+  bool gone_ = false; ///< Whether the caller closed its connection.
+};
+
+} // namespace
+
+void
+startHttpSession(tcp::socket aSocket, HttpSessionContext aContext)
+{
+  const auto executor = aSocket.get_executor();
+  auto session =
+    std::make_shared<HttpSession>(std::move(aSocket), std::move(aContext));
+  asio::spawn(
+    executor,
+    [session](const asio::yield_context& aYield) { session->run(aYield); },
+    asio::detached);
+}
+
+} // namespace auburnhaven::transport
