--- a/src/state/domain_record_type.h
+++ b/src/state/domain_record_type.h
@@ -26,8 +26,11 @@
   AssignmentKind kind_ =
     AssignmentKind::kSpare; ///< What the VM is assigned to.
   CopyId copy_;             ///< Copy, for members and reserves.
-  std::uint32_t rank_ = 0;  ///< Rank, for members; 0 is the head.
-  std::string reason_;      ///< Why, as a short sentence for people.
+  std::uint32_t rank_ = 0;  ///< Rank, for members and reserves that load ahead;
+  ///< 0 is the head.
+  std::string reason_; ///< Why, as a short sentence for people.
+  bool preload_ =
+    false; ///< Whether a reserve loads the shard of its rank ahead.
   bool operator==(const Assignment&) const = default;
 };
 
