--- a/src/coordination/request/admission.cpp
+++ b/src/coordination/request/admission.cpp
@@ -142,13 +142,16 @@
   /** @return Handler of a request that waited; it is forgotten. */
   ReleaseHandler takeHandler(TicketId aTicket)
   {
-    auto node = handlers_.extract(aTicket.value());
-    assert(!node.empty());
-    return std::move(node.mapped());
+    const auto found = handlers_.find(aTicket.value());
+    assert(found != handlers_.end());
+    ReleaseHandler handler = std::move(found->second);
+    handlers_.erase(found);
+    return handler;
   }
 };
 
-Admission::Admission(AccountLimiter& aLimiter, AdmissionSettings aSettings)
+Admission::Admission(AccountLimiter& aLimiter,
+                     const AdmissionSettings& aSettings)
   : limiter_(aLimiter)
   , settings_(aSettings)
 {
--- a/src/coordination/request/admission.h
+++ b/src/coordination/request/admission.h
@@ -84,7 +84,7 @@
    * @param aSettings Limits.
    */
   explicit Admission(AccountLimiter& aLimiter,
-                     AdmissionSettings aSettings = {});
+                     const AdmissionSettings& aSettings = {});
   ~Admission();
   Admission(const Admission&) = delete;
   Admission& operator=(const Admission&) = delete;
--- a/src/coordination/request/claim_service.cpp
+++ b/src/coordination/request/claim_service.cpp
@@ -20,6 +20,10 @@
   10
 }; ///< Greatest difference between the wall clocks of callers and daemons.
 
+constexpr state::Duration kCompactionPause =
+  std::chrono::seconds(10); ///< Time after which a slot that hardly grew is
+                            ///< compacted again.
+
 constexpr std::size_t kUuidLength = 36;       ///< Characters of a UUID.
 constexpr std::size_t kUuidVersionIndex = 14; ///< Place of the version digit.
 constexpr std::size_t kUuidTimeDigits = 12;   ///< Digits that hold the time.
@@ -347,7 +351,9 @@
 {
   const std::size_t limit = settings_.maxSlotBytes_ / 2;
   const std::size_t grown = std::max(limit, aSlot.compactedBytes_ * 5 / 4);
-  if (aSlot.journal_.text().size() <= grown) {
+  const std::size_t size = aSlot.journal_.text().size();
+  const bool due = clock_.now() - aSlot.compactedAt_ >= kCompactionPause;
+  if (size <= limit || (size <= grown && !due)) {
     return;
   }
   const state::WallTime oldest =
@@ -356,6 +362,7 @@
   if (aSlot.journal_.text().size() > limit) {
     aSlot.journal_.compact(oldest, false);
   }
+  aSlot.compactedAt_ = clock_.now();
   aSlot.compactedBytes_ = aSlot.journal_.text().size();
 }
 
--- a/src/coordination/request/claim_service.h
+++ b/src/coordination/request/claim_service.h
@@ -33,10 +33,10 @@
     std::chrono::minutes(2); ///< Age of a held claim from which its holder
                              ///< counts as lost.
   state::Duration storeBackoff_ =
-    std::chrono::milliseconds(500);       ///< Wait after a failed call.
-  std::size_t maxSlotBytes_ = 512 * 1024; ///< Largest value of a slot.
-  std::size_t maxAnswerBytes_ = 4096;     ///< Largest answer that is kept.
-  std::size_t maxKeyBytes_ = 256;         ///< Longest key.
+    std::chrono::milliseconds(500);    ///< Wait after a failed call.
+  std::size_t maxSlotBytes_ = 524288;  ///< Largest value of a slot.
+  std::size_t maxAnswerBytes_ = 4096;  ///< Largest answer that is kept.
+  std::size_t maxKeyBytes_ = 256;      ///< Longest key.
   std::size_t maxQueued_ = 2048;       ///< Most operations that wait in a slot.
   std::chrono::hours retention_{ 24 }; ///< How long keys are remembered.
   bool requireDatedKeys_ =
@@ -145,6 +145,7 @@
     bool loaded_ = false;                ///< Whether the content is known.
     bool fresh_ = false;                 ///< Whether it was read just now.
     std::size_t compactedBytes_ = 0;     ///< Length after the last compaction.
+    state::TimePoint compactedAt_{};     ///< Time of the last compaction.
     SlotPhase phase_ = SlotPhase::kIdle; ///< Call under way.
     state::TimePoint nextCommit_{};      ///< No commit before this.
     std::deque<Operation> queue_;        ///< Operations that wait.
--- /dev/null
+++ b/tests/coordination/request_claim_test.cpp
@@ -0,0 +1,260 @@
+// Tests of claims when daemons, writes and the store fail.
+
+#include "coordination/request/claim_service.h"
+#include "fakes/fake_store.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace auburnhaven;
+using namespace auburnhaven::coordination;
+using namespace std::chrono_literals;
+
+class RequestClaimTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RequestClaimTest);
+  CPPUNIT_TEST(twoDaemonsSameKeyAtOnce);
+  CPPUNIT_TEST(answerOfWriteLost);
+  CPPUNIT_TEST(writeLost);
+  CPPUNIT_TEST(storeOutRefusesAtOnce);
+  CPPUNIT_TEST(storeOutAfterAmbiguousWriteFreesKey);
+  CPPUNIT_TEST(finishedAnswerIsReplayed);
+  CPPUNIT_TEST(daemonReplacedLeavesKeyClaimed);
+  CPPUNIT_TEST(onlyHolderFreesKey);
+  CPPUNIT_TEST(freedKeyIsSeenByOthers);
+  CPPUNIT_TEST(otherBodyIsRefused);
+  CPPUNIT_TEST(oldKeyIsRefused);
+  CPPUNIT_TEST(manyClaimsShareWrites);
+  CPPUNIT_TEST(slotStaysBounded);
+  CPPUNIT_TEST(damagedSlotGrantsNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    clock_ = fakes::FakeClock();
+    data_ = std::make_shared<fakes::FakeStoreData>();
+    settings_ = ClaimSettings();
+    settings_.slots_ = 1;
+    one_ = makeDaemon("one");
+    two_ = makeDaemon("two");
+  }
+
+  void twoDaemonsSameKeyAtOnce()
+  {
+    const auto first = claim(one_, "k");
+    const auto second = claim(two_, "k");
+    settle();
+    CPPUNIT_ASSERT(first->status_ == ClaimStatus::kGranted);
+    CPPUNIT_ASSERT(second->status_ == ClaimStatus::kInProgress);
+  }
+
+  void answerOfWriteLost()
+  {
+    one_.store_->faults().loseAnswers_ = 1;
+    const auto result = claim(one_, "k");
+    settle();
+    CPPUNIT_ASSERT(result->status_ == ClaimStatus::kGranted);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), one_.claims_->counts().writes_);
+  }
+
+  void writeLost()
+  {
+    one_.store_->faults().failWrites_ = 1;
+    const auto result = claim(one_, "k");
+    settle();
+    CPPUNIT_ASSERT(result->status_ == ClaimStatus::kGranted);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), one_.claims_->counts().writes_);
+  }
+
+  void storeOutRefusesAtOnce()
+  {
+    one_.store_->faults().down_ = true;
+    const auto result = claim(one_, "k");
+    clock_.advance(2ms);
+    one_.store_->step();
+    CPPUNIT_ASSERT(*result == ClaimResult({ ClaimStatus::kUnavailable,
+                                            result->token_,
+                                            {},
+                                            settings_.storeBackoff_,
+                                            {} }));
+    CPPUNIT_ASSERT(result->token_ != ClaimToken());
+  }
+
+  void storeOutAfterAmbiguousWriteFreesKey()
+  {
+    one_.store_->faults().loseAnswers_ = 1;
+    const auto first = claim(one_, "k");
+    clock_.advance(2ms);
+    one_.store_->step();
+    one_.store_->faults().down_ = true;
+    settle();
+    CPPUNIT_ASSERT(first->status_ == ClaimStatus::kUnavailable);
+    const auto other = claim(two_, "k");
+    settle();
+    CPPUNIT_ASSERT(other->status_ == ClaimStatus::kInProgress);
+    one_.store_->faults().down_ = false;
+    settle();
+    const auto again = claim(two_, "k");
+    settle();
+    CPPUNIT_ASSERT(again->status_ == ClaimStatus::kGranted);
+  }
+
+  void finishedAnswerIsReplayed()
+  {
+    const auto first = claim(one_, "k");
+    settle();
+    const auto answer = std::make_shared<const StoredAnswer>(
+      StoredAnswer{ 201, "text/plain", "done" });
+    one_.claims_->end(first->token_, ClaimEnd::kFinished, answer);
+    settle();
+    const auto repeated = claim(two_, "k");
+    settle();
+    CPPUNIT_ASSERT(repeated->status_ == ClaimStatus::kFinished);
+    CPPUNIT_ASSERT(*repeated->answer_ == *answer);
+  }
+
+  void daemonReplacedLeavesKeyClaimed()
+  {
+    claim(one_, "k");
+    settle();
+    one_ = makeDaemon("three");
+    clock_.advance(3min);
+    const auto repeated = claim(one_, "k");
+    settle();
+    CPPUNIT_ASSERT(repeated->status_ == ClaimStatus::kHolderLost);
+  }
+
+  void onlyHolderFreesKey()
+  {
+    const auto first = claim(one_, "k");
+    settle();
+    two_.claims_->end(first->token_, ClaimEnd::kNotRun);
+    settle();
+    const auto second = claim(two_, "k");
+    settle();
+    CPPUNIT_ASSERT(second->status_ == ClaimStatus::kInProgress);
+  }
+
+  void freedKeyIsSeenByOthers()
+  {
+    const auto first = claim(one_, "k");
+    const auto second = claim(two_, "k");
+    settle();
+    CPPUNIT_ASSERT(second->status_ == ClaimStatus::kInProgress);
+    one_.claims_->end(first->token_, ClaimEnd::kNotRun);
+    settle();
+    const auto third = claim(two_, "k");
+    settle();
+    CPPUNIT_ASSERT(third->status_ == ClaimStatus::kGranted);
+  }
+
+  void otherBodyIsRefused()
+  {
+    claim(one_, "k", "body");
+    settle();
+    const auto other = claim(two_, "k", "other");
+    settle();
+    CPPUNIT_ASSERT(other->status_ == ClaimStatus::kKeyReused);
+  }
+
+  void oldKeyIsRefused()
+  {
+    clock_.advance(std::chrono::hours(480000));
+    const std::string issued1970 = "00000000-0000-7000-8000-000000000000";
+    CPPUNIT_ASSERT(claim(one_, issued1970)->status_ == ClaimStatus::kTooOld);
+    const std::string future = "ffffffff-ffff-7000-8000-000000000000";
+    CPPUNIT_ASSERT(claim(one_, future)->status_ == ClaimStatus::kInvalid);
+    CPPUNIT_ASSERT(claim(one_, "")->status_ == ClaimStatus::kInvalid);
+  }
+
+  void manyClaimsShareWrites()
+  {
+    for (int count = 0; count < 500; ++count) {
+      claim(one_, "k" + std::to_string(count));
+    }
+    settle();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(500), one_.claims_->counts().granted_);
+    CPPUNIT_ASSERT(one_.claims_->counts().writes_ <= 2);
+  }
+
+  void slotStaysBounded()
+  {
+    settings_.maxSlotBytes_ = 16384;
+    settings_.maxAnswerBytes_ = 512;
+    settings_.retention_ = std::chrono::hours(1);
+    one_ = makeDaemon("one");
+    int refused = 0;
+    for (int count = 0; count < 400; ++count) {
+      clock_.advance(count < 200 ? 0s : 60s);
+      const auto result = claim(one_, "k" + std::to_string(count));
+      settle();
+      refused += result->status_ == ClaimStatus::kUnavailable ? 1 : 0;
+      one_.claims_->end(result->token_, ClaimEnd::kFinished);
+    }
+    CPPUNIT_ASSERT(data_->items_["claims/0"].value_.size() <= 16384);
+    CPPUNIT_ASSERT(refused > 0);
+    clock_.advance(2h);
+    const auto result = claim(one_, "last");
+    settle();
+    CPPUNIT_ASSERT(result->status_ == ClaimStatus::kGranted);
+  }
+
+  void damagedSlotGrantsNothing()
+  {
+    data_->items_["claims/0"] = { "damaged\n", state::Revision(1) };
+    const auto result = claim(one_, "k");
+    settle();
+    CPPUNIT_ASSERT(result->status_ == ClaimStatus::kUnavailable);
+  }
+
+private:
+  /** A daemon with its own connection to the store. */
+  struct Daemon
+  {
+    std::unique_ptr<fakes::FakeStore> store_;
+    std::unique_ptr<ClaimService> claims_;
+  };
+
+  Daemon makeDaemon(const std::string& aName)
+  {
+    Daemon daemon;
+    daemon.store_ = std::make_unique<fakes::FakeStore>(clock_, data_);
+    daemon.claims_ = std::make_unique<ClaimService>(*daemon.store_,
+                                                    clock_,
+                                                    state::DaemonId(aName),
+                                                    state::Incarnation(1),
+                                                    settings_);
+    return daemon;
+  }
+
+  std::shared_ptr<ClaimResult> claim(Daemon& aDaemon,
+                                     const std::string& aKey,
+                                     const std::string& aBody = "body")
+  {
+    auto result = std::make_shared<ClaimResult>();
+    aDaemon.claims_->claim(
+      { state::AccountId("a"), "orders/confirm", aKey, aBody },
+      [result](const ClaimResult& aResult) { *result = aResult; });
+    return result;
+  }
+
+  /** Lets two seconds pass. */
+  void settle()
+  {
+    for (int step = 0; step < 200; ++step) {
+      clock_.advance(10ms);
+      for (Daemon* daemon : { &one_, &two_ }) {
+        daemon->store_->step();
+        daemon->claims_->tick();
+      }
+    }
+  }
+
+  fakes::FakeClock clock_;                     ///< Clock of the test.
+  std::shared_ptr<fakes::FakeStoreData> data_; ///< Data of the store.
+  ClaimSettings settings_;                     ///< Limits.
+  Daemon one_;                                 ///< First daemon.
+  Daemon two_;                                 ///< Second daemon.
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestClaimTest);
--- /dev/null
+++ b/tests/coordination/request_random_test.cpp
@@ -0,0 +1,31 @@
+// Bounded random runs of requests with all invariants checked.
+
+#include "coordination/request_random_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace auburnhaven;
+
+class RequestRandomTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RequestRandomTest);
+  CPPUNIT_TEST(invariantsHold);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void invariantsHold()
+  {
+    for (const std::uint64_t seed : { 11, 12, 13 }) {
+      fakes::RequestRandomWorld world(seed);
+      const fakes::RandomRunReport report = world.run(20000);
+      CPPUNIT_ASSERT(report.answered_ > 100 && report.replayed_ > 10);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), report.doubledRuns_);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), report.falseNotRun_);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), report.doubledOutcomes_);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), report.wrongAnswers_);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), report.missingOutcomes_);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestRandomTest);
