Tune the choice of target by a model of engine queues

With as many targets as choices only the target of a prefix hit was looked at. Change: a report of others' work counts a tenth; the prefix bonus is a tenth of a target's slots; all targets are compared when there are no more than choices; a slow target whose samples are old gets one probe at a time.

--- a/src/coordination/request/target_chooser.cpp
+++ b/src/coordination/request/target_chooser.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t kDrawsPerChoice =
+constexpr std::uint32_t kDrawsPerChoice =
   4; ///< Random draws for one choice before all targets are looked at.
 constexpr double kPermille = 1000.0; ///< Thousandths in one.
 
@@ -263,7 +263,7 @@
       std::chrono::duration<double>(settings_.reportHalfLife_).count();
     const std::uint32_t others = aCandidate.stats_->othersWork(
       copy.load_.running_ + copy.load_.queued_, copy.loadObservedAt_);
-    work += others * std::exp2(-age / halfLife);
+    work += settings_.reportWeight_ * others * std::exp2(-age / halfLife);
     slots = std::max(1U, copy.load_.slots_);
     slowness = copy.slowdownPermille_ / kPermille;
   }
@@ -279,6 +279,20 @@
          settings_.prefixBonus_ * prefixShare(aCandidate, aInfo);
 }
 
+template<class Consider>
+void
+TargetChooser::drawAndConsider(const std::vector<Candidate>& aCandidates,
+                               const Consider& aConsider)
+{
+  std::uint32_t compared = 0;
+  const std::uint32_t draws = kDrawsPerChoice * settings_.choices_;
+  for (std::uint32_t draw = 0; draw < draws && compared < settings_.choices_;
+       ++draw) {
+    const std::size_t index = random() % aCandidates.size();
+    compared += aConsider(aCandidates[index], false) ? 1U : 0U;
+  }
+}
+
 const TargetChooser::Candidate*
 TargetChooser::pick(const std::vector<Candidate>& aCandidates,
                     const Pool& aPool,
@@ -304,23 +318,22 @@
   };
   const Candidate* hit =
     &aCandidates == &aPool.local_ ? prefixCandidate(aPool, aInfo) : nullptr;
-  std::uint32_t compared = 0;
-  const std::size_t draws = aCandidates.size() > settings_.choices_
-                              ? kDrawsPerChoice * settings_.choices_
-                              : 0;
-  for (std::size_t draw = 0; draw < draws && compared < settings_.choices_;
-       ++draw) {
-    compared +=
-      consider(aCandidates[random() % aCandidates.size()], false) ? 1U : 0U;
+  const auto considerAll = [&](bool aShunnedToo) {
+    for (const Candidate& candidate : aCandidates) {
+      consider(candidate, aShunnedToo);
+    }
+  };
+  if (aCandidates.size() <= settings_.choices_) {
+    considerAll(false);
+  } else {
+    drawAndConsider(aCandidates, consider);
   }
   if (hit != nullptr) {
     consider(*hit, false);
   }
   for (const bool shunnedToo : { false, true }) {
-    if (compared < settings_.choices_ && best == nullptr) {
-      for (const Candidate& candidate : aCandidates) {
-        consider(candidate, shunnedToo);
-      }
+    if (best == nullptr) {
+      considerAll(shunnedToo);
     }
   }
   return best;
--- a/src/coordination/request/target_chooser.h
+++ b/src/coordination/request/target_chooser.h
@@ -22,7 +22,10 @@
   std::uint32_t choices_ = 2; ///< Targets drawn at random and compared.
   state::Duration reportHalfLife_ =
     std::chrono::seconds(2);   ///< Age at which a load report counts half.
-  double prefixBonus_ = 0.5;   ///< Load in parts of a target's slots that a hit
+  double reportWeight_ = 0.1;  ///< Part of a fresh report of others' work that
+                               ///< counts; with 1 all daemons would move to
+                               ///< the same targets at once.
+  double prefixBonus_ = 0.1;   ///< Load in parts of a target's slots that a hit
                                ///< of the whole prompt outweighs.
   double spillPressure_ = 2.0; ///< Load of the own zone in parts of its
                                ///< slots from which other zones are weighed.
@@ -118,6 +121,9 @@
                const Pool& aPool,
                const RequestInfo& aInfo,
                state::TimePoint aNow) const;
+  template<class Consider>
+  void drawAndConsider(const std::vector<Candidate>& aCandidates,
+                       const Consider& aConsider);
   const Candidate* pick(const std::vector<Candidate>& aCandidates,
                         const Pool& aPool,
                         const RequestInfo& aInfo,
--- a/src/coordination/request/target_stats.cpp
+++ b/src/coordination/request/target_stats.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint32_t kMaxShunDoublings = 4; ///< Longest pause is 8 s.
 constexpr std::int64_t kSampleShare = 8; ///< A sample counts for one eighth.
 constexpr state::Duration kSampleLife =
-  std::chrono::seconds(20); ///< Age at which samples are forgotten.
+  std::chrono::seconds(20); ///< Age at which a target is tried again.
 
 /** @return Nanoseconds of a point in time. */
 std::int64_t
@@ -48,7 +48,8 @@
 TargetStats::sample(state::Duration aUnit, state::TimePoint aNow)
 {
   // Racing samples may lose one of them, which the mean tolerates.
-  const std::int64_t mean = unitTime(aNow).count();
+  const bool old = nanos(aNow) - sampledAt_.load() > kSampleLife.count();
+  const std::int64_t mean = old ? 0 : unitNanos_.load();
   const std::int64_t unit = std::max<std::int64_t>(1, aUnit.count());
   unitNanos_ = mean == 0 ? unit : mean + (unit - mean) / kSampleShare;
   sampledAt_ = nanos(aNow);
@@ -64,7 +65,9 @@
 TargetStats::unitTime(state::TimePoint aNow) const
 {
   const bool old = nanos(aNow) - sampledAt_.load() > kSampleLife.count();
-  return state::Duration(old ? 0 : unitNanos_.load());
+  // One request at a time finds out whether a slow target has recovered.
+  const bool probe = old && outstanding() == 0;
+  return state::Duration(probe ? 0 : unitNanos_.load());
 }
 
 std::uint32_t
--- a/src/coordination/request/target_stats.h
+++ b/src/coordination/request/target_stats.h
@@ -44,7 +44,8 @@
   state::TimePoint shunnedUntil() const;
   /**
    * @param aNow Present time.
-   * @return Mean time of one unit; zero when no sample is recent.
+   * @return Mean time of one unit; zero when there is no sample, or when the
+   * last one is old and no work is under way that would bring another.
    */
   state::Duration unitTime(state::TimePoint aNow) const;
   /**
