Let one daemon write the claims of a slot, and date the slots

Change: operations go to the daemon that all prefer for a slot and come back when it is silent, with the same token, so that both may write; dated keys use values by the time of their issue in a ring of epochs; ClaimSlot is split from ClaimService; a text form for the transport. Only the holder's daemon ends a refused claim that may have been written: a peer doing so freed a live claim.

--- a/bench/request_claims.cpp
+++ b/bench/request_claims.cpp
@@ -21,6 +21,42 @@
   std::unique_ptr<ClaimService> claims_;    ///< Claims.
 };
 
+/** Daemons that reach each other one step of the clock later. */
+class LocalPeers : public ClaimPeers
+{
+public:
+  /** @param aDaemons All daemons, named by their index. */
+  explicit LocalPeers(std::vector<ClaimingDaemon>& aDaemons)
+    : daemons_(aDaemons)
+  {
+  }
+  void forward(const state::DaemonId& aTo,
+               const ClaimOperation& aOperation,
+               ClaimHandler aHandler) override
+  {
+    const std::size_t index = std::stoul(aTo.value());
+    sent_.push_back([this, index, aOperation, handler = std::move(aHandler)] {
+      daemons_[index].claims_->serve(
+        aOperation, [this, handler](const ClaimResult& aResult) {
+          sent_.push_back([handler, aResult] { handler(aResult); });
+        });
+    });
+  }
+  /** Delivers what was sent before. */
+  void step()
+  {
+    std::vector<std::function<void()>> due;
+    due.swap(sent_);
+    for (const auto& deliver : due) {
+      deliver();
+    }
+  }
+
+private:
+  std::vector<ClaimingDaemon>& daemons_;    ///< All daemons.
+  std::vector<std::function<void()>> sent_; ///< Messages on their way.
+};
+
 /** What one run measured. */
 struct ClaimRun
 {
@@ -39,23 +75,31 @@
  * @param aRate Claims a second.
  * @param aDaemons Daemons.
  * @param aSlots Slots.
+ * @param aForward Whether one daemon writes a slot for all.
  */
 void
-runRate(int aRate, std::size_t aDaemons, std::uint32_t aSlots)
+runRate(int aRate, std::size_t aDaemons, std::uint32_t aSlots, bool aForward)
 {
   fakes::FakeClock clock;
   auto data = std::make_shared<fakes::FakeStoreData>();
   ClaimSettings settings;
   settings.slots_ = aSlots;
   std::vector<ClaimingDaemon> daemons(aDaemons);
+  LocalPeers peers(daemons);
+  std::vector<state::DaemonId> names;
+  for (std::size_t index = 0; index < aDaemons; ++index) {
+    names.emplace_back(std::to_string(index));
+  }
   for (std::size_t index = 0; index < aDaemons; ++index) {
     daemons[index].store_ = std::make_unique<fakes::FakeStore>(clock, data);
-    daemons[index].claims_ = std::make_unique<ClaimService>(
-      *daemons[index].store_,
-      clock,
-      state::DaemonId("d" + std::to_string(index)),
-      state::Incarnation(1),
-      settings);
+    daemons[index].claims_ =
+      std::make_unique<ClaimService>(*daemons[index].store_,
+                                     clock,
+                                     names[index],
+                                     state::Incarnation(1),
+                                     settings,
+                                     aForward ? &peers : nullptr);
+    daemons[index].claims_->setDaemons(names);
   }
   ClaimRun run;
   std::multimap<state::TimePoint, std::pair<std::size_t, ClaimToken>> ends;
@@ -91,6 +135,7 @@
       ++run.finished_;
       daemons[index].claims_->end(token, ClaimEnd::kFinished, answer);
     }
+    peers.step();
     for (ClaimingDaemon& daemon : daemons) {
       daemon.store_->step();
       if (step % 10 == 0) {
@@ -108,12 +153,13 @@
   const double granted =
     static_cast<double>(std::max<std::uint64_t>(1, run.granted_));
   std::printf(
-    "claims/s %5d daemons %2zu slots %3u: granted %6.0f/s  store writes "
+    "claims/s %5d daemons %2zu slots %3u %-11s granted %6.0f/s  store writes "
     "%6.1f/s reads %6.1f/s  claims per write %5.1f  wait mean %5.0f ms max "
     "%5.0f ms  bytes a key %5.1f  processor %.0f us a claim\n",
     aRate,
     aDaemons,
     aSlots,
+    aForward ? "one writes" : "each writes",
     granted / kSeconds,
     static_cast<double>(data->writes_) / kSeconds,
     static_cast<double>(data->reads_) / kSeconds,
@@ -133,11 +179,12 @@
               "2 ms, fake store included in the processor time\n",
               kSeconds);
   for (const int rate : { 10, 100, 1000 }) {
-    for (const std::size_t daemons : { 1U, 6U }) {
-      runRate(rate, daemons, 16);
+    for (const std::size_t daemons : { 1U, 6U, 20U }) {
+      runRate(rate, daemons, 16, false);
+      runRate(rate, daemons, 16, true);
     }
   }
-  runRate(1000, 1, 64);
-  runRate(1000, 1, 4);
+  runRate(1000, 20, 64, true);
+  runRate(1000, 20, 8, true);
   return EXIT_SUCCESS;
 }
--- a/src/coordination/request/claim_journal.cpp
+++ b/src/coordination/request/claim_journal.cpp
@@ -180,6 +180,10 @@
   remember(aKey);
   const char kind = lineKind(aEnd);
   text_ += endLine(kind, aKey, aToken, aAnswer.get());
+  if (aEnd == ClaimEnd::kNotRun) {
+    // Stays so after rollBack(), since an end is always written again.
+    dead_.insert(aToken);
+  }
   applyEnd(entries_, aKey, aToken, kind, std::move(aAnswer));
 }
 
@@ -189,6 +193,7 @@
   std::erase_if(entries_,
                 [&](const auto& aItem) { return aItem.second.at_ < aOldest; });
   text_.clear();
+  dead_.clear();
   for (auto& [key, entry] : entries_) {
     if (!aKeepAnswers) {
       entry.answer_.reset();
@@ -207,6 +212,7 @@
 ClaimJournal::clear()
 {
   text_.clear();
+  dead_.clear();
   entries_.clear();
   beginBatch();
 }
@@ -226,6 +232,9 @@
       return true;
     }
     const ClaimToken token(fields[2].get<std::uint64_t>());
+    if (kind == kNotRunLine) {
+      dead_.insert(token);
+    }
     applyEnd(entries_, key, token, kind, answerOf(fields));
     return kind == kNotRunLine || kind == kUnknownLine || kind == kFinishedLine;
   } catch (const std::exception&) {
--- a/src/coordination/request/claim_journal.h
+++ b/src/coordination/request/claim_journal.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -82,6 +83,12 @@
   void clear();
   /** @return Text for the store. */
   const std::string& text() const { return text_; }
+  /**
+   * @param aToken A token.
+   * @return Whether its holder told that it never dispatches. Forgotten by
+   * compact().
+   */
+  bool isDead(ClaimToken aToken) const { return dead_.contains(aToken); }
   /** @return Number of claimed keys. */
   std::size_t size() const { return entries_.size(); }
 
@@ -91,7 +98,8 @@
 
   std::string text_;                          ///< All lines.
   std::map<std::string, ClaimEntry> entries_; ///< Index by key digest.
-  std::size_t batchStart_ = 0;                ///< Length before the batch.
+  std::set<ClaimToken> dead_;  ///< Tokens that were called not run.
+  std::size_t batchStart_ = 0; ///< Length before the batch.
   std::vector<std::pair<std::string, std::optional<ClaimEntry>>>
     undo_; ///< Entries before the changes of the batch.
 };
--- a/src/coordination/request/claim_service.h
+++ b/src/coordination/request/claim_service.h
@@ -1,86 +1,63 @@
 // At-most-once claims of idempotency keys through the store.
 #pragma once
 
-#include "coordination/request/claim_journal.h"
-#include "coordination/request/claim_type.h"
-#include "coordination/store_port.h"
-#include "state/time_type.h"
+#include "coordination/request/claim_slot.h"
 
 #include <cstdint>
-#include <deque>
-#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace auburnhaven::coordination {
 
-/** Limits of the claim service. */
-struct ClaimSettings
-{
-  std::uint32_t slots_ = 32; ///< Journals in the store; the same in all
-                             ///< daemons, and never changed while claims live.
-  state::Duration commitSpacing_ =
-    std::chrono::milliseconds(150); ///< Least time between two commits of a
-                                    ///< slot.
-  state::Duration endDelay_ =
-    std::chrono::milliseconds(500); ///< How long the end of a claim may wait
-                                    ///< for a claim to be written with it.
-  state::Duration dispatchWindow_ =
-    std::chrono::seconds(5); ///< Time from the request of a claim in which its
-                             ///< holder may begin to send.
-  state::Duration holderLostAfter_ =
-    std::chrono::minutes(2); ///< Age of a held claim from which its holder
-                             ///< counts as lost.
-  state::Duration storeBackoff_ =
-    std::chrono::milliseconds(500);    ///< Wait after a failed call.
-  std::size_t maxSlotBytes_ = 524288;  ///< Largest value of a slot.
-  std::size_t maxAnswerBytes_ = 4096;  ///< Largest answer that is kept.
-  std::size_t maxKeyBytes_ = 256;      ///< Longest key.
-  std::size_t maxQueued_ = 2048;       ///< Most operations that wait in a slot.
-  std::chrono::hours retention_{ 24 }; ///< How long keys are remembered.
-  bool requireDatedKeys_ =
-    false; ///< Whether keys that carry no time are refused.
-  bool operator==(const ClaimSettings&) const = default;
-};
-
-/** Counts of the claim service. */
-struct ClaimCounts
+/**
+ * Way to the claim services of the other daemons of the zone. Control thread
+ * only.
+ */
+class ClaimPeers
 {
-  std::uint64_t claims_ = 0;    ///< Claims asked for.
-  std::uint64_t granted_ = 0;   ///< Claims granted.
-  std::uint64_t reads_ = 0;     ///< Reads of the store.
-  std::uint64_t writes_ = 0;    ///< Writes to the store.
-  std::uint64_t conflicts_ = 0; ///< Writes that lost a race.
-  std::uint64_t unknown_ = 0;   ///< Writes whose answer was lost.
-  bool operator==(const ClaimCounts&) const = default;
+public:
+  virtual ~ClaimPeers() = default;
+  /**
+   * Hands an operation to another daemon, which gives it to serve().
+   * @param aTo The daemon.
+   * @param aOperation The operation.
+   * @param aHandler Takes the result; may never be called.
+   */
+  virtual void forward(const state::DaemonId& aTo,
+                       const ClaimOperation& aOperation,
+                       ClaimHandler aHandler) = 0;
 };
 
 /**
  * Claims of idempotency keys. Each key belongs to a slot, each slot is one
  * value in the store, and a claim is granted only after a compare-and-swap of
- * that value succeeded or a read showed the claim in it. Nobody takes a claim
- * over: when its holder is lost, the key stays claimed until the retention
- * ends. Control thread only.
+ * that value succeeded or a read showed the claim in it. The daemon that all
+ * prefer for a slot writes it for the others; when it does not answer, each
+ * writes itself, which the compare-and-swap makes harmless. Nobody takes a
+ * claim over: when its holder is lost, the key stays claimed until the
+ * retention ends. Control thread only.
  */
 class ClaimService
 {
 public:
-  using ClaimHandler =
-    std::function<void(const ClaimResult&)>; ///< Takes the result.
-
   /**
    * @param aStore Store; outlives this object.
    * @param aClock Clock; outlives this object.
    * @param aDaemon Name of this daemon.
    * @param aIncarnation Start of this process, unique for the daemon.
    * @param aSettings Limits.
+   * @param aPeers Way to the other daemons, or null; outlives this object.
    */
   ClaimService(Store& aStore,
                const state::Clock& aClock,
                const state::DaemonId& aDaemon,
                state::Incarnation aIncarnation,
-               ClaimSettings aSettings = {});
+               const ClaimSettings& aSettings = {},
+               ClaimPeers* aPeers = nullptr);
 
   /**
    * Claims a key.
@@ -102,86 +79,67 @@
            ClaimEnd aEnd,
            std::shared_ptr<const StoredAnswer> aAnswer = {});
   /**
-   * Sets how long keys are remembered.
+   * Does an operation that another daemon handed over.
+   * @param aOperation The operation.
+   * @param aHandler Called exactly once, perhaps before this call returns.
+   */
+  void serve(const ClaimOperation& aOperation, ClaimHandler aHandler);
+  /**
+   * Sets the daemons of the zone among which the writer of a slot is found.
+   * @param aDaemons All live daemons, this one included.
+   */
+  void setDaemons(std::vector<state::DaemonId> aDaemons);
+  /**
+   * Sets how long keys are remembered, at most the longest retention.
    * @param aRetention Retention of the policy in force.
    */
   void setRetention(std::chrono::hours aRetention);
   /** Commits what is due. Call about every 10 ms. */
   void tick();
-  /** @return Whether ends of claims still wait to be written. */
+  /** @return Whether operations still wait to be written. */
   bool hasPending() const;
   /** @return Counts since the start. */
   const ClaimCounts& counts() const { return counts_; }
 
 private:
-  /** One change of a slot that waits or is under way. */
-  struct Operation
-  {
-    ClaimToken token_;               ///< Token of the claim.
-    std::string key_;                ///< Short digest of the key.
-    ClaimEnd end_ = ClaimEnd::kNone; ///< End; kNone for a claim.
-    std::string body_;               ///< Short digest of the body, for a claim.
-    state::TimePoint queuedAt_{};    ///< When it was asked for.
-    ClaimHandler handler_;           ///< Takes the result, for a claim.
-    std::shared_ptr<const StoredAnswer> answer_; ///< Answer, for an end.
-    ClaimResult result_;                         ///< Result, once applied.
-    bool mayBeWritten_ = false; ///< Whether a write of it ended unknown.
-  };
-
-  /** What a slot does with the store. */
-  enum class SlotPhase : std::uint8_t
-  {
-    kIdle,    ///< Nothing under way.
-    kReading, ///< Reads its value.
-    kWriting, ///< Writes its value.
-  };
-
-  /** One slot. */
-  struct Slot
+  /** A live claim of this daemon. */
+  struct OwnClaim
   {
-    std::string name_;                   ///< Key in the store.
-    ClaimJournal journal_;               ///< Last known content.
-    state::Revision revision_;           ///< Revision of the content.
-    bool loaded_ = false;                ///< Whether the content is known.
-    bool fresh_ = false;                 ///< Whether it was read just now.
-    std::size_t compactedBytes_ = 0;     ///< Length after the last compaction.
-    state::TimePoint compactedAt_{};     ///< Time of the last compaction.
-    SlotPhase phase_ = SlotPhase::kIdle; ///< Call under way.
-    state::TimePoint nextCommit_{};      ///< No commit before this.
-    std::deque<Operation> queue_;        ///< Operations that wait.
-    std::vector<Operation> batch_;       ///< Operations being written.
+    std::string slot_; ///< Name of the slot.
+    std::string key_;  ///< Short digest of the key.
   };
 
-  /** Where a live token of this daemon belongs. */
-  struct OwnClaim
+  /** An operation that another daemon was asked to do. */
+  struct Forwarded
   {
-    std::size_t slot_ = 0; ///< Index of the slot.
-    std::string key_;      ///< Short digest of the key.
+    ClaimOperation operation_; ///< The operation.
+    ClaimHandler handler_;     ///< Takes the result.
+    state::TimePoint until_{}; ///< When this daemon does it itself.
   };
 
+  void forget(const ClaimResult& aResult);
   ClaimStatus checkKey(const std::string& aKey) const;
-  bool isDue(const Slot& aSlot, state::TimePoint aNow) const;
-  void advance(Slot& aSlot);
-  void read(Slot& aSlot);
-  void readDone(Slot& aSlot, const StoreReply& aReply);
-  void commit(Slot& aSlot);
-  void writeDone(Slot& aSlot, const StoreReply& aReply);
-  void makeRoom(Slot& aSlot);
-  void apply(Slot& aSlot, Operation& aOperation);
-  ClaimResult judge(const Operation& aOperation,
-                    const ClaimEntry& aEntry) const;
-  void deliver(Operation& aOperation);
-  void requeueBatch(Slot& aSlot);
-  void refuseClaims(Slot& aSlot);
-  bool needsFreshContent(const Slot& aSlot) const;
+  std::string slotName(const std::string& aDigest,
+                       const std::string& aKey) const;
+  ClaimSlot& slot(const std::string& aName);
+  const state::DaemonId& writerOf(const std::string& aSlot) const;
+  void route(const ClaimOperation& aOperation, ClaimHandler aHandler);
+  void forwardedDone(std::uint64_t aNumber, const ClaimResult& aResult);
+  void takeBackForwarded();
 
   Store& store_;                  ///< Store.
   const state::Clock& clock_;     ///< Clock.
+  const state::DaemonId daemon_;  ///< This daemon.
   ClaimSettings settings_;        ///< Limits.
+  ClaimPeers* const peers_;       ///< Way to the other daemons, or null.
   const std::uint64_t tokenSeed_; ///< Makes tokens unique to this process.
   std::uint64_t nextToken_ = 1;   ///< Count of tokens.
-  std::vector<Slot> slots_;       ///< All slots.
-  std::unordered_map<std::uint64_t, OwnClaim> own_; ///< Live own tokens.
+  std::uint64_t nextForward_ = 1; ///< Count of forwarded operations.
+  std::vector<state::DaemonId> daemons_; ///< Daemons of the zone.
+  std::map<std::string, std::unique_ptr<ClaimSlot>>
+    slots_;                                         ///< Slots in use by name.
+  std::map<std::uint64_t, Forwarded> forwarded_;    ///< Operations at others.
+  std::unordered_map<std::uint64_t, OwnClaim> own_; ///< Live own claims.
   ClaimCounts counts_;                              ///< Counts.
 };
 
--- a/src/coordination/request/claim_type.h
+++ b/src/coordination/request/claim_type.h
@@ -57,4 +57,16 @@
   bool operator==(const ClaimRequest&) const = default;
 };
 
+/** Claim or end of a claim on its way to the daemon that writes its slot. */
+struct ClaimOperation
+{
+  std::string slot_;               ///< Name of the slot in the store.
+  ClaimToken token_;               ///< Token of the claim.
+  std::string key_;                ///< Short digest of account, scope and key.
+  ClaimEnd end_ = ClaimEnd::kNone; ///< End; kNone for a claim.
+  std::string body_;               ///< Short digest of the body, for a claim.
+  std::shared_ptr<const StoredAnswer> answer_; ///< Answer, for an end.
+  bool operator==(const ClaimOperation&) const = default;
+};
+
 } // namespace auburnhaven::coordination
--- a/tests/coordination/request_claim_test.cpp
+++ b/tests/coordination/request_claim_test.cpp
@@ -1,5 +1,6 @@
 // Tests of claims when daemons, writes and the store fail.
 
+#include "coordination/request/claim_codec.h"
 #include "coordination/request/claim_service.h"
 #include "fakes/fake_store.h"
 
@@ -26,6 +27,10 @@
   CPPUNIT_TEST(manyClaimsShareWrites);
   CPPUNIT_TEST(slotStaysBounded);
   CPPUNIT_TEST(damagedSlotGrantsNothing);
+  CPPUNIT_TEST(writerServesOthers);
+  CPPUNIT_TEST(silentWriterIsReplaced);
+  CPPUNIT_TEST(writerDoesNotFreeKeysOfOthers);
+  CPPUNIT_TEST(operationsSurviveTheirTextForm);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -191,7 +196,7 @@
       refused += result->status_ == ClaimStatus::kUnavailable ? 1 : 0;
       one_.claims_->end(result->token_, ClaimEnd::kFinished);
     }
-    CPPUNIT_ASSERT(data_->items_["claims/0"].value_.size() <= 16384);
+    CPPUNIT_ASSERT(data_->items_["claims/undated/0"].value_.size() <= 16384);
     CPPUNIT_ASSERT(refused > 0);
     clock_.advance(2h);
     const auto result = claim(one_, "last");
@@ -201,13 +206,103 @@
 
   void damagedSlotGrantsNothing()
   {
-    data_->items_["claims/0"] = { "damaged\n", state::Revision(1) };
+    data_->items_["claims/undated/0"] = { "damaged\n", state::Revision(1) };
     const auto result = claim(one_, "k");
     settle();
     CPPUNIT_ASSERT(result->status_ == ClaimStatus::kUnavailable);
   }
 
+  void writerServesOthers()
+  {
+    connect();
+    const auto first = claim(one_, "k");
+    settle();
+    CPPUNIT_ASSERT(first->status_ == ClaimStatus::kGranted);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), one_.claims_->counts().writes_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), two_.claims_->counts().writes_);
+    one_.claims_->end(first->token_, ClaimEnd::kNotRun);
+    settle();
+    const auto second = claim(two_, "k");
+    settle();
+    CPPUNIT_ASSERT(second->status_ == ClaimStatus::kGranted);
+  }
+
+  void silentWriterIsReplaced()
+  {
+    connect();
+    peers_.target_ = nullptr;
+    const auto first = claim(one_, "k");
+    settle();
+    CPPUNIT_ASSERT(first->status_ == ClaimStatus::kGranted);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), one_.claims_->counts().writes_);
+  }
+
+  void writerDoesNotFreeKeysOfOthers()
+  {
+    connect();
+    two_.store_->faults().loseAnswers_ = 1;
+    ClaimResult served;
+    const ClaimOperation operation{ "claims/undated/0", ClaimToken(7), "key",
+                                    ClaimEnd::kNone,    "body",        {} };
+    two_.claims_->serve(operation,
+                        [&](const ClaimResult& aResult) { served = aResult; });
+    clock_.advance(2ms);
+    two_.store_->step();
+    two_.store_->faults().down_ = true;
+    settle();
+    CPPUNIT_ASSERT(served.status_ == ClaimStatus::kUnavailable);
+    two_.store_->faults().down_ = false;
+    settle();
+    const ClaimOperation other{ "claims/undated/0", ClaimToken(8), "key",
+                                ClaimEnd::kNone,    "body",        {} };
+    two_.claims_->serve(other,
+                        [&](const ClaimResult& aResult) { served = aResult; });
+    settle();
+    CPPUNIT_ASSERT(served.status_ == ClaimStatus::kInProgress);
+  }
+
+  void operationsSurviveTheirTextForm()
+  {
+    const auto answer =
+      std::make_shared<const StoredAnswer>(StoredAnswer{ 200, "t", "b" });
+    const ClaimOperation operation{ "slot",   ClaimToken(7),
+                                    "key",    ClaimEnd::kFinished,
+                                    "digest", answer };
+    const auto decoded = decodeClaimOperation(encodeClaimOperation(operation));
+    CPPUNIT_ASSERT(decoded && *decoded->answer_ == *answer);
+    CPPUNIT_ASSERT(decoded->end_ == ClaimEnd::kFinished);
+    ClaimResult result;
+    result.status_ = ClaimStatus::kKeyReused;
+    result.token_ = ClaimToken(9);
+    CPPUNIT_ASSERT(decodeClaimResult(encodeClaimResult(result)) == result);
+    CPPUNIT_ASSERT(!decodeClaimResult("[99,1,0,null]"));
+    CPPUNIT_ASSERT(!decodeClaimOperation("[]"));
+  }
+
 private:
+  /** Hands operations to one other daemon, or loses them. */
+  class OnePeer : public ClaimPeers
+  {
+  public:
+    void forward(const state::DaemonId& /*aTo*/,
+                 const ClaimOperation& aOperation,
+                 ClaimHandler aHandler) override
+    {
+      if (target_ != nullptr) {
+        target_->serve(aOperation, std::move(aHandler));
+      }
+    }
+    ClaimService* target_ = nullptr; ///< The other daemon.
+  };
+
+  /** Makes the second daemon the writer for the first. */
+  void connect()
+  {
+    one_ = makeDaemon("one", &peers_);
+    one_.claims_->setDaemons({ state::DaemonId("two") });
+    peers_.target_ = two_.claims_.get();
+  }
+
   /** A daemon with its own connection to the store. */
   struct Daemon
   {
@@ -215,7 +310,7 @@
     std::unique_ptr<ClaimService> claims_;
   };
 
-  Daemon makeDaemon(const std::string& aName)
+  Daemon makeDaemon(const std::string& aName, ClaimPeers* aPeers = nullptr)
   {
     Daemon daemon;
     daemon.store_ = std::make_unique<fakes::FakeStore>(clock_, data_);
@@ -223,7 +318,8 @@
                                                     clock_,
                                                     state::DaemonId(aName),
                                                     state::Incarnation(1),
-                                                    settings_);
+                                                    settings_,
+                                                    aPeers);
     return daemon;
   }
 
@@ -252,9 +348,10 @@
 
   fakes::FakeClock clock_;                     ///< Clock of the test.
   std::shared_ptr<fakes::FakeStoreData> data_; ///< Data of the store.
-  ClaimSettings settings_;                     ///< Limits.
-  Daemon one_;                                 ///< First daemon.
-  Daemon two_;                                 ///< Second daemon.
+  OnePeer peers_;          ///< Way from the first daemon to the second.
+  ClaimSettings settings_; ///< Limits.
+  Daemon one_;             ///< First daemon.
+  Daemon two_;             ///< Second daemon.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestClaimTest);
--- a/tests/coordination/request_random_world.h
+++ b/tests/coordination/request_random_world.h
@@ -136,8 +136,8 @@
     : random_(aSeed)
     , data_(std::make_shared<FakeStoreData>())
   {
+    daemons_.resize(kDaemons);
     for (std::size_t index = 0; index < kDaemons; ++index) {
-      daemons_.emplace_back();
       start(index);
     }
   }
@@ -199,6 +199,27 @@
   };
   using TryPtr = std::shared_ptr<Try>;
 
+  /** Way from one daemon to the claim services of the others. */
+  class Peers : public coordination::ClaimPeers
+  {
+  public:
+    Peers(RequestRandomWorld& aWorld, std::size_t aFrom)
+      : world_(aWorld)
+      , from_(aFrom)
+    {
+    }
+    void forward(const state::DaemonId& aTo,
+                 const coordination::ClaimOperation& aOperation,
+                 coordination::ClaimHandler aHandler) override
+    {
+      world_.forward(from_, aTo, aOperation, std::move(aHandler));
+    }
+
+  private:
+    RequestRandomWorld& world_; ///< The world.
+    std::size_t from_;          ///< Daemon that sends.
+  };
+
   /** A daemon. */
   struct Daemon
   {
@@ -206,6 +227,7 @@
     state::TimePoint pausedUntil_{};     ///< Does nothing before.
     std::unique_ptr<SkewedClock> clock_; ///< Clock.
     std::unique_ptr<LateStore> store_;   ///< Connection to the store.
+    std::unique_ptr<Peers> peers_;       ///< Way to the other daemons.
     std::unique_ptr<coordination::ClaimService> claims_; ///< Claims.
     std::unique_ptr<coordination::RetryBudget> budget_;  ///< Retries.
   };
@@ -241,18 +263,58 @@
       daemon.store_ = std::make_unique<LateStore>(clock_, data_, random_);
     }
     coordination::ClaimSettings settings;
-    settings.slots_ = 4;
-    settings.maxSlotBytes_ = 65536;
+    settings.slots_ = 2;
+    settings.ringEpochs_ = 13;
+    settings.maxRetention_ = std::chrono::hours(1);
     settings.retention_ = std::chrono::hours(1);
+    settings.maxSlotBytes_ = 32768;
+    settings.maxAnswerBytes_ = 512;
+    daemon.peers_ = std::make_unique<Peers>(*this, aIndex);
     daemon.claims_ = std::make_unique<coordination::ClaimService>(
       *daemon.store_,
       *daemon.clock_,
       state::DaemonId("d" + std::to_string(aIndex)),
       state::Incarnation(daemon.epoch_),
-      settings);
+      settings,
+      daemon.peers_.get());
+    // Daemons disagree on who is alive.
+    std::vector<state::DaemonId> known;
+    for (std::size_t index = 0; index < kDaemons; ++index) {
+      if (!chance(20)) {
+        known.emplace_back("d" + std::to_string(index));
+      }
+    }
+    daemon.claims_->setDaemons(known);
     daemon.budget_ = std::make_unique<coordination::RetryBudget>();
   }
 
+  /** Carries an operation to another daemon and the result back, or not. */
+  void forward(std::size_t aFrom,
+               const state::DaemonId& aTo,
+               const coordination::ClaimOperation& aOperation,
+               coordination::ClaimHandler aHandler)
+  {
+    const auto target = static_cast<std::size_t>(aTo.value().back() - '0');
+    if (chance(5)) {
+      return;
+    }
+    const Event origin{ aFrom, daemons_[aFrom].epoch_, {} };
+    const auto back = [this, origin, handler = std::move(aHandler)](
+                        const coordination::ClaimResult& aResult) {
+      if (!chance(5)) {
+        Event event = origin;
+        event.handle_ = [handler, aResult] { handler(aResult); };
+        events_.emplace(clock_.now() + delay(chance(10) ? 2000 : 20),
+                        std::move(event));
+      }
+    };
+    const auto arrive = [this, target, aOperation, back] {
+      daemons_[target].claims_->serve(aOperation, back);
+    };
+    events_.emplace(clock_.now() + delay(chance(10) ? 2000 : 20),
+                    Event{ target, daemons_[target].epoch_, arrive });
+  }
+
   void crash(std::size_t aIndex)
   {
     ++report_.crashes_;
@@ -270,7 +332,7 @@
   void disturb()
   {
     Daemon& daemon = daemons_[random_() % kDaemons];
-    switch (random_() % 600) {
+    switch (random_() % 400) {
       case 0:
         crash(random_() % kDaemons);
         break;
@@ -399,7 +461,7 @@
       return;
     }
     const state::Duration wait =
-      chance(2) ? std::chrono::minutes(30 + random_() % 90) : delay(5000);
+      chance(4) ? std::chrono::minutes(30 + random_() % 270) : delay(5000);
     outside(wait, [this, aOperation] { request(aOperation); });
   }
 
