Add the HTTP client of the traffic and control threads

Cause: targets, store and VM list are reached by HTTP/1.1, and a refusal as not run needs certainty. Change: HttpClient keeps connections per endpoint, reads bodies by chunk or line, and states whether any byte of the request could have reached the target; a kept connection that is closed before the first byte is replaced. A body that only the end of the connection ends counts as cut short. Conclusion: the gateway and the control adapters can use it.

--- /dev/null
+++ b/src/transport/http_client.h
@@ -0,0 +1,151 @@
+// HTTP/1.1 client with kept connections for one event loop.
+#pragma once
+
+#include "state/endpoint_type.h"
+#include "transport/http_client_type.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace auburnhaven::transport {
+
+class HttpConnection;
+class HttpConnectionPool;
+
+/**
+ * One call: its failure, or its response with a body that is read piece by
+ * piece. Used by one coroutine on the client's thread; only abort() may be
+ * called by others on that thread. Destroying it before the end of the body
+ * closes the connection.
+ */
+class HttpCall
+{
+public:
+  /** Makes a call that failed. @param aFailure Why. */
+  explicit HttpCall(HttpFailure aFailure);
+  /**
+   * Makes a call whose response header has been read.
+   * @param aConnection Connection that carries the body.
+   * @param aPool Takes the connection back.
+   * @param aIdleTimeout Longest wait for a piece of the body.
+   */
+  HttpCall(std::shared_ptr<HttpConnection> aConnection,
+           std::weak_ptr<HttpConnectionPool> aPool,
+           std::chrono::milliseconds aIdleTimeout);
+  ~HttpCall();
+  HttpCall(HttpCall&&) noexcept;
+  HttpCall& operator=(HttpCall&&) noexcept;
+  HttpCall(const HttpCall&) = delete;
+  HttpCall& operator=(const HttpCall&) = delete;
+
+  /** @return Whether there is a response. */
+  bool hasResponse() const { return connection_ != nullptr; }
+  /** @return Why there is no response. */
+  const HttpFailure& failure() const { return failure_; }
+  /** @return Status code; 0 without a response. */
+  std::uint32_t status() const;
+  /**
+   * @param aName Name of a header, without regard to case.
+   * @return Its value, or empty; valid as long as this call.
+   */
+  std::string_view header(std::string_view aName) const;
+  /**
+   * Waits for the next piece of the body as it arrives.
+   * @param aYield The coroutine.
+   * @return The piece; after anything but kData the same status again.
+   */
+  HttpPiece readChunk(const boost::asio::yield_context& aYield);
+  /**
+   * Waits for the next line of the body. Don't mix with readChunk().
+   * @param aYield The coroutine.
+   * @return The line without its end; a last line without an end is kData too.
+   */
+  HttpPiece readLine(const boost::asio::yield_context& aYield);
+  /**
+   * Reads the rest of the body.
+   * @param aMaxBytes Largest body.
+   * @param aYield The coroutine.
+   * @return The body.
+   */
+  HttpBody readAll(std::size_t aMaxBytes,
+                   const boost::asio::yield_context& aYield);
+  /** Closes the connection; a read in progress ends with kCutShort. */
+  void abort();
+
+private:
+  void release();
+
+  HttpFailure failure_;                        ///< Why there is no response.
+  std::shared_ptr<HttpConnection> connection_; ///< Carries the body.
+  std::weak_ptr<HttpConnectionPool> pool_;     ///< Takes the connection back.
+  std::chrono::milliseconds idleTimeout_{};    ///< Longest wait for a piece.
+};
+
+/**
+ * Aborts a call from outside its coroutine, also while the response header is
+ * awaited. On the client's thread only.
+ */
+class HttpAborter
+{
+public:
+  /** Ends the call that is bound, or the next one that binds. */
+  void abort();
+  /** @return Whether abort() was called. */
+  bool aborted() const { return aborted_; }
+  /** Binds the connection of a call. @param aConnection The connection. */
+  void bind(const std::shared_ptr<HttpConnection>& aConnection);
+
+private:
+  std::weak_ptr<HttpConnection> connection_; ///< Connection of the call.
+  bool aborted_ = false;                     ///< Whether abort() was called.
+};
+
+/**
+ * Sends requests over kept connections. All calls on the thread that runs the
+ * event loop. Calls may outlive the client.
+ */
+class HttpClient
+{
+public:
+  /**
+   * @param aContext Event loop that runs on one thread.
+   * @param aLimits Limits of the kept connections.
+   */
+  explicit HttpClient(boost::asio::io_context& aContext,
+                      HttpClientLimits aLimits = {});
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /**
+   * Sends a request and waits for the response header. A kept connection that
+   * turns out to be closed before any byte was written is replaced by a new
+   * one; nothing is ever sent twice.
+   * @param aEndpoint The target.
+   * @param aRequest The request.
+   * @param aTimeouts Time limits.
+   * @param aYield The coroutine.
+   * @param aAborter Bound to the call when given; lives until open() returns.
+   * @return The call; it states precisely whether the target could have got any
+   * byte.
+   */
+  HttpCall open(const state::Endpoint& aEndpoint,
+                const HttpClientRequest& aRequest,
+                const HttpTimeouts& aTimeouts,
+                const boost::asio::yield_context& aYield,
+                HttpAborter* aAborter = nullptr);
+  /** Closes all kept connections that are not in use. */
+  void closeIdle();
+  /** @return Kept connections that are not in use. */
+  std::size_t idleConnections() const;
+
+private:
+  boost::asio::io_context& context_;         ///< Event loop.
+  std::shared_ptr<HttpConnectionPool> pool_; ///< Kept connections.
+};
+
+} // namespace auburnhaven::transport
--- /dev/null
+++ b/src/transport/http_client_type.h
@@ -0,0 +1,99 @@
+// Requests, limits and failures of the HTTP client.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace auburnhaven::transport {
+
+/** One header line of a request that the client sends. */
+struct HttpField
+{
+  std::string name_;  ///< Name.
+  std::string value_; ///< Value.
+  bool operator==(const HttpField&) const = default;
+};
+
+/** A request that the client sends. */
+struct HttpClientRequest
+{
+  std::string method_ = "GET";     ///< Method in upper case.
+  std::string path_;               ///< Path with the query.
+  std::vector<HttpField> headers_; ///< Further header lines.
+  std::string body_;               ///< Body; its length is sent along.
+  bool operator==(const HttpClientRequest&) const = default;
+};
+
+/** Time limits of one call. */
+struct HttpTimeouts
+{
+  std::chrono::milliseconds connect_{ 1000 };   ///< For a new connection.
+  std::chrono::milliseconds response_{ 10000 }; ///< From the request to the
+                                                ///< response header.
+  std::chrono::milliseconds idle_{ 10000 }; ///< Between two pieces of a body.
+  bool operator==(const HttpTimeouts&) const = default;
+};
+
+/** Limits of the connections that a client keeps. */
+struct HttpClientLimits
+{
+  std::size_t idlePerEndpoint_ = 64;               ///< Kept connections.
+  std::chrono::milliseconds idleTimeout_{ 30000 }; ///< Longest time unused.
+  std::uint32_t maxHeaderBytes_ = 16 * 1024;       ///< Largest response header.
+  std::size_t maxLineBytes_ =
+    std::size_t{ 1024 } * 1024; ///< Longest line of a body.
+  bool operator==(const HttpClientLimits&) const = default;
+};
+
+/** Why a call has no response. */
+enum class HttpFailureKind : std::uint8_t
+{
+  kNone,      ///< There is a response.
+  kConnect,   ///< No connection.
+  kClosed,    ///< The connection broke before the whole response header.
+  kTimeout,   ///< No response header in time.
+  kMalformed, ///< The response is not HTTP or exceeds a limit.
+  kAborted,   ///< The caller aborted the call.
+};
+
+/** Failure of a call before its response. */
+struct HttpFailure
+{
+  HttpFailureKind kind_ = HttpFailureKind::kNone; ///< What happened.
+  bool bytesMayHaveArrived_ =
+    false; ///< Whether any byte of the request could have reached the target.
+  std::string message_; ///< Text for people.
+  bool operator==(const HttpFailure&) const = default;
+};
+
+/** What reading a response body came to. */
+enum class HttpReadStatus : std::uint8_t
+{
+  kData,     ///< A piece of the body.
+  kEnd,      ///< The body has ended and is whole.
+  kCutShort, ///< The connection broke before the end of the body.
+  kTimeout,  ///< No further piece in time.
+  kTooLong,  ///< A line or body exceeds its limit.
+};
+
+/** A piece of a response body. */
+struct HttpPiece
+{
+  HttpReadStatus status_ = HttpReadStatus::kCutShort; ///< What was read.
+  std::string_view data_; ///< The piece, valid until the next read.
+  bool operator==(const HttpPiece&) const = default;
+};
+
+/** A response body that was read at once. */
+struct HttpBody
+{
+  HttpReadStatus status_ = HttpReadStatus::kCutShort; ///< kEnd when whole.
+  std::string data_; ///< The body, or what came of it.
+  bool operator==(const HttpBody&) const = default;
+};
+
+} // namespace auburnhaven::transport
--- /dev/null
+++ b/src/transport/http_connection.cpp
@@ -0,0 +1,257 @@
+// One connection of the HTTP client.
+
+#include "transport/http_connection.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
+
+#include <utility>
+
+namespace auburnhaven::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr unsigned int kHttpVersion = 11; ///< HTTP/1.1.
+
+/** Turns a request into the library's type. */
+http::request<http::string_body>
+encode(const state::Endpoint& aEndpoint, const HttpClientRequest& aRequest)
+{
+  http::request<http::string_body> request;
+  request.version(kHttpVersion);
+  request.method_string(aRequest.method_);
+  request.target(aRequest.path_);
+  const bool isV6 = aEndpoint.address_.find(':') != std::string::npos;
+  request.set(http::field::host,
+              (isV6 ? '[' + aEndpoint.address_ + ']' : aEndpoint.address_) +
+                ':' + std::to_string(aEndpoint.port_));
+  for (const HttpField& field : aRequest.headers_) {
+    request.set(field.name_, field.value_);
+  }
+  request.body() = aRequest.body_;
+  request.prepare_payload();
+  return request;
+}
+
+/** @return Whether a status announces another response header. */
+bool
+isInterim(std::uint32_t aStatus)
+{
+  return aStatus / 100 == 1;
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(asio::io_context& aContext,
+                               state::Endpoint aEndpoint,
+                               const HttpClientLimits& aLimits)
+  : endpoint_(std::move(aEndpoint))
+  , limits_(aLimits)
+  , stream_(aContext.get_executor())
+{
+}
+
+HttpFailure
+HttpConnection::connect(std::chrono::milliseconds aTimeout,
+                        const asio::yield_context& aYield)
+{
+  error_code error;
+  if (aborted_) {
+    return { HttpFailureKind::kAborted, false, "aborted" };
+  }
+  const auto address = asio::ip::make_address(endpoint_.address_, error);
+  if (!error) {
+    stream_.expires_after(aTimeout);
+    stream_.async_connect(asio::ip::tcp::endpoint(address, endpoint_.port_),
+                          aYield[error]);
+  }
+  if (!error) {
+    stream_.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  }
+  if (!error) {
+    return {};
+  }
+  return { aborted_ ? HttpFailureKind::kAborted : HttpFailureKind::kConnect,
+           false,
+           error.message() };
+}
+
+HttpFailure
+HttpConnection::exchange(const HttpClientRequest& aRequest,
+                         std::chrono::milliseconds aTimeout,
+                         const asio::yield_context& aYield)
+{
+  ended_.reset();
+  lines_.clear();
+  linesTaken_ = 0;
+  const http::request<http::string_body> request = encode(endpoint_, aRequest);
+  error_code error;
+  stream_.expires_after(aTimeout);
+  const std::size_t written =
+    http::async_write(stream_, request, aYield[error]);
+  if (error) {
+    return failure(error, written > 0);
+  }
+  do {
+    parser_.emplace();
+    parser_->header_limit(limits_.maxHeaderBytes_);
+    parser_->body_limit(boost::none);
+    http::async_read_header(stream_, buffer_, *parser_, aYield[error]);
+  } while (!error && isInterim(status()));
+  return error ? failure(error, true) : HttpFailure{};
+}
+
+HttpFailure
+HttpConnection::failure(const error_code& aError,
+                        bool aBytesMayHaveArrived) const
+{
+  static const error_code kEndOfStream = http::error::end_of_stream;
+  HttpFailureKind kind = HttpFailureKind::kClosed;
+  if (aborted_) {
+    kind = HttpFailureKind::kAborted;
+  } else if (aError == beast::error::timeout) {
+    kind = HttpFailureKind::kTimeout;
+  } else if (aError.category() == kEndOfStream.category() &&
+             aError != kEndOfStream && aError != http::error::partial_message) {
+    kind = HttpFailureKind::kMalformed;
+  }
+  return { kind, aBytesMayHaveArrived, aError.message() };
+}
+
+HttpPiece
+HttpConnection::finish(const error_code& aError)
+{
+  HttpReadStatus status = HttpReadStatus::kEnd;
+  if (aError == beast::error::timeout) {
+    status = HttpReadStatus::kTimeout;
+  } else if (aError || parser_->need_eof()) {
+    // A body that only the end of the connection ends is never known whole.
+    status = HttpReadStatus::kCutShort;
+  }
+  ended_ = status;
+  return { status, {} };
+}
+
+HttpPiece
+HttpConnection::readChunk(std::chrono::milliseconds aTimeout,
+                          const asio::yield_context& aYield)
+{
+  while (!ended_) {
+    if (parser_->is_done()) {
+      return finish({});
+    }
+    auto& body = parser_->get().body();
+    body.data = piece_.data();
+    body.size = piece_.size();
+    body.more = true;
+    error_code error;
+    stream_.expires_after(aTimeout);
+    http::async_read_some(stream_, buffer_, *parser_, aYield[error]);
+    const std::size_t got = piece_.size() - body.size;
+    if (error && error != http::error::need_buffer) {
+      return finish(error);
+    }
+    if (got > 0) {
+      return { HttpReadStatus::kData, { piece_.data(), got } };
+    }
+  }
+  return { *ended_, {} };
+}
+
+HttpPiece
+HttpConnection::takeLine(std::size_t aEnd)
+{
+  std::string_view line(lines_);
+  line = line.substr(linesTaken_, aEnd - linesTaken_);
+  linesTaken_ = std::min(aEnd + 1, lines_.size());
+  if (!line.empty() && line.back() == '\r') {
+    line.remove_suffix(1);
+  }
+  return { HttpReadStatus::kData, line };
+}
+
+HttpPiece
+HttpConnection::readLine(std::chrono::milliseconds aTimeout,
+                         const asio::yield_context& aYield)
+{
+  std::size_t searched = linesTaken_;
+  for (;;) {
+    const std::size_t end = lines_.find('\n', searched);
+    if (end != std::string::npos) {
+      return takeLine(end);
+    }
+    if (lines_.size() - linesTaken_ > limits_.maxLineBytes_) {
+      abort();
+      ended_ = HttpReadStatus::kTooLong;
+      return { HttpReadStatus::kTooLong, {} };
+    }
+    lines_.erase(0, std::exchange(linesTaken_, 0));
+    searched = lines_.size();
+    const HttpPiece piece = readChunk(aTimeout, aYield);
+    if (piece.status_ == HttpReadStatus::kData) {
+      lines_.append(piece.data_);
+    } else if (piece.status_ == HttpReadStatus::kEnd && !lines_.empty()) {
+      return takeLine(lines_.size());
+    } else {
+      return piece;
+    }
+  }
+}
+
+void
+HttpConnection::abort()
+{
+  aborted_ = true;
+  stream_.close();
+}
+
+bool
+HttpConnection::usable()
+{
+  if (!stream_.socket().is_open() || buffer_.size() > 0) {
+    return false;
+  }
+  error_code error;
+  stream_.socket().non_blocking(true, error);
+  char byte = 0;
+  stream_.socket().receive(
+    asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+bool
+HttpConnection::reusable() const
+{
+  return !aborted_ && parser_ && parser_->is_done() && parser_->keep_alive();
+}
+
+std::uint32_t
+HttpConnection::status() const
+{
+  return parser_->get().result_int();
+}
+
+std::string_view
+HttpConnection::header(std::string_view aName) const
+{
+  const auto& fields = parser_->get();
+  const auto found = fields.find({ aName.data(), aName.size() });
+  if (found == fields.end()) {
+    return {};
+  }
+  return { found->value().data(), found->value().size() };
+}
+
+void
+HttpConnection::markIdle()
+{
+  stream_.expires_never();
+  idleSince_ = std::chrono::steady_clock::now();
+}
+
+} // namespace auburnhaven::transport
--- /dev/null
+++ b/src/transport/http_connection.h
@@ -0,0 +1,104 @@
+// One connection of the HTTP client.
+#pragma once
+
+#include "state/endpoint_type.h"
+#include "transport/http_client_type.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/beast/core/basic_stream.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <array>
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace auburnhaven::transport {
+
+/** A connection with at most one call at a time. One thread only. */
+class HttpConnection
+{
+public:
+  /**
+   * @param aContext Event loop.
+   * @param aEndpoint The target.
+   * @param aLimits Limits of the client.
+   */
+  HttpConnection(boost::asio::io_context& aContext,
+                 state::Endpoint aEndpoint,
+                 const HttpClientLimits& aLimits);
+
+  /**
+   * Connects.
+   * @param aTimeout Longest wait.
+   * @param aYield The coroutine.
+   * @return kNone, or why there is no connection.
+   */
+  HttpFailure connect(std::chrono::milliseconds aTimeout,
+                      const boost::asio::yield_context& aYield);
+  /**
+   * Sends a request and reads the response header.
+   * @param aRequest The request.
+   * @param aTimeout Longest wait.
+   * @param aYield The coroutine.
+   * @return kNone, or why there is no response.
+   */
+  HttpFailure exchange(const HttpClientRequest& aRequest,
+                       std::chrono::milliseconds aTimeout,
+                       const boost::asio::yield_context& aYield);
+  /** Reads a piece of the body; as HttpCall::readChunk(). */
+  HttpPiece readChunk(std::chrono::milliseconds aTimeout,
+                      const boost::asio::yield_context& aYield);
+  /** Reads a line of the body; as HttpCall::readLine(). */
+  HttpPiece readLine(std::chrono::milliseconds aTimeout,
+                     const boost::asio::yield_context& aYield);
+  /** Closes the connection; what waits on it ends. */
+  void abort();
+  /** @return Whether an unused connection is still open and silent. */
+  bool usable();
+  /** @return Whether the response was read whole and the target keeps the
+   * connection. */
+  bool reusable() const;
+  /** @return Status code of the response. */
+  std::uint32_t status() const;
+  /** @return Value of a response header, or empty. */
+  std::string_view header(std::string_view aName) const;
+  /** @return The target. */
+  const state::Endpoint& endpoint() const { return endpoint_; }
+  /** @return When it became unused. */
+  std::chrono::steady_clock::time_point idleSince() const { return idleSince_; }
+  /** Notes that it is unused from now on. */
+  void markIdle();
+
+private:
+  using Parser = boost::beast::http::response_parser<
+    boost::beast::http::buffer_body>; ///< Parser of one response.
+
+  static constexpr std::size_t kPieceBytes =
+    std::size_t{ 16 } * 1024; ///< Most body bytes of one read.
+
+  HttpPiece finish(const boost::system::error_code& aError);
+  HttpPiece takeLine(std::size_t aEnd);
+  HttpFailure failure(const boost::system::error_code& aError,
+                      bool aBytesMayHaveArrived) const;
+
+  state::Endpoint endpoint_; ///< The target.
+  HttpClientLimits limits_;  ///< Limits of the client.
+  boost::beast::basic_stream<boost::asio::ip::tcp,
+                             boost::asio::io_context::executor_type>
+    stream_;                              ///< The socket with its time limits.
+  boost::beast::flat_buffer buffer_;      ///< Bytes read and not yet parsed.
+  std::optional<Parser> parser_;          ///< Parser of the present response.
+  std::array<char, kPieceBytes> piece_{}; ///< Body bytes of the latest read.
+  std::string lines_;          ///< Body bytes read and not yet handed out.
+  std::size_t linesTaken_ = 0; ///< Bytes of lines_ that were handed out.
+  std::optional<HttpReadStatus> ended_; ///< How the body ended.
+  bool aborted_ = false;                ///< Whether abort() was called.
+  std::chrono::steady_clock::time_point
+    idleSince_{}; ///< When it became unused.
+};
+
+} // namespace auburnhaven::transport
--- /dev/null
+++ b/tests/transport/http_client_test.cpp
@@ -0,0 +1,260 @@
+// Tests of the HTTP client over loopback sockets.
+
+#include "transport/http_client.h"
+#include "transport/loopback.h"
+
+#include <atomic>
+
+using namespace auburnhaven;
+using transport::HttpFailureKind;
+using transport::HttpReadStatus;
+
+namespace {
+
+using Socket = boost::asio::ip::tcp::socket;
+using Server = fakes::RawServer;
+using Yield = boost::asio::yield_context;
+
+constexpr char kSmallAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                                "X-Kind: plain\r\n\r\nok";
+constexpr char kChunkedHead[] =
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+class HttpClientTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(HttpClientTest);
+  CPPUNIT_TEST(connectionIsKept);
+  CPPUNIT_TEST(staleConnectionIsReplaced);
+  CPPUNIT_TEST(refusedConnectionIsCertainlyNotRun);
+  CPPUNIT_TEST(closeAfterRequestMayHaveRun);
+  CPPUNIT_TEST(silentTargetTimesOut);
+  CPPUNIT_TEST(chunkedLinesArriveWhole);
+  CPPUNIT_TEST(cutBodyNeverLooksWhole);
+  CPPUNIT_TEST(unframedBodyNeverLooksWhole);
+  CPPUNIT_TEST(slowBodyTimesOut);
+  CPPUNIT_TEST(malformedResponseIsTold);
+  CPPUNIT_TEST(abortEndsWait);
+  CPPUNIT_TEST(longBodyAndLineAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void connectionIsKept()
+  {
+    std::atomic<int> connections = 0;
+    Server server([&](Socket& aSocket, int) {
+      ++connections;
+      while (!Server::readUntil(aSocket, "\r\n\r\n").empty()) {
+        Server::write(aSocket, kSmallAnswer);
+      }
+    });
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      for (int round = 0; round < 3; ++round) {
+        transport::HttpCall call =
+          aClient.open(server.endpoint(), { "GET", "/", {}, {} }, {}, aYield);
+        CPPUNIT_ASSERT_EQUAL(200U, call.status());
+        CPPUNIT_ASSERT(call.header("x-kind") == "plain");
+        const transport::HttpBody body = call.readAll(10, aYield);
+        CPPUNIT_ASSERT(body.status_ == HttpReadStatus::kEnd);
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), body.data_);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, aClient.idleConnections());
+    });
+    CPPUNIT_ASSERT_EQUAL(1, connections.load());
+  }
+
+  void staleConnectionIsReplaced()
+  {
+    Server server([&](Socket& aSocket, int) {
+      Server::readUntil(aSocket, "\r\n\r\n");
+      Server::write(aSocket, kSmallAnswer);
+    });
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      for (int round = 0; round < 3; ++round) {
+        transport::HttpCall call =
+          aClient.open(server.endpoint(), { "GET", "/", {}, {} }, {}, aYield);
+        // A close that overtakes the next request may not be hidden.
+        CPPUNIT_ASSERT(call.hasResponse() ||
+                       call.failure().bytesMayHaveArrived_);
+        if (call.hasResponse()) {
+          CPPUNIT_ASSERT_EQUAL(std::string("ok"),
+                               call.readAll(10, aYield).data_);
+        }
+      }
+    });
+  }
+
+  void refusedConnectionIsCertainlyNotRun()
+  {
+    state::Endpoint closed;
+    {
+      const Server server([](Socket&, int) {});
+      closed = server.endpoint();
+    }
+    const transport::HttpFailure failure = failureAt(closed, {});
+    CPPUNIT_ASSERT(failure.kind_ == HttpFailureKind::kConnect);
+    CPPUNIT_ASSERT(!failure.bytesMayHaveArrived_);
+  }
+
+  void closeAfterRequestMayHaveRun()
+  {
+    const Server server(
+      [](Socket& aSocket, int) { Server::readUntil(aSocket, "\r\n\r\n"); });
+    const transport::HttpFailure failure = failureAt(server.endpoint(), {});
+    CPPUNIT_ASSERT(failure.kind_ == HttpFailureKind::kClosed);
+    CPPUNIT_ASSERT(failure.bytesMayHaveArrived_);
+  }
+
+  void silentTargetTimesOut()
+  {
+    const Server server(
+      [](Socket& aSocket, int) { Server::readUntil(aSocket, "never"); });
+    const transport::HttpFailure failure =
+      failureAt(server.endpoint(),
+                { std::chrono::seconds(5), std::chrono::milliseconds(30), {} });
+    CPPUNIT_ASSERT(failure.kind_ == HttpFailureKind::kTimeout);
+    CPPUNIT_ASSERT(failure.bytesMayHaveArrived_);
+  }
+
+  void chunkedLinesArriveWhole()
+  {
+    expectBody(std::string(kChunkedHead) + "5\r\none\nt\r\n6\r\nwo\n\nla\r\n"
+                                           "2\r\nst\r\n0\r\n\r\n",
+               { "one", "two", "", "last" },
+               HttpReadStatus::kEnd);
+  }
+
+  void cutBodyNeverLooksWhole()
+  {
+    expectBody(std::string(kChunkedHead) + "4\r\none\n\r\n",
+               { "one" },
+               HttpReadStatus::kCutShort);
+    expectBody("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\none\n",
+               { "one" },
+               HttpReadStatus::kCutShort);
+  }
+
+  void unframedBodyNeverLooksWhole()
+  {
+    expectBody(
+      "HTTP/1.1 200 OK\r\n\r\none\n", { "one" }, HttpReadStatus::kCutShort);
+  }
+
+  void slowBodyTimesOut()
+  {
+    const Server server([](Socket& aSocket, int) {
+      Server::write(aSocket, std::string(kChunkedHead) + "4\r\none\n\r\n");
+      Server::readUntil(aSocket, "never");
+    });
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      transport::HttpCall call = aClient.open(server.endpoint(),
+                                              { "GET", "/", {}, {} },
+                                              { std::chrono::seconds(5),
+                                                std::chrono::seconds(5),
+                                                std::chrono::milliseconds(30) },
+                                              aYield);
+      CPPUNIT_ASSERT(call.readLine(aYield).data_ == "one");
+      CPPUNIT_ASSERT(call.readLine(aYield).status_ == HttpReadStatus::kTimeout);
+    });
+  }
+
+  void malformedResponseIsTold()
+  {
+    const Server server([](Socket& aSocket, int) {
+      Server::readUntil(aSocket, "\r\n\r\n");
+      Server::write(aSocket, "SSH-2.0-none\r\n\r\n");
+    });
+    const transport::HttpFailure failure = failureAt(server.endpoint(), {});
+    CPPUNIT_ASSERT(failure.kind_ == HttpFailureKind::kMalformed);
+    CPPUNIT_ASSERT(failure.bytesMayHaveArrived_);
+  }
+
+  void abortEndsWait()
+  {
+    const Server server(
+      [](Socket& aSocket, int) { Server::readUntil(aSocket, "never"); });
+    transport::HttpAborter aborter;
+    boost::asio::steady_timer timer(context_, std::chrono::milliseconds(20));
+    timer.async_wait(
+      [&](const boost::system::error_code&) { aborter.abort(); });
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      const transport::HttpCall call = aClient.open(
+        server.endpoint(), { "GET", "/", {}, {} }, {}, aYield, &aborter);
+      CPPUNIT_ASSERT(call.failure().kind_ == HttpFailureKind::kAborted);
+      CPPUNIT_ASSERT(call.failure().bytesMayHaveArrived_);
+    });
+  }
+
+  void longBodyAndLineAreRefused()
+  {
+    const Server server([](Socket& aSocket, int) {
+      Server::readUntil(aSocket, "\r\n\r\n");
+      Server::write(aSocket,
+                    "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" +
+                      std::string(99, 'x'));
+    });
+    limits_.maxLineBytes_ = 50;
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      transport::HttpCall call =
+        aClient.open(server.endpoint(), { "GET", "/", {}, {} }, {}, aYield);
+      CPPUNIT_ASSERT(call.readAll(98, aYield).status_ ==
+                     HttpReadStatus::kTooLong);
+      transport::HttpCall other =
+        aClient.open(server.endpoint(), { "GET", "/", {}, {} }, {}, aYield);
+      CPPUNIT_ASSERT(other.readLine(aYield).status_ ==
+                     HttpReadStatus::kTooLong);
+      CPPUNIT_ASSERT(other.readLine(aYield).status_ ==
+                     HttpReadStatus::kTooLong);
+    });
+  }
+
+private:
+  /** Runs a test body as a coroutine with a client. */
+  void run(std::function<void(transport::HttpClient&, const Yield&)> aBody)
+  {
+    transport::HttpClient client(context_, limits_);
+    fakes::runCoroutine(context_,
+                        [&](const Yield& aYield) { aBody(client, aYield); });
+  }
+
+  /** @return How a call without a response failed. */
+  transport::HttpFailure failureAt(const state::Endpoint& aEndpoint,
+                                   const transport::HttpTimeouts& aTimeouts)
+  {
+    transport::HttpFailure failure;
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      const transport::HttpCall call =
+        aClient.open(aEndpoint, { "GET", "/", {}, {} }, aTimeouts, aYield);
+      CPPUNIT_ASSERT(!call.hasResponse());
+      failure = call.failure();
+    });
+    return failure;
+  }
+
+  /** Checks the lines of an answer and how its body ends. */
+  void expectBody(const std::string& aAnswer,
+                  const std::vector<std::string>& aLines,
+                  HttpReadStatus aEnd)
+  {
+    const Server server([&](Socket& aSocket, int) {
+      Server::readUntil(aSocket, "\r\n\r\n");
+      Server::write(aSocket, aAnswer);
+    });
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      transport::HttpCall call =
+        aClient.open(server.endpoint(), { "GET", "/", {}, {} }, {}, aYield);
+      for (const std::string& line : aLines) {
+        const transport::HttpPiece piece = call.readLine(aYield);
+        CPPUNIT_ASSERT(piece.status_ == HttpReadStatus::kData);
+        CPPUNIT_ASSERT_EQUAL(line, std::string(piece.data_));
+      }
+      CPPUNIT_ASSERT(call.readLine(aYield).status_ == aEnd);
+    });
+  }
+
+  boost::asio::io_context context_;    ///< Event loop of the client.
+  transport::HttpClientLimits limits_; ///< Limits of the client.
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
