Plan the assignments of a fabric domain by pure functions

Cause: nothing decided which VMs form which copies. Change: allocateCopies allots copies to domains from facts that all coordinators share, without a global coordinator; plan turns a record, reports and the history of the VMs into commands with reasons (priority, spares, hysteresis, preemption, prepared replacement of leaving, flapping and straggling members, one change of version at a time, reserves); chooseLoads finishes one copy after the other under the weight store's limit. Fakes of engines, observation and the shared table come with it. Conclusion: the planner forms, keeps and changes copies of one domain; the executor follows.

--- /dev/null
+++ b/tests/fakes/fake_observation.h
@@ -0,0 +1,42 @@
+// Knowledge of VMs that a test sets.
+#pragma once
+
+#include "coordination/observation_port.h"
+#include "fakes/fake_engine.h"
+
+namespace auburnhaven::fakes {
+
+/** Knowledge of VMs that a test sets. Not thread-safe. */
+class FakeObservation : public coordination::Observation
+{
+public:
+  const std::map<state::VmId, state::VmInfo>& vms() const override
+  {
+    return vms_;
+  }
+  const std::map<state::VmId, state::VmReport>& reports() const override
+  {
+    return reports_;
+  }
+
+  /** Takes in the platform's list and a report of each engine that answers. */
+  void refresh(const FakeEngineData& aData, state::TimePoint aNow)
+  {
+    vms_.clear();
+    for (const auto& [vm, engine] : aData.engines_) {
+      vms_[vm] = engine.info_;
+      if (engine.alive_) {
+        state::VmReport& report = reports_[vm];
+        const std::uint64_t count = report.count_ + 1;
+        report = engine.report_;
+        report.count_ = count;
+        report.observedAt_ = aNow;
+      }
+    }
+  }
+
+  std::map<state::VmId, state::VmInfo> vms_;       ///< VMs listed.
+  std::map<state::VmId, state::VmReport> reports_; ///< Newest reports.
+};
+
+} // namespace auburnhaven::fakes
