--- /dev/null
+++ b/src/transport/gateway/gateway.cpp
@@ -0,0 +1,283 @@
+// Answers callers' requests: routes, authentication and errors.
+
+#include "transport/gateway/gateway.h"
+
+#include "protocol/chat_codec.h"
+#include "transport/table/refusal_table.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+namespace auburnhaven::transport {
+
+using coordination::OutcomeKind;
+
+namespace {
+
+constexpr std::size_t kMaxRequestIdBytes = 128; ///< Longest identifier taken.
+constexpr std::string_view kBearer = "Bearer ";
+
+/** @return Whether a caller's request identifier can be passed on. */
+bool
+isUsableId(std::string_view aId)
+{
+  return !aId.empty() && aId.size() <= kMaxRequestIdBytes &&
+         std::all_of(aId.begin(), aId.end(), [](char aByte) {
+           return aByte > ' ' && aByte < '\x7f' && aByte != '"' &&
+                  aByte != '\\';
+         });
+}
+
+/** @return Seconds, rounded up, for a Retry-After header. */
+std::string
+retrySeconds(state::Duration aWait)
+{
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(aWait).count();
+  return std::to_string(std::max<std::int64_t>(1, seconds));
+}
+
+/** @return Name of an outcome in an error body. */
+const char*
+outcomeName(OutcomeKind aKind)
+{
+  return aKind == OutcomeKind::kNotRun ? "not_run" : "unknown";
+}
+
+/** Counts requests in hand for as long as it lives. */
+class InHand
+{
+public:
+  /** @param aCount Where to count. */
+  explicit InHand(std::atomic<std::uint32_t>& aCount)
+    : count_(aCount)
+    , before_(aCount.fetch_add(1))
+  {
+  }
+  ~InHand() { --count_; }
+  InHand(const InHand&) = delete;
+  InHand& operator=(const InHand&) = delete;
+  /** @return How many there were before this one. */
+  std::uint32_t before() const { return before_; }
+
+private:
+  std::atomic<std::uint32_t>& count_; ///< Where to count.
+  std::uint32_t before_;              ///< Count before this one.
+};
+
+} // namespace
+
+const Gateway::Route Gateway::kRoutes[] = {
+  { "GET", "/healthz", false, &Gateway::health },
+  { "GET", "/readyz", false, &Gateway::ready },
+  { "GET", "/metrics", false, &Gateway::metrics },
+  { "GET", "/v1/models", false, &Gateway::models },
+  { "POST", "/v1/chat/completions", false, &Gateway::chat },
+  { "POST", "/v1/services/", true, &Gateway::service },
+};
+
+Gateway::Gateway(GatewaySettings aSettings,
+                 const RunnerParts& aParts,
+                 TrafficViewHolder& aViews,
+                 Metrics& aMetrics,
+                 RequestObserver& aObserver)
+  : settings_(std::move(aSettings))
+  , parts_(aParts)
+  , views_(aViews)
+  , metrics_(aMetrics)
+  , observer_(aObserver)
+{
+}
+
+void
+Gateway::handle(std::size_t aThread,
+                const HttpRequest& aRequest,
+                HttpResponder& aResponder,
+                const boost::asio::yield_context& aYield)
+{
+  const std::string_view given = aRequest.header("X-Request-Id");
+  const std::string id = isUsableId(given)
+                           ? std::string(given)
+                           : settings_.idPrefix_ + std::to_string(nextId_++);
+  Exchange exchange{ aThread, aRequest, aResponder, aYield, id, views_.get() };
+  const InHand inHand(inFlight_);
+  if (inHand.before() >= settings_.maxInFlight_) {
+    refuse(exchange,
+           503,
+           "too_many_requests",
+           "the daemon handles too many requests");
+    return;
+  }
+  bool pathKnown = false;
+  for (const Route& route : kRoutes) {
+    const bool matches = route.prefix_ ? aRequest.path_.starts_with(route.path_)
+                                       : aRequest.path_ == route.path_;
+    if (matches && route.method_ == aRequest.method_) {
+      (this->*route.handle_)(exchange);
+      return;
+    }
+    pathKnown = pathKnown || matches;
+  }
+  if (pathKnown) {
+    refuse(
+      exchange, 405, "method_not_allowed", "this path takes another method");
+  } else {
+    refuse(exchange, 404, "unknown_path", "there is nothing at this path");
+  }
+}
+
+void
+Gateway::health(Exchange& aExchange)
+{
+  HttpResponse answer = response(aExchange, 200);
+  answer.body_ = R"({"alive":true})";
+  aExchange.responder_.send(answer, aExchange.yield_);
+}
+
+void
+Gateway::ready(Exchange& aExchange)
+{
+  const bool isReady = ready_;
+  HttpResponse answer = response(aExchange, isReady ? 200 : 503);
+  answer.body_ = isReady ? R"({"ready":true})" : R"({"ready":false})";
+  aExchange.responder_.send(answer, aExchange.yield_);
+}
+
+void
+Gateway::metrics(Exchange& aExchange)
+{
+  HttpResponse answer = response(aExchange, 200);
+  answer.contentType_ = "text/plain; version=0.0.4";
+  answer.body_ = metrics_.expose();
+  aExchange.responder_.send(answer, aExchange.yield_);
+}
+
+void
+Gateway::models(Exchange& aExchange)
+{
+  const state::ClientAccount* account = authenticate(aExchange);
+  if (account == nullptr) {
+    return;
+  }
+  std::vector<std::string> models;
+  for (const auto& [id, group] : aExchange.view_->configuration().groups_) {
+    const auto& allowed = group.accounts_;
+    if (std::find(allowed.begin(), allowed.end(), account->id_) !=
+        allowed.end()) {
+      models.push_back(id.value());
+    }
+  }
+  HttpResponse answer = response(aExchange, 200);
+  answer.body_ = protocol::encodeModelList(models);
+  aExchange.responder_.send(answer, aExchange.yield_);
+}
+
+const state::ClientAccount*
+Gateway::authenticate(Exchange& aExchange)
+{
+  const std::string_view header = aExchange.request_.header("Authorization");
+  const state::ClientAccount* account =
+    header.starts_with(kBearer)
+      ? aExchange.view_->accountOf(header.substr(kBearer.size()))
+      : nullptr;
+  if (account == nullptr) {
+    refuse(
+      aExchange, 401, "unauthorized", "the bearer key is missing or wrong");
+  }
+  return account;
+}
+
+void
+Gateway::refuse(Exchange& aExchange,
+                std::uint32_t aStatus,
+                const std::string& aCode,
+                const std::string& aMessage)
+{
+  HttpResponse answer = response(aExchange, aStatus);
+  if (aStatus == 401) {
+    answer.headers_.push_back({ "WWW-Authenticate", "Bearer" });
+  }
+  answer.body_ =
+    protocol::encodeError({ "not_run", aCode, aMessage, aExchange.requestId_ });
+  aExchange.responder_.send(answer, aExchange.yield_);
+  metrics_.counter("auburnhaven_refused_total{code=\"" + aCode + "\"}").add();
+}
+
+void
+Gateway::answerOutcome(Exchange& aExchange,
+                       const coordination::Outcome& aOutcome)
+{
+  const RefusalRow& row = refusalRow(aOutcome.reason_);
+  HttpResponse answer = response(aExchange, row.status_);
+  if (aOutcome.retryAfter_ > state::Duration::zero()) {
+    answer.headers_.push_back(
+      { "Retry-After", retrySeconds(aOutcome.retryAfter_) });
+  }
+  answer.body_ = protocol::encodeError(errorBody(aExchange, aOutcome));
+  aExchange.responder_.send(answer, aExchange.yield_);
+}
+
+protocol::ErrorBody
+Gateway::errorBody(const Exchange& aExchange,
+                   const coordination::Outcome& aOutcome) const
+{
+  return { outcomeName(aOutcome.kind_),
+           coordination::refusalName(aOutcome.reason_),
+           refusalRow(aOutcome.reason_).message_,
+           aExchange.requestId_ };
+}
+
+coordination::RequestInfo
+Gateway::newInfo(const Exchange& aExchange, const state::AccountId& aAccount)
+{
+  coordination::RequestInfo info;
+  info.id_ = state::RequestId(settings_.idPrefix_ + std::to_string(nextId_++));
+  info.account_ = aAccount;
+  std::chrono::milliseconds timeout = settings_.requestTimeout_;
+  const std::string_view wanted =
+    aExchange.request_.header("X-Request-Timeout-Ms");
+  std::int64_t milliseconds = 0;
+  const auto parsed =
+    std::from_chars(wanted.data(), wanted.data() + wanted.size(), milliseconds);
+  if (parsed.ec == std::errc() && milliseconds > 0) {
+    timeout = std::min(timeout, std::chrono::milliseconds(milliseconds));
+  }
+  info.deadline_ = parts_.clock_.now() + timeout;
+  return info;
+}
+
+void
+Gateway::note(const coordination::RequestInfo& aInfo,
+              const RequestResult& aResult)
+{
+  const state::TimePoint now = parts_.clock_.now();
+  static constexpr std::string_view kNames[] = { "answered",
+                                                 "not_run",
+                                                 "unknown" };
+  const std::string_view outcome =
+    kNames[static_cast<std::size_t>(aResult.outcome_.kind_)];
+  std::string name("auburnhaven_requests_total{outcome=\"");
+  name += outcome;
+  name += "\",reason=\"";
+  name += coordination::refusalName(aResult.outcome_.reason_);
+  name += "\"}";
+  metrics_.counter(name).add();
+  if (aResult.times_.tokens_ > 0) {
+    metrics_.counter("auburnhaven_tokens_total").add(aResult.times_.tokens_);
+    metrics_.latency("auburnhaven_first_token_seconds")
+      .add(aResult.times_.firstTokenAt_ - aResult.times_.startedAt_);
+  }
+  observer_.requestEnded(aInfo, aResult, now);
+}
+
+HttpResponse
+Gateway::response(const Exchange& aExchange, std::uint32_t aStatus) const
+{
+  HttpResponse answer;
+  answer.status_ = aStatus;
+  answer.headers_.push_back({ "X-Request-Id", aExchange.requestId_ });
+  return answer;
+}
+
+} // namespace auburnhaven::transport
--- /dev/null
+++ b/src/transport/gateway/gateway_chat.cpp
@@ -0,0 +1,251 @@
+// Answers chat completion requests.
+
+#include "transport/gateway/gateway.h"
+
+#include "protocol/chat_codec.h"
+#include "transport/table/refusal_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnhaven::transport {
+
+namespace {
+
+/** Sends tokens as server-sent events. */
+class EventSink : public AnswerSink
+{
+public:
+  /** Makes a sink that starts the response with the first token. */
+  EventSink(HttpResponder& aResponder,
+            HttpResponse aHead,
+            std::string aRequestId,
+            std::string aModel)
+    : responder_(aResponder)
+    , head_(std::move(aHead))
+    , requestId_(std::move(aRequestId))
+    , model_(std::move(aModel))
+  {
+    head_.contentType_ = "text/event-stream";
+    head_.headers_.push_back({ "Cache-Control", "no-cache" });
+  }
+
+  bool passToken(std::string_view aText,
+                 const boost::asio::yield_context& aYield) override
+  {
+    if (!start(aYield)) {
+      return false;
+    }
+    return responder_.writeChunk(
+      protocol::encodeChatEvent(requestId_, model_, aText), aYield);
+  }
+
+  void onCallerGone(std::function<void()> aHandler) override
+  {
+    responder_.onCallerGone(std::move(aHandler));
+  }
+
+  /** Ends the answer as whole. */
+  void end(const boost::asio::yield_context& aYield)
+  {
+    if (start(aYield) &&
+        responder_.writeChunk(protocol::encodeChatEnd(requestId_, model_),
+                              aYield)) {
+      responder_.endStream(aYield);
+    }
+  }
+
+  /** Tells that a started answer will not become whole, and breaks it off. */
+  void breakOff(const protocol::ErrorBody& aError,
+                const boost::asio::yield_context& aYield)
+  {
+    responder_.writeChunk(protocol::encodeErrorEvent(aError), aYield);
+    responder_.cut();
+  }
+
+  /** @return Whether a part of the answer was sent. */
+  bool started() const { return started_; }
+
+private:
+  /** Starts the response when needed. @return Whether the caller is there. */
+  bool start(const boost::asio::yield_context& aYield)
+  {
+    if (started_) {
+      return true;
+    }
+    started_ = true;
+    return responder_.startStream(head_, aYield);
+  }
+
+  HttpResponder& responder_; ///< Takes the response.
+  HttpResponse head_;        ///< Status and headers.
+  std::string requestId_;    ///< The request.
+  std::string model_;        ///< Model name for the events.
+  bool started_ = false;     ///< Whether the response was started.
+};
+
+/** Collects tokens for a plain answer. */
+class TextSink : public AnswerSink
+{
+public:
+  /** @param aResponder Tells when the caller goes away. */
+  explicit TextSink(HttpResponder& aResponder)
+    : responder_(aResponder)
+  {
+  }
+  bool passToken(std::string_view aText,
+                 const boost::asio::yield_context& /*aYield*/) override
+  {
+    text_ += aText;
+    return !responder_.callerGone();
+  }
+  void onCallerGone(std::function<void()> aHandler) override
+  {
+    responder_.onCallerGone(std::move(aHandler));
+  }
+  /** @return The text so far. */
+  const std::string& text() const { return text_; }
+
+private:
+  HttpResponder& responder_; ///< Tells when the caller goes away.
+  std::string text_;         ///< The text so far.
+};
+
+/** @return The faults of a body in one sentence. */
+std::string
+describe(const state::InputErrors& aErrors)
+{
+  std::string text;
+  for (const state::InputError& error : aErrors.errors_) {
+    text += text.empty() ? "" : "; ";
+    text += error.key_.empty() ? "body" : error.key_;
+    text += " " + error.message_;
+  }
+  return text;
+}
+
+/** @return The kind of work that was asked for, or null when unknown. */
+const state::WorkKind*
+findKind(const state::ServingGroup& aGroup, const std::string& aName)
+{
+  const auto found = std::find_if(
+    aGroup.kinds_.begin(), aGroup.kinds_.end(), [&](const auto& aKind) {
+      return aName.empty() || aKind.id_.value() == aName;
+    });
+  return found == aGroup.kinds_.end() ? nullptr : &*found;
+}
+
+/** @return The request, or nothing with aFault set. */
+std::optional<protocol::ChatRequest>
+readChat(const std::string& aBody, std::string& aFault)
+{
+  return state::leaf::try_handle_all(
+    [&]() -> state::leaf::result<std::optional<protocol::ChatRequest>> {
+      BOOST_LEAF_AUTO(request, protocol::decodeChatRequest(aBody));
+      return std::optional<protocol::ChatRequest>(std::move(request));
+    },
+    [&](const state::InputErrors& aErrors) {
+      aFault = describe(aErrors);
+      return std::optional<protocol::ChatRequest>();
+    },
+    [&] {
+      aFault = "the body cannot be read";
+      return std::optional<protocol::ChatRequest>();
+    });
+}
+
+} // namespace
+
+void
+Gateway::chat(Exchange& aExchange)
+{
+  const state::ClientAccount* account = authenticate(aExchange);
+  if (account == nullptr) {
+    return;
+  }
+  std::string fault;
+  const auto request = readChat(aExchange.request_.body_, fault);
+  if (!request) {
+    refuse(aExchange, 400, "bad_request", fault);
+    return;
+  }
+  bool known = false;
+  const state::ServingGroup* group =
+    aExchange.view_->groupFor(request->model_, account->id_, known);
+  if (group == nullptr) {
+    refuse(aExchange,
+           known ? 403 : 404,
+           known ? "model_not_allowed" : "model_not_found",
+           known ? "the account may not use this model"
+                 : "there is no model or serving group of this name");
+    return;
+  }
+  const state::WorkKind* kind = findKind(*group, request->kind_);
+  if (kind == nullptr && !request->kind_.empty()) {
+    refuse(aExchange,
+           400,
+           "unknown_kind",
+           "the serving group has no such kind of work");
+    return;
+  }
+  TargetCall call;
+  call.info_ = newInfo(aExchange, account->id_);
+  call.info_.group_ = group->id_;
+  call.info_.stream_ = true;
+  call.info_.idempotent_ = true;
+  call.info_.maxTokens_ = request->maxTokens_;
+  if (kind != nullptr) {
+    call.info_.kind_ = kind->id_;
+    call.priority_ = coordination::priorityAt(*kind, parts_.clock_.wallNow());
+  }
+  call.payload_ = request->prompt_;
+  if (request->stream_) {
+    streamChat(aExchange, std::move(call), request->model_);
+  } else {
+    plainChat(aExchange, std::move(call), request->model_);
+  }
+}
+
+void
+Gateway::streamChat(Exchange& aExchange,
+                    TargetCall aCall,
+                    const std::string& aModel)
+{
+  const coordination::RequestInfo info = aCall.info_;
+  EventSink sink(aExchange.responder_,
+                 response(aExchange, 200),
+                 aExchange.requestId_,
+                 aModel);
+  RequestRunner runner(parts_, aExchange.thread_, std::move(aCall), sink);
+  const RequestResult result = runner.run(aExchange.yield_);
+  note(info, result);
+  if (result.outcome_.kind_ == coordination::OutcomeKind::kAnswered) {
+    sink.end(aExchange.yield_);
+  } else if (sink.started()) {
+    sink.breakOff(errorBody(aExchange, result.outcome_), aExchange.yield_);
+  } else {
+    answerOutcome(aExchange, result.outcome_);
+  }
+}
+
+void
+Gateway::plainChat(Exchange& aExchange,
+                   TargetCall aCall,
+                   const std::string& aModel)
+{
+  const coordination::RequestInfo info = aCall.info_;
+  TextSink sink(aExchange.responder_);
+  RequestRunner runner(parts_, aExchange.thread_, std::move(aCall), sink);
+  const RequestResult result = runner.run(aExchange.yield_);
+  note(info, result);
+  if (result.outcome_.kind_ != coordination::OutcomeKind::kAnswered) {
+    answerOutcome(aExchange, result.outcome_);
+    return;
+  }
+  HttpResponse answer = response(aExchange, 200);
+  answer.body_ = protocol::encodeChatAnswer(
+    aExchange.requestId_, aModel, sink.text(), result.times_.tokens_);
+  aExchange.responder_.send(answer, aExchange.yield_);
+}
+
+} // namespace auburnhaven::transport
--- /dev/null
+++ b/src/transport/gateway/gateway_service.cpp
@@ -0,0 +1,152 @@
+// Answers calls to plain services.
+
+#include "transport/gateway/gateway.h"
+
+#include "state/digest_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnhaven::transport {
+
+namespace {
+
+constexpr std::string_view kPathStart = "/v1/services/";
+
+/** A service call as the path names it. */
+struct ServicePath
+{
+  std::string service_;   ///< Service.
+  std::string operation_; ///< Operation; empty when the path has none.
+};
+
+/** @return Service and operation of a path. */
+ServicePath
+parsePath(const std::string& aPath)
+{
+  const std::string rest = aPath.substr(kPathStart.size());
+  const std::size_t slash = rest.find('/');
+  if (slash == std::string::npos) {
+    return { rest, {} };
+  }
+  return { rest.substr(0, slash), rest.substr(slash + 1) };
+}
+
+/** @return Whether an operation name can be passed on in a path. */
+bool
+isUsableOperation(const std::string& aName)
+{
+  return !aName.empty() &&
+         std::all_of(aName.begin(), aName.end(), [](unsigned char aByte) {
+           return std::isalnum(aByte) != 0 || aByte == '-' || aByte == '_' ||
+                  aByte == '.';
+         });
+}
+
+/** @return The configured operation, or null. */
+const state::ServiceOperation*
+findOperation(const state::PlainService& aService, const std::string& aName)
+{
+  const auto& all = aService.operations_;
+  const auto found =
+    std::find_if(all.begin(), all.end(), [&](const auto& aOne) {
+      return aOne.name_ == aName;
+    });
+  return found == all.end() ? nullptr : &*found;
+}
+
+/** Takes no tokens; plain services answer at once. */
+class NoTokenSink : public AnswerSink
+{
+public:
+  /** @param aResponder Tells when the caller goes away. */
+  explicit NoTokenSink(HttpResponder& aResponder)
+    : responder_(aResponder)
+  {
+  }
+  bool passToken(std::string_view /*aText*/,
+                 const boost::asio::yield_context& /*aYield*/) override
+  {
+    return !responder_.callerGone();
+  }
+  void onCallerGone(std::function<void()> aHandler) override
+  {
+    responder_.onCallerGone(std::move(aHandler));
+  }
+
+private:
+  HttpResponder& responder_; ///< Tells when the caller goes away.
+};
+
+} // namespace
+
+void
+Gateway::service(Exchange& aExchange)
+{
+  const state::ClientAccount* account = authenticate(aExchange);
+  if (account == nullptr) {
+    return;
+  }
+  const ServicePath path = parsePath(aExchange.request_.path_);
+  const auto& services = aExchange.view_->configuration().services_;
+  const auto found = services.find(state::ServiceId(path.service_));
+  if (found == services.end() || !isUsableOperation(path.operation_)) {
+    refuse(aExchange,
+           404,
+           "service_not_found",
+           "there is no such service or operation");
+    return;
+  }
+  const auto& allowed = found->second.accounts_;
+  if (std::find(allowed.begin(), allowed.end(), account->id_) ==
+      allowed.end()) {
+    refuse(aExchange,
+           403,
+           "service_not_allowed",
+           "the account may not use this service");
+    return;
+  }
+  TargetCall call;
+  call.info_ = newInfo(aExchange, account->id_);
+  call.info_.service_ = found->first;
+  call.info_.operation_ = path.operation_;
+  call.info_.idempotencyKey_ =
+    std::string(aExchange.request_.header("Idempotency-Key"));
+  const state::ServiceOperation* operation =
+    findOperation(found->second, path.operation_);
+  if (operation != nullptr) {
+    call.info_.idempotent_ = operation->idempotent_;
+    call.info_.deadline_ =
+      std::min(call.info_.deadline_, parts_.clock_.now() + operation->timeout_);
+  }
+  call.info_.bodyDigest_ = state::sha256Hex(aExchange.request_.body_);
+  call.payload_ = aExchange.request_.body_;
+  call.contentType_ = std::string(aExchange.request_.header("Content-Type"));
+  runService(aExchange, std::move(call));
+}
+
+void
+Gateway::runService(Exchange& aExchange, TargetCall aCall)
+{
+  const coordination::RequestInfo info = aCall.info_;
+  NoTokenSink sink(aExchange.responder_);
+  RequestRunner runner(parts_, aExchange.thread_, std::move(aCall), sink);
+  const RequestResult result = runner.run(aExchange.yield_);
+  note(info, result);
+  if (result.outcome_.kind_ != coordination::OutcomeKind::kAnswered) {
+    answerOutcome(aExchange, result.outcome_);
+    return;
+  }
+  const auto stored =
+    result.outcome_.replay_ ? result.outcome_.replay_ : result.answer_;
+  assert(stored);
+  HttpResponse answer = response(aExchange, stored->status_);
+  answer.contentType_ = stored->contentType_;
+  answer.body_ = stored->body_;
+  if (result.outcome_.replay_) {
+    answer.headers_.push_back({ "X-Idempotent-Replay", "true" });
+  }
+  aExchange.responder_.send(answer, aExchange.yield_);
+}
+
+} // namespace auburnhaven::transport
--- /dev/null
+++ b/src/transport/gateway/traffic_view.cpp
@@ -0,0 +1,75 @@
+// Snapshot that the gateway's threads answer by.
+
+#include "transport/gateway/traffic_view.h"
+
+#include "state/digest_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnhaven::transport {
+
+namespace {
+
+/** @return Whether a group serves an account. */
+bool
+serves(const state::ServingGroup& aGroup, const state::AccountId& aAccount)
+{
+  return std::find(aGroup.accounts_.begin(),
+                   aGroup.accounts_.end(),
+                   aAccount) != aGroup.accounts_.end();
+}
+
+/** @return A snapshot with an empty configuration. */
+TrafficViewPtr
+emptyView()
+{
+  state::ServingView view;
+  view.configuration_ = std::make_shared<const state::Configuration>();
+  return std::make_shared<const TrafficView>(
+    std::make_shared<const state::ServingView>(std::move(view)));
+}
+
+} // namespace
+
+TrafficView::TrafficView(state::ServingViewPtr aView)
+  : view_(std::move(aView))
+{
+  for (const auto& [id, account] : configuration().accounts_) {
+    accounts_[account.keyDigest_] = &account;
+  }
+}
+
+const state::ClientAccount*
+TrafficView::accountOf(std::string_view aKey) const
+{
+  const auto found = accounts_.find(state::sha256Hex(aKey));
+  return found == accounts_.end() ? nullptr : found->second;
+}
+
+const state::ServingGroup*
+TrafficView::groupFor(const std::string& aModel,
+                      const state::AccountId& aAccount,
+                      bool& aKnown) const
+{
+  aKnown = false;
+  const state::ServingGroup* match = nullptr;
+  for (const auto& [id, group] : configuration().groups_) {
+    if (id.value() != aModel && group.model_ != aModel) {
+      continue;
+    }
+    aKnown = true;
+    const bool exact = id.value() == aModel;
+    if (serves(group, aAccount) && (exact || match == nullptr)) {
+      match = &group;
+    }
+  }
+  return match;
+}
+
+TrafficViewHolder::TrafficViewHolder()
+  : view_(emptyView())
+{
+}
+
+} // namespace auburnhaven::transport
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -48,9 +48,9 @@
    * @param aYield The coroutine.
    */
   virtual void endStream(const boost::asio::yield_context& aYield) = 0;
-  /** Breaks the connection, so that a response in progress never looks whole.
+  /** Ends a started stream without its end mark, so that it never looks whole.
    */
-  virtual void abort() = 0;
+  virtual void cut() = 0;
   /**
    * Sets what to do when the caller closes its connection before the response
    * ended.
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -177,14 +177,7 @@
     noteWrite(error);
   }
 
-  void abort() override
-  {
-    gone_ = true;
-    keepAlive_ = false;
-    boost::system::error_code ignored;
-    stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-    stream_.close();
-  }
+  void cut() override { keepAlive_ = false; }
 
   void onCallerGone(std::function<void()> aHandler) override
   {
