--- a/src/transport/gateway/gateway_chat.cpp
+++ b/src/transport/gateway/gateway_chat.cpp
@@ -199,6 +199,8 @@
     call.priority_ = coordination::priorityAt(*kind, parts_.clock_.wallNow());
   }
   call.payload_ = request->prompt_;
+  call.info_.prefixHashes_ =
+    coordination::prefixHashes(request->prompt_, group->model_);
   if (request->stream_) {
     streamChat(aExchange, std::move(call), request->model_);
   } else {
--- a/src/transport/gateway/request_runner.cpp
+++ b/src/transport/gateway/request_runner.cpp
@@ -116,7 +116,8 @@
     return machine_.refused(admission.reason_, admission.retryAfter_);
   }
   ticket_ = admission.ticket_;
-  return machine_.admitted(now());
+  result_.times_.admittedAt_ = now();
+  return machine_.admitted(result_.times_.admittedAt_);
 }
 
 Action
--- a/src/transport/gateway/request_runner.h
+++ b/src/transport/gateway/request_runner.h
@@ -71,6 +71,7 @@
 struct RequestTimes
 {
   state::TimePoint startedAt_{};    ///< When it arrived.
+  state::TimePoint admittedAt_{};   ///< When it was admitted, or zero.
   state::TimePoint firstTokenAt_{}; ///< When its first token came, or zero.
   state::Duration longestGap_{};    ///< Longest time between two tokens.
   state::Duration meanGap_{};       ///< Mean time between two tokens.
--- a/src/transport/gateway/traffic_view.cpp
+++ b/src/transport/gateway/traffic_view.cpp
@@ -20,20 +20,10 @@
                    aAccount) != aGroup.accounts_.end();
 }
 
-/** @return A snapshot with an empty configuration. */
-TrafficViewPtr
-emptyView()
-{
-  state::ServingView view;
-  view.configuration_ = std::make_shared<const state::Configuration>();
-  return std::make_shared<const TrafficView>(
-    std::make_shared<const state::ServingView>(std::move(view)));
-}
-
 } // namespace
 
-TrafficView::TrafficView(state::ServingViewPtr aView)
-  : view_(std::move(aView))
+TrafficView::TrafficView(state::ConfigurationPtr aConfiguration)
+  : configuration_(std::move(aConfiguration))
 {
   for (const auto& [id, account] : configuration().accounts_) {
     accounts_[account.keyDigest_] = &account;
@@ -68,7 +58,8 @@
 }
 
 TrafficViewHolder::TrafficViewHolder()
-  : view_(emptyView())
+  : view_(std::make_shared<const TrafficView>(
+      std::make_shared<const state::Configuration>()))
 {
 }
 
--- a/src/transport/gateway/traffic_view.h
+++ b/src/transport/gateway/traffic_view.h
@@ -1,7 +1,7 @@
 // Snapshot that the gateway's threads answer by.
 #pragma once
 
-#include "state/serving_view_type.h"
+#include "state/config_type.h"
 
 #include <atomic>
 #include <memory>
@@ -15,14 +15,11 @@
 class TrafficView
 {
 public:
-  /** @param aView Snapshot of the control thread; its configuration is set. */
-  explicit TrafficView(state::ServingViewPtr aView);
+  /** @param aConfiguration Configuration in force, not null. */
+  explicit TrafficView(state::ConfigurationPtr aConfiguration);
 
   /** @return The configuration. */
-  const state::Configuration& configuration() const
-  {
-    return *view_->configuration_;
-  }
+  const state::Configuration& configuration() const { return *configuration_; }
   /**
    * @param aKey Bearer key of a caller.
    * @return Its account, or null.
@@ -40,7 +37,7 @@
                                       bool& aKnown) const;
 
 private:
-  state::ServingViewPtr view_; ///< Snapshot.
+  state::ConfigurationPtr configuration_; ///< Configuration in force.
   std::unordered_map<std::string, const state::ClientAccount*>
     accounts_; ///< Accounts by digest of the key.
 };
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -96,6 +96,57 @@
                               : ReadFault{};
 }
 
+/**
+ * Cancels the reads of a connection when a time limit passes, but leaves the
+ * connection open, so that the caller can still be told. One thread only.
+ */
+class ReadTimer
+{
+public:
+  /**
+   * @param aStream The connection; outlives this object.
+   * @param aLimit Time limit, from now.
+   */
+  ReadTimer(beast::tcp_stream& aStream, std::chrono::milliseconds aLimit)
+    : state_(std::make_shared<State>())
+    , timer_(aStream.get_executor(), aLimit)
+  {
+    aStream.expires_never();
+    timer_.async_wait(
+      [state = state_, &aStream](const boost::system::error_code& aError) {
+        if (!aError && state->armed_) {
+          state->expired_ = true;
+          aStream.cancel();
+        }
+      });
+  }
+  ~ReadTimer() { state_->armed_ = false; }
+  ReadTimer(const ReadTimer&) = delete;
+  ReadTimer& operator=(const ReadTimer&) = delete;
+
+  /**
+   * @param aError Error of a read that the timer guarded.
+   * @return The error, or a timeout when the timer ended the read.
+   */
+  boost::system::error_code explain(
+    const boost::system::error_code& aError) const
+  {
+    const bool mine = aError && state_->expired_;
+    return mine ? beast::error::timeout : aError;
+  }
+
+private:
+  /** Shared with the timer's handler. */
+  struct State
+  {
+    bool armed_ = true;    ///< Whether the timer still guards reads.
+    bool expired_ = false; ///< Whether it cancelled one.
+  };
+
+  std::shared_ptr<State> state_; ///< Shared with the timer's handler.
+  asio::steady_timer timer_;     ///< Time limit.
+};
+
 /** Session of one connection; also the responder of its present request. */
 class HttpSession
   : public HttpResponder
@@ -193,16 +244,15 @@
     Parser parser;
     parser.header_limit(context_.limits_.maxHeaderBytes_);
     parser.body_limit(context_.limits_.maxBodyBytes_);
-    boost::system::error_code error;
     if (!waitForBytes(aYield)) {
       return false;
     }
-    read(parser, error, aYield);
+    const InFlight counted(*context_.state_);
+    const boost::system::error_code error = read(parser, aYield);
     if (error) {
       refuse(describe(error, buffer_.size() > 0 || parser.got_some()), aYield);
       return false;
     }
-    const InFlight counted(*context_.state_);
     version_ = parser.get().version();
     keepAlive_ = parser.keep_alive();
     const HttpRequest request = convert(parser.release());
@@ -230,25 +280,35 @@
   }
 
   /** Reads header and body within their time limits. */
-  void read(Parser& aParser,
-            boost::system::error_code& aError,
-            const asio::yield_context& aYield)
+  boost::system::error_code read(Parser& aParser,
+                                 const asio::yield_context& aYield)
   {
-    stream_.expires_after(context_.limits_.headerTimeout_);
-    http::async_read_header(stream_, buffer_, aParser, aYield[aError]);
-    if (aError) {
-      return;
+    boost::system::error_code error = readHeader(aParser, aYield);
+    if (error) {
+      return error;
     }
     if (beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
       http::response<http::empty_body> proceed(http::status::continue_,
                                                aParser.get().version());
-      http::async_write(stream_, proceed, aYield[aError]);
-      if (aError) {
-        return;
+      stream_.expires_after(context_.limits_.writeTimeout_);
+      http::async_write(stream_, proceed, aYield[error]);
+      if (error) {
+        return error;
       }
     }
-    stream_.expires_after(context_.limits_.bodyTimeout_);
-    http::async_read(stream_, buffer_, aParser, aYield[aError]);
+    const ReadTimer timer(stream_, context_.limits_.bodyTimeout_);
+    http::async_read(stream_, buffer_, aParser, aYield[error]);
+    return timer.explain(error);
+  }
+
+  /** Reads the header within its time limit. */
+  boost::system::error_code readHeader(Parser& aParser,
+                                       const asio::yield_context& aYield)
+  {
+    const ReadTimer timer(stream_, context_.limits_.headerTimeout_);
+    boost::system::error_code error;
+    http::async_read_header(stream_, buffer_, aParser, aYield[error]);
+    return timer.explain(error);
   }
 
   /** Answers a request that could not be read. */
--- /dev/null
+++ b/tests/transport/request_runner_test.cpp
@@ -0,0 +1,444 @@
+// Tests that each caller gets exactly its own whole answer or a true outcome.
+
+#include "transport/gateway/request_runner.h"
+
+#include "state/digest_func.h"
+#include "transport/system_clock.h"
+
+#include <boost/asio.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace auburnhaven;
+using transport::TargetEvent;
+using transport::TargetEventKind;
+
+namespace {
+
+constexpr std::uint32_t kTokens = 40;     ///< Tokens of each answer.
+constexpr std::uint32_t kCopies = 8;      ///< Copies of the group.
+constexpr std::size_t kCallers = 1000;    ///< Concurrent callers.
+constexpr std::uint32_t kRareFaults = 2;  ///< Deaths in 1,000 tokens.
+constexpr std::uint32_t kManyFaults = 15; ///< Deaths in 1,000 tokens.
+
+/** @return Token of the answer to a prompt. */
+std::string
+tokenOf(const std::string& aPrompt, std::uint64_t aOffset)
+{
+  return std::to_string(state::stableHash(aPrompt, aOffset) % 65535) + " ";
+}
+
+/** @return Whole answer to a prompt. */
+std::string
+answerOf(const std::string& aPrompt)
+{
+  std::string text;
+  for (std::uint64_t offset = 0; offset < kTokens; ++offset) {
+    text += tokenOf(aPrompt, offset);
+  }
+  return text;
+}
+
+/** Faults of the fake targets and a count of what ran. */
+struct FakeTargets
+{
+  std::mt19937_64 random_{ 7 };     ///< Decides on faults.
+  std::uint32_t faultPermille_ = 0; ///< Chance of a death at a token.
+  TargetEventKind last_ = TargetEventKind::kWhole; ///< How attempts end.
+  std::map<std::string, std::uint32_t>
+    runs_; ///< Runs of service calls by body.
+};
+
+/** Attempt at a fake target; doubles tokens and dies at random. */
+class FakeStream : public transport::TargetStream
+{
+public:
+  FakeStream(FakeTargets& aTargets, transport::TargetCall aCall)
+    : targets_(aTargets)
+    , call_(std::move(aCall))
+    , offset_(call_.resumeOffset_)
+  {
+  }
+
+  TargetEvent next(const boost::asio::yield_context& aYield) override
+  {
+    boost::asio::post(aYield.get_executor(), aYield);
+    TargetEvent event;
+    if (aborted_) {
+      return event;
+    }
+    if (!call_.info_.service_.empty()) {
+      return serviceEvent();
+    }
+    if (targets_.random_() % 1000 < targets_.faultPermille_) {
+      return event;
+    }
+    if (offset_ == kTokens) {
+      event.kind_ = targets_.last_;
+      event.offset_ = kTokens;
+      return event;
+    }
+    const bool repeat = offset_ > 0 && targets_.random_() % 10 == 0;
+    event.kind_ = TargetEventKind::kToken;
+    event.offset_ = repeat ? offset_ - 1 : offset_++;
+    event.text_ = tokenOf(call_.payload_, event.offset_);
+    return event;
+  }
+
+  void abort() override { aborted_ = true; }
+
+private:
+  /** Runs the call. @return Its end. */
+  TargetEvent serviceEvent()
+  {
+    TargetEvent event;
+    event.kind_ = targets_.last_;
+    if (targets_.last_ != TargetEventKind::kRefused) {
+      ++targets_.runs_[call_.payload_];
+    }
+    if (targets_.last_ == TargetEventKind::kWhole) {
+      event.answer_ = std::make_shared<const coordination::StoredAnswer>(
+        coordination::StoredAnswer{ 200, "text/plain", "done" });
+    }
+    return event;
+  }
+
+  FakeTargets& targets_;       ///< Faults.
+  transport::TargetCall call_; ///< The call.
+  std::uint64_t offset_;       ///< Next token.
+  bool aborted_ = false;       ///< Whether it was aborted.
+};
+
+/** Opens attempts at fake targets. */
+class FakeOpener : public transport::StreamOpener
+{
+public:
+  explicit FakeOpener(FakeTargets& aTargets)
+    : targets_(aTargets)
+  {
+  }
+  std::unique_ptr<transport::TargetStream> open(
+    std::size_t /*aThread*/,
+    const coordination::Choice& /*aChoice*/,
+    const transport::TargetCall& aCall) override
+  {
+    return std::make_unique<FakeStream>(targets_, aCall);
+  }
+
+private:
+  FakeTargets& targets_; ///< Faults.
+};
+
+/** Store that is never reached. */
+class DeadStore : public coordination::Store
+{
+public:
+  void get(const std::string& /*aKey*/,
+           coordination::StorePriority /*aPriority*/,
+           ReplyHandler aHandler) override
+  {
+    aHandler({});
+  }
+  void compareAndSwap(const std::string& /*aKey*/,
+                      state::Revision /*aExpected*/,
+                      std::string /*aValue*/,
+                      coordination::StorePriority /*aPriority*/,
+                      ReplyHandler aHandler) override
+  {
+    aHandler({});
+  }
+  void watch(const std::string& /*aKey*/,
+             state::Revision /*aAfter*/,
+             state::Duration /*aTimeout*/,
+             ReplyHandler aHandler) override
+  {
+    aHandler({});
+  }
+  void acquireLease(const std::string& /*aName*/,
+                    const std::string& /*aHolder*/,
+                    state::Duration /*aTimeToLive*/,
+                    LeaseHandler aHandler) override
+  {
+    aHandler({});
+  }
+  void releaseLease(const std::string& /*aName*/,
+                    const std::string& /*aHolder*/,
+                    LeaseHandler aHandler) override
+  {
+    aHandler({});
+  }
+};
+
+/** Collects the answer of one caller. */
+class TextSink : public transport::AnswerSink
+{
+public:
+  bool passToken(std::string_view aText,
+                 const boost::asio::yield_context& /*aYield*/) override
+  {
+    text_ += aText;
+    return !gone_;
+  }
+  void onCallerGone(std::function<void()> aHandler) override
+  {
+    handler_ = std::move(aHandler);
+  }
+  /** Closes the caller's connection. */
+  void leave()
+  {
+    gone_ = true;
+    if (handler_) {
+      handler_();
+    }
+  }
+
+  std::string text_;              ///< Answer so far.
+  bool gone_ = false;             ///< Whether the caller has left.
+  std::function<void()> handler_; ///< Told when the caller leaves.
+};
+
+/** @return A snapshot with open copies and one plain service. */
+state::ServingViewPtr
+makeView(state::TimePoint aNow)
+{
+  state::Configuration configuration;
+  state::ServingGroup group;
+  group.id_ = state::GroupId("drafts");
+  group.kinds_.push_back({ state::WorkKindId("draft"), 1, {} });
+  configuration.groups_[group.id_] = group;
+  state::PlainService service;
+  service.id_ = state::ServiceId("orders");
+  service.targets_.push_back(
+    { state::VmId("order-vm"), state::ZoneId("a"), { "127.0.0.1", 1 } });
+  configuration.services_[service.id_] = service;
+  state::ServingView view;
+  view.configuration_ =
+    std::make_shared<const state::Configuration>(configuration);
+  for (std::uint32_t index = 0; index < kCopies; ++index) {
+    state::ServingCopy copy;
+    copy.id_ = { group.id_, index };
+    copy.zone_ = state::ZoneId("a");
+    copy.head_ = state::VmId("vm-" + std::to_string(index));
+    copy.open_ = true;
+    copy.load_.slots_ = 200;
+    copy.loadObservedAt_ = aNow;
+    copy.evidenceUntil_ = aNow + std::chrono::hours(1);
+    view.copies_[group.id_].push_back(copy);
+  }
+  return std::make_shared<const state::ServingView>(view);
+}
+
+/** Parts of a daemon that run requests on one event loop. */
+class World
+{
+public:
+  World()
+    : chooser_(state::ZoneId("a"), [this] { return targets_.random_(); })
+    , admission_(limiter_, admissionSettings())
+    , budget_({ 1000, 100000, 100000 })
+    , claimService_(store_, clock_, state::DaemonId("d"), state::Incarnation(1))
+    , claims_(control_, claimService_)
+    , opener_(targets_)
+  {
+    const state::ServingViewPtr view = makeView(clock_.now());
+    chooser_.setView(view);
+    admission_.setView(*view, 1);
+  }
+
+  /** Starts one request. */
+  void start(transport::TargetCall aCall,
+             TextSink& aSink,
+             transport::RequestResult& aResult)
+  {
+    boost::asio::spawn(
+      loop_,
+      [this, call = std::move(aCall), &aSink, &aResult](
+        const boost::asio::yield_context& aYield) {
+        const transport::RunnerParts parts{ clock_,  chooser_, admission_,
+                                            budget_, claims_,  opener_ };
+        transport::RequestRunner runner(parts, 0, call, aSink);
+        aResult = runner.run(aYield);
+      },
+      [](const std::exception_ptr& aError) {
+        if (aError) {
+          std::rethrow_exception(aError);
+        }
+      });
+  }
+
+  /** Runs until all requests have ended. */
+  void run() { loop_.run(); }
+
+  /** @return A chat request with its own prompt. */
+  transport::TargetCall chat(const std::string& aPrompt) const
+  {
+    transport::TargetCall call;
+    call.info_.id_ = state::RequestId(aPrompt);
+    call.info_.account_ = state::AccountId("shop");
+    call.info_.group_ = state::GroupId("drafts");
+    call.info_.kind_ = state::WorkKindId("draft");
+    call.info_.stream_ = true;
+    call.info_.idempotent_ = true;
+    call.info_.maxTokens_ = kTokens;
+    call.info_.deadline_ = clock_.now() + std::chrono::minutes(5);
+    call.payload_ = aPrompt;
+    return call;
+  }
+
+  /** @return A service call that may not be repeated. */
+  transport::TargetCall confirm(const std::string& aKey) const
+  {
+    transport::TargetCall call;
+    call.info_.id_ = state::RequestId("r");
+    call.info_.account_ = state::AccountId("shop");
+    call.info_.service_ = state::ServiceId("orders");
+    call.info_.operation_ = "confirm";
+    call.info_.idempotencyKey_ = aKey;
+    call.info_.deadline_ = clock_.now() + std::chrono::minutes(5);
+    call.payload_ = "order 1";
+    return call;
+  }
+
+  FakeTargets targets_; ///< Faults of the targets.
+
+private:
+  /** @return Settings under which no request of these tests is refused. */
+  static coordination::AdmissionSettings admissionSettings()
+  {
+    coordination::AdmissionSettings settings;
+    settings.maxWaiting_ = 4000;
+    settings.minimumLimit_ = 4000;
+    return settings;
+  }
+
+  boost::asio::io_context loop_;            ///< Traffic loop.
+  transport::SystemClock clock_;            ///< Clock.
+  transport::ControlLoop control_;          ///< Control loop; never run.
+  DeadStore store_;                         ///< Store.
+  coordination::AccountLimiter limiter_;    ///< Limits.
+  coordination::TargetChooser chooser_;     ///< Choice of targets.
+  coordination::Admission admission_;       ///< Admission.
+  coordination::RetryBudget budget_;        ///< Budget for retries.
+  coordination::ClaimService claimService_; ///< Claims.
+  transport::ClaimDesk claims_;             ///< Way to the claims.
+  FakeOpener opener_;                       ///< Opens attempts.
+};
+
+} // namespace
+
+class RequestRunnerTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RequestRunnerTest);
+  CPPUNIT_TEST(thousandCallersGetTheirOwnAnswers);
+  CPPUNIT_TEST(manyDeathsMixNoAnswers);
+  CPPUNIT_TEST(lastingFaultNeverLooksWhole);
+  CPPUNIT_TEST(callerThatLeavesEndsTheRequest);
+  CPPUNIT_TEST(keylessCallRunsOnceAndIsUnknownWhenCut);
+  CPPUNIT_TEST(refusedCallIsNotRun);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void thousandCallersGetTheirOwnAnswers()
+  {
+    CPPUNIT_ASSERT_EQUAL(kCallers, countAnswered(kRareFaults));
+  }
+
+  void manyDeathsMixNoAnswers()
+  {
+    // An attempt dies with 45 in 100, so some callers use up their attempts.
+    const std::size_t answered = countAnswered(kManyFaults);
+    CPPUNIT_ASSERT(answered > kCallers * 9 / 10);
+    CPPUNIT_ASSERT(answered < kCallers);
+  }
+
+  void lastingFaultNeverLooksWhole()
+  {
+    World world;
+    world.targets_.last_ = TargetEventKind::kCutShort;
+    TextSink sink;
+    transport::RequestResult result;
+    world.start(world.chat("p"), sink, result);
+    world.run();
+    CPPUNIT_ASSERT(result.outcome_.kind_ ==
+                   coordination::OutcomeKind::kUnknown);
+    CPPUNIT_ASSERT(result.outcome_.cut_);
+    CPPUNIT_ASSERT_EQUAL(answerOf("p"), sink.text_);
+  }
+
+  void callerThatLeavesEndsTheRequest()
+  {
+    World world;
+    TextSink sink;
+    sink.gone_ = true;
+    transport::RequestResult result;
+    world.start(world.chat("p"), sink, result);
+    world.run();
+    CPPUNIT_ASSERT(result.outcome_.reason_ ==
+                   coordination::RefusalReason::kCallerGone);
+    CPPUNIT_ASSERT_EQUAL(tokenOf("p", 0), sink.text_);
+  }
+
+  void keylessCallRunsOnceAndIsUnknownWhenCut()
+  {
+    World world;
+    world.targets_.last_ = TargetEventKind::kCutShort;
+    TextSink sink;
+    transport::RequestResult result;
+    world.start(world.confirm(""), sink, result);
+    world.run();
+    CPPUNIT_ASSERT(result.outcome_.kind_ ==
+                   coordination::OutcomeKind::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), world.targets_.runs_["order 1"]);
+  }
+
+  void refusedCallIsNotRun()
+  {
+    World world;
+    world.targets_.last_ = TargetEventKind::kRefused;
+    TextSink sink;
+    transport::RequestResult result;
+    world.start(world.confirm(""), sink, result);
+    world.run();
+    CPPUNIT_ASSERT(result.outcome_.kind_ == coordination::OutcomeKind::kNotRun);
+    CPPUNIT_ASSERT(world.targets_.runs_.empty());
+  }
+
+private:
+  /**
+   * Runs all callers at once; asserts that none gets a foreign or whole-looking
+   * part of an answer.
+   * @param aFaultPermille Chance of a death at each token.
+   * @return Callers that got their whole answer.
+   */
+  std::size_t countAnswered(std::uint32_t aFaultPermille)
+  {
+    World world;
+    world.targets_.faultPermille_ = aFaultPermille;
+    std::vector<TextSink> sinks(kCallers);
+    std::vector<transport::RequestResult> results(kCallers);
+    for (std::size_t index = 0; index < kCallers; ++index) {
+      world.start(world.chat("prompt " + std::to_string(index)),
+                  sinks[index],
+                  results[index]);
+    }
+    world.run();
+    std::size_t answered = 0;
+    for (std::size_t index = 0; index < kCallers; ++index) {
+      const std::string whole = answerOf("prompt " + std::to_string(index));
+      CPPUNIT_ASSERT(whole.starts_with(sinks[index].text_));
+      if (results[index].outcome_.kind_ ==
+          coordination::OutcomeKind::kAnswered) {
+        CPPUNIT_ASSERT_EQUAL(whole, sinks[index].text_);
+        ++answered;
+      }
+    }
+    return answered;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestRunnerTest);
