--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -201,7 +201,8 @@
 HttpAborter::abort()
 {
   aborted_ = true;
-  if (const auto connection = connection_.lock()) {
+  const auto connection = connection_.lock();
+  if (connection && connection->use() == use_) {
     connection->abort();
   }
 }
@@ -210,6 +211,7 @@
 HttpAborter::bind(const std::shared_ptr<HttpConnection>& aConnection)
 {
   connection_ = aConnection;
+  use_ = aConnection->use();
   if (aborted_) {
     aConnection->abort();
   }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -92,7 +92,8 @@
 class HttpAborter
 {
 public:
-  /** Ends the call that is bound, or the next one that binds. */
+  /** Ends the call that is bound, or the next one that binds. Does nothing to
+   * a connection that the call has given back. */
   void abort();
   /** @return Whether abort() was called. */
   bool aborted() const { return aborted_; }
@@ -101,6 +102,7 @@
 
 private:
   std::weak_ptr<HttpConnection> connection_; ///< Connection of the call.
+  std::uint64_t use_ = 0;                    ///< Use of the connection.
   bool aborted_ = false;                     ///< Whether abort() was called.
 };
 
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -251,6 +251,7 @@
 HttpConnection::markIdle()
 {
   stream_.expires_never();
+  ++use_;
   idleSince_ = std::chrono::steady_clock::now();
 }
 
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -70,6 +70,8 @@
   const state::Endpoint& endpoint() const { return endpoint_; }
   /** @return When it became unused. */
   std::chrono::steady_clock::time_point idleSince() const { return idleSince_; }
+  /** @return Number of calls that have given it back. */
+  std::uint64_t use() const { return use_; }
   /** Notes that it is unused from now on. */
   void markIdle();
 
@@ -96,6 +98,7 @@
   std::string lines_;          ///< Body bytes read and not yet handed out.
   std::size_t linesTaken_ = 0; ///< Bytes of lines_ that were handed out.
   std::optional<HttpReadStatus> ended_; ///< How the body ended.
+  std::uint64_t use_ = 0;               ///< Calls that have given it back.
   bool aborted_ = false;                ///< Whether abort() was called.
   std::chrono::steady_clock::time_point
     idleSince_{}; ///< When it became unused.
--- a/src/transport/http_type.h
+++ b/src/transport/http_type.h
@@ -51,7 +51,7 @@
 /** Limits of the HTTP server. */
 struct HttpServerLimits
 {
-  std::uint32_t maxHeaderBytes_ = 16 * 1024;     ///< Largest header.
+  std::uint32_t maxHeaderBytes_ = 16 * 1024;        ///< Largest header.
   std::uint64_t maxBodyBytes_ = 4ULL * 1024 * 1024; ///< Largest body.
   std::chrono::milliseconds headerTimeout_{
     10000
--- /dev/null
+++ b/src/transport/service_caller.cpp
@@ -0,0 +1,124 @@
+// Short HTTP calls of the control thread with fail-over between addresses.
+
+#include "transport/service_caller.h"
+
+#include <boost/asio.hpp>
+
+#include <cassert>
+#include <utility>
+
+namespace auburnhaven::transport {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kMaxAnswerBytes =
+  std::size_t{ 4 } * 1024 * 1024;                  ///< Largest answer taken.
+constexpr std::uint32_t kServiceUnavailable = 503; ///< Certainly not done.
+
+} // namespace
+
+ServiceCaller::ServiceCaller(asio::io_context& aContext, HttpClient& aClient)
+  : context_(aContext)
+  , client_(aClient)
+{
+}
+
+void
+ServiceCaller::start(Task aTask)
+{
+  asio::spawn(context_, std::move(aTask), [](const std::exception_ptr& aError) {
+    if (aError) {
+      std::rethrow_exception(aError);
+    }
+  });
+}
+
+void
+ServiceCaller::later(std::function<void()> aWork)
+{
+  asio::post(context_, std::move(aWork));
+}
+
+ServiceAnswer
+ServiceCaller::call(const state::Endpoint& aEndpoint,
+                    const ServiceCall& aCall,
+                    const asio::yield_context& aYield)
+{
+  const auto aborter = std::make_shared<HttpAborter>();
+  asio::steady_timer deadline(context_, aCall.timeout_);
+  deadline.async_wait([aborter](const boost::system::error_code& aError) {
+    if (!aError) {
+      aborter->abort();
+    }
+  });
+  const auto limit =
+    std::chrono::ceil<std::chrono::milliseconds>(aCall.timeout_);
+  HttpCall call = client_.open(
+    aEndpoint, aCall.request_, { limit, limit, limit }, aYield, aborter.get());
+  if (!call.hasResponse()) {
+    return { 0, {}, call.failure().bytesMayHaveArrived_ };
+  }
+  HttpBody body = call.readAll(kMaxAnswerBytes, aYield);
+  if (body.status_ != HttpReadStatus::kEnd) {
+    return { 0, {}, true };
+  }
+  return { call.status(), std::move(body.data_), true };
+}
+
+ServiceAnswer
+ServiceCaller::callAny(const std::vector<state::Endpoint>& aEndpoints,
+                       std::size_t& aPreferred,
+                       const ServiceCall& aCall,
+                       const asio::yield_context& aYield)
+{
+  assert(!aEndpoints.empty());
+  ServiceAnswer answer;
+  const std::size_t first = aPreferred;
+  for (std::size_t index = 0; index < aEndpoints.size(); ++index) {
+    const std::size_t current = (first + index) % aEndpoints.size();
+    answer = call(aEndpoints[current], aCall, aYield);
+    const bool notDone =
+      !answer.mayHaveRun_ || answer.status_ == kServiceUnavailable;
+    const bool noAnswer = answer.status_ == 0;
+    if (!notDone && !(noAnswer && aCall.repeatable_)) {
+      aPreferred = noAnswer ? (current + 1) % aEndpoints.size() : current;
+      return answer;
+    }
+  }
+  return answer;
+}
+
+HttpClientRequest
+makePost(std::string aPath, std::string aBody)
+{
+  return { "POST",
+           std::move(aPath),
+           { { "Content-Type", "application/json" } },
+           std::move(aBody) };
+}
+
+std::string
+percentEncode(const std::string& aText)
+{
+  static constexpr char kDigits[] = "0123456789ABCDEF";
+  static constexpr std::string_view kPlain = "-._~";
+  std::string result;
+  for (const char letter : aText) {
+    const auto byte = static_cast<unsigned char>(letter);
+    const bool isAlphanumeric = (byte >= '0' && byte <= '9') ||
+                                (byte >= 'a' && byte <= 'z') ||
+                                (byte >= 'A' && byte <= 'Z');
+    if (isAlphanumeric || kPlain.find(letter) != std::string_view::npos) {
+      result += letter;
+    } else {
+      result += '%';
+      result += kDigits[byte >> 4U];
+      result += kDigits[byte & 15U];
+    }
+  }
+  return result;
+}
+
+} // namespace auburnhaven::transport
--- a/tests/transport/loopback.h
+++ b/tests/transport/loopback.h
@@ -94,6 +94,21 @@
     return got;
   }
 
+  /** Reads one request with its body. */
+  static std::string readRequest(boost::asio::ip::tcp::socket& aSocket)
+  {
+    const std::string mark = "Content-Length: ";
+    std::string request = readUntil(aSocket, "\r\n\r\n");
+    const std::size_t at = request.find(mark);
+    if (at != std::string::npos) {
+      std::string body(std::stoul(request.substr(at + mark.size())), '\0');
+      boost::system::error_code error;
+      boost::asio::read(aSocket, boost::asio::buffer(body), error);
+      request += body;
+    }
+    return request;
+  }
+
   /** Writes a text; ignores that the connection has ended. */
   static void write(boost::asio::ip::tcp::socket& aSocket,
                     const std::string& aText)
