Coordinate fabric domains under a lease and judge copies in each daemon

Cause: plans had no executor; nothing held a domain, wrote its record or ordered its engines. Change: DomainLease (own authority counts from before the renewal and ends two seconds early), DomainCoordinator (reads and swaps the record, settles lost answers by reading, waits out orders after a take-over, re-checks authority before each order, uses reserves without the store), ZoneKnowledge (records and summaries over the shared table, facts for the allocation), GroupManager (candidates by rendezvous hashing, status, audit trail in the store, hand-back of leases).

--- /dev/null
+++ b/src/coordination/group/domain_audit.cpp
@@ -0,0 +1,166 @@
+// Audit trail of one fabric domain, kept in the store.
+
+#include "coordination/group/domain_audit.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+using Json = nlohmann::json;
+
+AuditEntry
+decodeEntry(const Json& aJson)
+{
+  AuditEntry entry;
+  entry.time_ = state::WallTime(
+    std::chrono::milliseconds(aJson.at("time").get<std::int64_t>()));
+  entry.domain_ = state::DomainId(aJson.at("domain").get<std::string>());
+  entry.version_ = aJson.at("version").get<std::uint64_t>();
+  entry.change_ = aJson.at("change").get<std::string>();
+  entry.coordinator_ = aJson.at("coordinator").get<std::string>();
+  return entry;
+}
+
+} // namespace
+
+std::string
+auditKey(const state::DomainId& aDomain)
+{
+  return "audit/domain/" + aDomain.value();
+}
+
+std::string
+encodeAudit(const AuditTrail& aTrail)
+{
+  Json json = Json::array();
+  for (const AuditEntry& entry : aTrail) {
+    json.push_back({ { "time", entry.time_.time_since_epoch().count() },
+                     { "domain", entry.domain_.value() },
+                     { "version", entry.version_ },
+                     { "change", entry.change_ },
+                     { "coordinator", entry.coordinator_ } });
+  }
+  return json.dump();
+}
+
+state::leaf::result<AuditTrail>
+decodeAudit(std::string_view aText)
+{
+  AuditTrail trail;
+  try {
+    for (const Json& json : Json::parse(aText)) {
+      trail.push_back(decodeEntry(json));
+    }
+  } catch (const std::exception& error) {
+    return state::leaf::new_error(
+      state::InputErrors{ { { "audit trail", 0, {}, error.what() } } });
+  }
+  return trail;
+}
+
+DomainAudit::DomainAudit(Store& aStore,
+                         const state::DomainId& aDomain,
+                         std::size_t aEntries)
+  : store_(aStore)
+  , key_(auditKey(aDomain))
+  , entries_(aEntries)
+{
+}
+
+void
+DomainAudit::append(const AuditTrail& aTrail)
+{
+  own_.insert(own_.end(), aTrail.begin(), aTrail.end());
+  waiting_.insert(waiting_.end(), aTrail.begin(), aTrail.end());
+  bound(own_);
+  bound(waiting_);
+}
+
+void
+DomainAudit::flush()
+{
+  if (underWay_ || waiting_.empty()) {
+    return;
+  }
+  if (known_) {
+    write();
+  } else {
+    read();
+  }
+}
+
+const AuditTrail&
+DomainAudit::ownTrail() const
+{
+  return own_;
+}
+
+void
+DomainAudit::read()
+{
+  underWay_ = true;
+  const std::weak_ptr<bool> alive = alive_;
+  store_.get(
+    key_, StorePriority::kOther, [this, alive](const StoreReply& aReply) {
+      if (alive.expired()) {
+        return;
+      }
+      underWay_ = false;
+      known_ = aReply.status_ == StoreStatus::kOk ||
+               aReply.status_ == StoreStatus::kNotFound;
+      revision_ = aReply.revision_;
+      stored_ =
+        state::leaf::try_handle_all([&] { return decodeAudit(aReply.value_); },
+                                    [] { return AuditTrail(); });
+    });
+}
+
+void
+DomainAudit::write()
+{
+  AuditTrail next = stored_;
+  for (const AuditEntry& entry : waiting_) {
+    if (std::find(stored_.begin(), stored_.end(), entry) == stored_.end()) {
+      next.push_back(entry);
+    }
+  }
+  bound(next);
+  const AuditTrail written = std::exchange(waiting_, {});
+  underWay_ = true;
+  const std::weak_ptr<bool> alive = alive_;
+  store_.compareAndSwap(key_,
+                        revision_,
+                        encodeAudit(next),
+                        StorePriority::kOther,
+                        [this, alive, next, written](const StoreReply& aReply) {
+                          if (alive.expired()) {
+                            return;
+                          }
+                          underWay_ = false;
+                          if (aReply.status_ == StoreStatus::kOk) {
+                            stored_ = next;
+                            revision_ = aReply.revision_;
+                            return;
+                          }
+                          known_ = false;
+                          waiting_.insert(
+                            waiting_.begin(), written.begin(), written.end());
+                          bound(waiting_);
+                        });
+}
+
+void
+DomainAudit::bound(AuditTrail& aTrail) const
+{
+  if (aTrail.size() > entries_) {
+    aTrail.erase(aTrail.begin(),
+                 aTrail.end() - static_cast<std::ptrdiff_t>(entries_));
+  }
+}
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/group/domain_coordinator.cpp
@@ -0,0 +1,420 @@
+// Coordinates one fabric domain while it holds the domain's lease.
+
+#include "coordination/group/domain_coordinator.h"
+
+#include "coordination/group/order_func.h"
+#include "coordination/group/substitution_func.h"
+#include "state/domain_record_codec.h"
+#include "state/domain_record_func.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+using state::DomainRecord;
+using state::VmId;
+
+/** @return The decoded record, or nothing. */
+std::optional<DomainRecord>
+decoded(const std::string& aText, const std::string& aSource)
+{
+  return state::leaf::try_handle_all(
+    [&]() -> state::leaf::result<std::optional<DomainRecord>> {
+      BOOST_LEAF_AUTO(record, state::decodeDomainRecord(aText, aSource));
+      return std::optional<DomainRecord>(std::move(record));
+    },
+    [] { return std::optional<DomainRecord>(); });
+}
+
+} // namespace
+
+std::string
+recordKey(const state::DomainId& aDomain)
+{
+  return "domain/" + aDomain.value();
+}
+
+DomainCoordinator::DomainCoordinator(state::Clock& aClock,
+                                     Store& aStore,
+                                     EngineClient& aEngines,
+                                     const Observation& aObservation,
+                                     state::DomainId aDomain,
+                                     state::ZoneId aZone,
+                                     std::string aHolder,
+                                     const GroupLimits& aLimits)
+  : clock_(aClock)
+  , store_(aStore)
+  , engines_(aEngines)
+  , observation_(aObservation)
+  , domain_(std::move(aDomain))
+  , zone_(std::move(aZone))
+  , holder_(std::move(aHolder))
+  , limits_(aLimits)
+  , lease_(aClock, aStore, "lease/domain/" + domain_.value(), holder_, aLimits)
+  , audit_(aStore, domain_, aLimits.auditEntries_)
+{
+}
+
+void
+DomainCoordinator::tick(const DomainDuty& aDuty)
+{
+  lease_.tick(aDuty.leasePeriod_);
+  if (!lease_.holds()) {
+    current_ = false;
+    return;
+  }
+  if (lease_.heldSince() != heldSince_) {
+    heldSince_ = lease_.heldSince();
+    current_ = false;
+  }
+  if (!current_ && !callUnderWay_ && clock_.now() >= nextRead_) {
+    readRecord();
+  }
+  audit_.flush();
+}
+
+void
+DomainCoordinator::planAndWrite(const ZoneView& aView)
+{
+  if (!mayOrder() || callUnderWay_) {
+    return;
+  }
+  const std::set<state::CopyId> wanted = shareOf(aView);
+  static const std::set<state::CopyId> kNoChange;
+  const Moves moves =
+    plan({ *record_,
+           observation_.vms(),
+           observation_.reports(),
+           aView.history_,
+           aView.configuration_,
+           wanted,
+           aView.factsKnown_ ? aView.allocation_.mayChange_ : kNoChange,
+           limits_,
+           clock_.now() });
+  if (!moves.empty()) {
+    write(applyMoves(*record_, moves), moves);
+  }
+}
+
+void
+DomainCoordinator::sendOrders(const ZoneView& aView, const DomainDuty& aDuty)
+{
+  const bool withoutStore =
+    aDuty.mayUseReserves_ && !lease_.holds() && hasStoreOutage() && record_;
+  if (!mayOrder() && !withoutStore) {
+    return;
+  }
+  const DomainRecord record =
+    withoutStore ? recordWithSubstitutions() : *record_;
+  const state::TimePoint now = clock_.now();
+  for (const auto& [vm, info] : observation_.vms()) {
+    const auto report = observation_.reports().find(vm);
+    if (info.domain_ != domain_ || report == observation_.reports().end() ||
+        now - report->second.observedAt_ > limits_.evidenceLimit_) {
+      continue;
+    }
+    const OrderState& state = orders_[vm];
+    EngineOrder order = orderFor(record, vm);
+    const bool newer = order.fencing_ > state.fencing_;
+    if (state.underWay_ || (now < state.notBefore_ && !newer)) {
+      continue;
+    }
+    const bool allowed = !followsOrder(record, order, report->second) &&
+                         (!needsLoad(order, report->second) ||
+                          aView.loads_.contains(vm) || withoutStore);
+    const bool substituted = order.fencing_.value() % state::kFencingStride;
+    const bool stillMay = withoutStore || lease_.holds();
+    if (allowed && stillMay && (!withoutStore || substituted)) {
+      sendOrder(record, info, std::move(order));
+    }
+  }
+}
+
+void
+DomainCoordinator::learnRecord(const DomainRecord& aRecord)
+{
+  if (record_ && record_->version_ >= aRecord.version_) {
+    return;
+  }
+  record_ = aRecord;
+  current_ = false;
+}
+
+const std::optional<DomainRecord>&
+DomainCoordinator::record() const
+{
+  return record_;
+}
+
+bool
+DomainCoordinator::mayOrder() const
+{
+  return lease_.holds() && current_ && record_ &&
+         clock_.now() - lease_.heldSince() >= limits_.takeOverWait_;
+}
+
+bool
+DomainCoordinator::holdsLease() const
+{
+  return lease_.holds();
+}
+
+const AuditTrail&
+DomainCoordinator::auditTrail() const
+{
+  return audit_.ownTrail();
+}
+
+const CoordinatorCounts&
+DomainCoordinator::counts() const
+{
+  return counts_;
+}
+
+void
+DomainCoordinator::handBack(DomainLease::DoneHandler aHandler)
+{
+  lease_.release(std::move(aHandler));
+}
+
+bool
+DomainCoordinator::hasStoreOutage() const
+{
+  return clock_.now() - lease_.lastAnswer() >= limits_.outageAfter_;
+}
+
+void
+DomainCoordinator::readRecord()
+{
+  callUnderWay_ = true;
+  nextRead_ = clock_.now() + limits_.planPeriod_;
+  const std::weak_ptr<bool> alive = alive_;
+  store_.get(recordKey(domain_),
+             StorePriority::kAssignment,
+             [this, alive, since = heldSince_](const StoreReply& aReply) {
+               if (!alive.expired()) {
+                 takeRecord(aReply, since);
+               }
+             });
+}
+
+void
+DomainCoordinator::takeRecord(const StoreReply& aReply,
+                              state::TimePoint aHeldSince)
+{
+  callUnderWay_ = false;
+  if (aHeldSince != lease_.heldSince()) {
+    return; // Read before the present authority began.
+  }
+  if (aReply.status_ == StoreStatus::kNotFound) {
+    DomainRecord empty;
+    empty.domain_ = domain_;
+    empty.zone_ = zone_;
+    adopt(std::move(empty), {});
+  } else if (aReply.status_ == StoreStatus::kOk) {
+    std::optional<DomainRecord> record =
+      decoded(aReply.value_, recordKey(domain_));
+    if (record) {
+      settle(*record);
+      adopt(std::move(*record), aReply.revision_);
+    }
+  }
+}
+
+void
+DomainCoordinator::settle(const DomainRecord& aRecord)
+{
+  if (unsettled_ && unsettled_->first == aRecord) {
+    audit(unsettled_->first, unsettled_->second);
+  }
+  unsettled_.reset();
+}
+
+void
+DomainCoordinator::write(DomainRecord aNext, const Moves& aMoves)
+{
+  assert(state::brokenInvariant(aNext).empty());
+  callUnderWay_ = true;
+  ++counts_.writes_;
+  std::string text = state::encodeDomainRecord(aNext);
+  const std::weak_ptr<bool> alive = alive_;
+  store_.compareAndSwap(
+    recordKey(domain_),
+    revision_,
+    std::move(text),
+    StorePriority::kAssignment,
+    [this, alive, next = std::move(aNext), aMoves](const StoreReply& aReply) {
+      if (!alive.expired()) {
+        takeWritten(aReply, next, aMoves);
+      }
+    });
+}
+
+void
+DomainCoordinator::takeWritten(const StoreReply& aReply,
+                               const DomainRecord& aNext,
+                               const Moves& aMoves)
+{
+  callUnderWay_ = false;
+  if (aReply.status_ == StoreStatus::kOk) {
+    adopt(aNext, aReply.revision_);
+    audit(aNext, aMoves);
+    return;
+  }
+  counts_.conflicts_ += aReply.status_ == StoreStatus::kConflict ? 1 : 0;
+  if (aReply.status_ == StoreStatus::kUnknown) {
+    // The record that is read back settles whether the write took effect.
+    ++counts_.ambiguous_;
+    unsettled_ = { aNext, aMoves };
+  }
+  current_ = false;
+}
+
+void
+DomainCoordinator::adopt(DomainRecord aRecord, state::Revision aRevision)
+{
+  assert(state::brokenInvariant(aRecord).empty());
+  if (record_ && record_->version_ > aRecord.version_) {
+    return;
+  }
+  record_ = std::move(aRecord);
+  revision_ = aRevision;
+  current_ = true;
+  substitutions_.clear();
+}
+
+void
+DomainCoordinator::audit(const DomainRecord& aRecord, const Moves& aMoves)
+{
+  AuditTrail trail;
+  trail.reserve(aMoves.size());
+  for (const state::AssignmentCommand& move : aMoves) {
+    trail.push_back({ clock_.wallNow(),
+                      domain_,
+                      aRecord.version_,
+                      state::describe(move),
+                      holder_ });
+  }
+  audit_.append(trail);
+}
+
+std::set<state::CopyId>
+DomainCoordinator::shareOf(const ZoneView& aView) const
+{
+  if (aView.factsKnown_) {
+    const auto found = aView.allocation_.wanted_.find(domain_);
+    return found == aView.allocation_.wanted_.end() ? std::set<state::CopyId>()
+                                                    : found->second;
+  }
+  std::set<state::CopyId> hosted;
+  for (const auto& [id, copy] : record_->copies_) {
+    hosted.insert(id);
+  }
+  return hosted;
+}
+
+DomainRecord
+DomainCoordinator::recordWithSubstitutions()
+{
+  DomainRecord record = *record_;
+  for (const auto& [id, copy] : record_->copies_) {
+    std::optional<DomainRecord> substituted = substituteIn(id);
+    if (substituted) {
+      record.copies_[id] = substituted->copies_.at(id);
+      for (const auto& [vm, assignment] : substituted->assignments_) {
+        if (assignment != record_->assignments_.at(vm)) {
+          record.assignments_[vm] = assignment;
+        }
+      }
+    }
+  }
+  assert(state::brokenInvariant(record).empty());
+  return record;
+}
+
+std::optional<DomainRecord>
+DomainCoordinator::substituteIn(const state::CopyId& aCopy)
+{
+  const state::CopyRecord& copy = record_->copies_.at(aCopy);
+  const auto isFresh = [&](const VmId& aVm) {
+    const auto report = observation_.reports().find(aVm);
+    return report != observation_.reports().end() &&
+           clock_.now() - report->second.observedAt_ <= limits_.evidenceLimit_;
+  };
+  std::optional<Substitution> chosen =
+    reportedSubstitution(*record_, aCopy, observation_.reports());
+  const auto before = substitutions_.find(aCopy);
+  if (!chosen && before != substitutions_.end()) {
+    chosen = makeSubstitution(
+      *record_, aCopy, before->second.second, before->second.first);
+  }
+  if (chosen && isFresh(chosen->reserve_)) {
+    return substitute(*record_, *chosen);
+  }
+  std::vector<std::uint32_t> absent;
+  for (std::uint32_t rank = 0; rank < copy.members_.size(); ++rank) {
+    const auto report = observation_.reports().find(copy.members_[rank]);
+    if (report == observation_.reports().end() ||
+        clock_.now() - report->second.observedAt_ > limits_.replaceAfter_) {
+      absent.push_back(rank);
+    }
+  }
+  if (absent.size() != 1) {
+    return std::nullopt;
+  }
+  for (const auto& [vm, assignment] : record_->assignments_) {
+    const auto substitution =
+      makeSubstitution(*record_, aCopy, absent.front(), vm);
+    if (substitution && isFresh(vm)) {
+      substitutions_[aCopy] = { vm, absent.front() };
+      ++counts_.substitutions_;
+      return substitute(*record_, *substitution);
+    }
+  }
+  return std::nullopt;
+}
+
+void
+DomainCoordinator::sendOrder(const DomainRecord& aRecord,
+                             const state::VmInfo& aVm,
+                             EngineOrder aOrder)
+{
+  const auto copy = aRecord.copies_.find(aOrder.role_.copy_);
+  const auto assignment = aRecord.assignments_.find(aVm.id_);
+  if (copy != aRecord.copies_.end() &&
+      assignment != aRecord.assignments_.end() &&
+      assignment->second.kind_ == state::AssignmentKind::kMember) {
+    aOrder.members_ = endpointsOf(copy->second, observation_.vms());
+  }
+  ++counts_.orders_;
+  orders_[aVm.id_] = { true,
+                       clock_.now() + limits_.orderRetry_,
+                       aOrder.fencing_ };
+  const std::weak_ptr<bool> alive = alive_;
+  engines_.sendOrder(aVm,
+                     aOrder,
+                     limits_.orderTimeout_,
+                     [this, alive, vm = aVm.id_](OrderStatus aStatus) {
+                       if (!alive.expired()) {
+                         takeOrderAnswer(vm, aStatus);
+                       }
+                     });
+}
+
+void
+DomainCoordinator::takeOrderAnswer(const VmId& aVm, OrderStatus aStatus)
+{
+  OrderState& state = orders_[aVm];
+  state.underWay_ = false;
+  if (aStatus == OrderStatus::kFenced) {
+    // A newer record may exist; the plan raises the number otherwise.
+    ++counts_.fenced_;
+    current_ = false;
+  }
+}
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/group/domain_lease.h
@@ -0,0 +1,76 @@
+// Lease of one fabric domain's coordination, with an authority that ends early.
+#pragma once
+
+#include "coordination/group/group_limits_type.h"
+#include "coordination/store_port.h"
+#include "state/time_type.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace auburnhaven::coordination {
+
+/**
+ * Keeps a lease while asked to. The own authority counts from before the
+ * request was sent and ends a margin earlier than the store's lease, so that it
+ * is over before the store gives the lease to another. Control thread only.
+ */
+class DomainLease
+{
+public:
+  using DoneHandler = std::function<void()>; ///< Called when a call has ended.
+
+  /**
+   * @param aClock Monotonic clock.
+   * @param aStore The store.
+   * @param aName Name of the lease.
+   * @param aHolder Name of this process, unique to its start.
+   * @param aLimits Limits.
+   */
+  DomainLease(state::Clock& aClock,
+              Store& aStore,
+              std::string aName,
+              std::string aHolder,
+              const GroupLimits& aLimits);
+
+  /**
+   * Renews the lease, or tries to get it, when the time has come.
+   * @param aPeriod Period of attempts while the lease is not held; none to not
+   * try.
+   */
+  void tick(std::optional<state::Duration> aPeriod);
+  /** @return Whether this process has the authority now. */
+  bool holds() const;
+  /** @return When the present authority began. Precondition: holds(). */
+  state::TimePoint heldSince() const;
+  /** @return When the store last answered. */
+  state::TimePoint lastAnswer() const;
+  /**
+   * Gives the lease back and never takes it again.
+   * @param aHandler Called when the store has answered or failed.
+   */
+  void release(DoneHandler aHandler);
+
+private:
+  void request();
+  void takeAnswer(const LeaseReply& aReply, state::TimePoint aSentAt);
+
+  state::Clock& clock_;            ///< Monotonic clock.
+  Store& store_;                   ///< The store.
+  std::string name_;               ///< Name of the lease.
+  std::string holder_;             ///< Name of this process.
+  GroupLimits limits_;             ///< Limits.
+  bool underWay_ = false;          ///< Whether a request is under way.
+  bool stopped_ = false;           ///< Whether the lease was given back.
+  std::uint64_t number_ = 0;       ///< Number under which it was last held.
+  state::TimePoint until_{};       ///< End of the own authority.
+  state::TimePoint since_{};       ///< Start of the own authority.
+  state::TimePoint nextRequest_{}; ///< When to ask again.
+  state::TimePoint lastAnswer_{};  ///< When the store last answered.
+  std::shared_ptr<bool> alive_ =
+    std::make_shared<bool>(true); ///< Ends callbacks after destruction.
+};
+
+} // namespace auburnhaven::coordination
--- a/src/coordination/group/group_limits_type.h
+++ b/src/coordination/group/group_limits_type.h
@@ -46,6 +46,10 @@
     std::chrono::seconds(5); ///< Period of unchanged summaries.
   state::Duration outageAfter_ = std::chrono::seconds(
     15); ///< Time without the store after which reserves are used.
+  state::Duration factsWait_ = std::chrono::seconds(
+    10); ///< Time after the start in which no copy is created or moved.
+  state::Duration unknownRecordWait_ = std::chrono::seconds(
+    60); ///< Time after the start in which all records of the zone are awaited.
   std::uint32_t loadsAtOnce_ =
     8; ///< VMs of a zone that load at once at the weight store's full rate.
   std::uint32_t candidates_ =
--- a/src/coordination/group/order_func.cpp
+++ b/src/coordination/group/order_func.cpp
@@ -26,18 +26,6 @@
   std::vector<VmId> waiting_; ///< VMs that wait for a load.
 };
 
-std::vector<state::Endpoint>
-endpointsOf(const CopyRecord& aCopy, const VmMap& aVms)
-{
-  std::vector<state::Endpoint> endpoints;
-  for (const VmId& vm : aCopy.members_) {
-    const auto found = aVms.find(vm);
-    endpoints.push_back(found == aVms.end() ? state::Endpoint{}
-                                            : found->second.endpoint_);
-  }
-  return endpoints;
-}
-
 /** Collects loads of the zone's copies. */
 class LoadCollector
 {
@@ -117,7 +105,7 @@
                   const state::VmReport& aReport,
                   CopyLoads& aLoads) const
   {
-    const EngineOrder order = orderFor(aRecord, aVm, input_.vms_);
+    const EngineOrder order = orderFor(aRecord, aVm);
     if (needsLoad(order, aReport)) {
       aLoads.waiting_.push_back(aVm);
     }
@@ -167,8 +155,20 @@
          role.adapters_ == aCopy.adapters_;
 }
 
+std::vector<state::Endpoint>
+endpointsOf(const CopyRecord& aCopy, const VmMap& aVms)
+{
+  std::vector<state::Endpoint> endpoints;
+  for (const VmId& vm : aCopy.members_) {
+    const auto found = aVms.find(vm);
+    endpoints.push_back(found == aVms.end() ? state::Endpoint{}
+                                            : found->second.endpoint_);
+  }
+  return endpoints;
+}
+
 EngineOrder
-orderFor(const DomainRecord& aRecord, const VmId& aVm, const VmMap& aVms)
+orderFor(const DomainRecord& aRecord, const VmId& aVm)
 {
   EngineOrder order;
   order.vm_ = aVm;
@@ -184,9 +184,6 @@
       order.fencing_ = member ? copy.fencing_ : order.fencing_;
       order.role_ = { copy.id_,    assignment.rank_, order.fencing_,
                       copy.model_, copy.version_,    copy.adapters_ };
-      if (member) {
-        order.members_ = endpointsOf(copy, aVms);
-      }
     }
   }
   order.role_.fencing_ = order.fencing_;
--- a/src/coordination/group/order_func.h
+++ b/src/coordination/group/order_func.h
@@ -34,16 +34,22 @@
           std::uint32_t aRank);
 
 /**
- * The order that brings a VM into the role of the record. Pure; thread-safe.
+ * The order that brings a VM into the role of the record, without the members'
+ * endpoints. Pure; thread-safe.
  * @param aRecord The record.
  * @param aVm The VM.
- * @param aVms The platform's list, for the members' endpoints.
  * @return The order.
  */
 EngineOrder
-orderFor(const state::DomainRecord& aRecord,
-         const state::VmId& aVm,
-         const VmMap& aVms);
+orderFor(const state::DomainRecord& aRecord, const state::VmId& aVm);
+
+/**
+ * @param aCopy A copy.
+ * @param aVms The platform's list.
+ * @return Endpoints of its members by rank; those not listed are empty.
+ */
+std::vector<state::Endpoint>
+endpointsOf(const state::CopyRecord& aCopy, const VmMap& aVms);
 
 /**
  * Whether a VM follows its order already. Pure; thread-safe.
@@ -73,7 +79,6 @@
 {
   const std::vector<const state::DomainRecord*>&
     records_;                                 ///< Records of the zone.
-  const VmMap& vms_;                          ///< VMs of the zone.
   const ReportMap& reports_;                  ///< Newest reports.
   const state::Configuration& configuration_; ///< Configuration in force.
   const GroupLimits& limits_;                 ///< Limits.
--- a/src/coordination/group/planner_func.cpp
+++ b/src/coordination/group/planner_func.cpp
@@ -42,6 +42,7 @@
     const std::vector<CopyId> order = copiesByPriority();
     for (const CopyId& copy : order) {
       swapPrepared(copy);
+      raiseFencing(copy);
     }
     for (const CopyId& copy : order) {
       complete(copy);
@@ -228,7 +229,9 @@
   {
     const VmHealth oldHealth = health(aOld);
     if (!aOld.empty()) {
-      if (oldHealth == VmHealth::kPresent || oldHealth == VmHealth::kSuspect) {
+      const bool good =
+        oldHealth == VmHealth::kPresent || oldHealth == VmHealth::kSuspect;
+      if (good && !servesInPlace(aNew, aCopy)) {
         return;
       }
       move(state::WithdrawVm{ aOld, describe(oldHealth) });
@@ -237,6 +240,30 @@
       state::AssignMember{ aNew, aCopy, aRank, "has loaded the shard ahead" });
   }
 
+  /** @return Whether a reserve took a rank over while the store was down. */
+  bool servesInPlace(const VmId& aReserve, const CopyId& aCopy) const
+  {
+    return input_.reports_.at(aReserve).role_.fencing_ >
+             record_.copies_.at(aCopy).fencing_ &&
+           !record_.assignments_.at(aReserve).preload_;
+  }
+
+  /** Gives a copy a number above those that its members follow. */
+  void raiseFencing(const CopyId& aCopy)
+  {
+    const CopyRecord& copy = record_.copies_.at(aCopy);
+    const bool behind = std::any_of(
+      copy.members_.begin(), copy.members_.end(), [&](const VmId& aVm) {
+        const auto report = input_.reports_.find(aVm);
+        return report != input_.reports_.end() &&
+               report->second.role_.copy_ == aCopy &&
+               report->second.role_.fencing_ > copy.fencing_;
+      });
+    if (behind) {
+      move(state::BumpFencing{ aCopy });
+    }
+  }
+
   /** Fills the ranks of a copy when that completes it. */
   void complete(const CopyId& aCopy)
   {
--- a/tests/coordination/group_planner_test.cpp
+++ b/tests/coordination/group_planner_test.cpp
@@ -154,13 +154,12 @@
   {
     const std::vector<const state::DomainRecord*> records{ &record_ };
     const std::set<VmId> loads = chooseLoads({ records,
-                                               observation_.vms_,
                                                observation_.reports_,
                                                configuration_,
                                                limits_,
                                                clock_.now() });
     for (const auto& [vm, report] : observation_.reports_) {
-      const EngineOrder order = orderFor(record_, vm, observation_.vms_);
+      const EngineOrder order = orderFor(record_, vm);
       if (!followsOrder(record_, order, report) &&
           (!needsLoad(order, report) || loads.contains(vm))) {
         engines_.deliver(order);
