Add membership, shared table, observation, configuration and store limit of the fleet

Versioned entries spread once over each link and are repaired by digests of 64 buckets. The head of the configuration names documents by digest; one swap commits. EntryKind gets kObservedSet and kOtherZone at its end.

--- /dev/null
+++ b/src/coordination/fleet/config_store.cpp
@@ -0,0 +1,441 @@
+// Commits changes of the configuration and tells what became of them.
+
+#include "coordination/fleet/config_store.h"
+
+#include "state/digest_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+constexpr std::size_t kMaxRecent = 32; ///< Submissions that a head names.
+constexpr int kMaxAttempts = 6;        ///< Attempts to settle a submission.
+constexpr state::Duration kRetryDelay =
+  std::chrono::milliseconds(500);          ///< Time before another attempt.
+constexpr std::uint64_t kMaxGathered = 64; ///< Changes shown on a conflict.
+constexpr std::size_t kMaxDocumentBytes =
+  512UL * 1024; ///< Largest text of a document.
+constexpr std::size_t kMaxHeadBytes = 1000UL * 1000; ///< Largest text of a head.
+
+} // namespace
+
+/** A submission under way. */
+struct ConfigStore::Job
+{
+  Submission submission_;          ///< The submission.
+  SubmitHandler handler_;          ///< Takes the result.
+  SubmitResult result_;            ///< Result so far.
+  ConfigHead head_;                ///< Head as last read.
+  state::Revision revision_;       ///< Revision of that head.
+  state::DocumentTexts unwritten_; ///< Documents still to write by digest.
+  int attempts_ = 0;               ///< Attempts made.
+  bool ambiguous_ = false;         ///< Whether a swap's answer was lost.
+};
+
+ConfigStore::ConfigStore(Store& aStore,
+                         const state::Clock& aClock,
+                         ConfigCheck aCheck,
+                         KnownGeneration aKnown)
+  : store_(aStore)
+  , clock_(aClock)
+  , loader_(aStore)
+  , check_(std::move(aCheck))
+  , known_(std::move(aKnown))
+{
+}
+
+void
+ConfigStore::submit(const Submission& aSubmission, SubmitHandler aHandler)
+{
+  auto job = std::make_shared<Job>();
+  job->submission_ = aSubmission;
+  job->handler_ = std::move(aHandler);
+  ConfigChange& ours = job->result_.ours_;
+  ours.from_ = aSubmission.base_;
+  ours.generation_ = aSubmission.base_.next();
+  ours.submission_ = aSubmission.id_;
+  ours.author_ = aSubmission.author_;
+  ours.summary_ = aSubmission.summary_;
+  ours.at_ = clock_.wallNow();
+  for (const auto& [name, text] : aSubmission.put_) {
+    ours.documents_.push_back({ name, {}, state::sha256Hex(text) });
+    if (text.size() > kMaxDocumentBytes) {
+      job->result_.errors_.push_back({ name, 0, "", "is too large" });
+    }
+  }
+  for (const std::string& name : aSubmission.remove_) {
+    ours.documents_.push_back({ name, {}, {} });
+  }
+  if (!job->result_.errors_.empty()) {
+    finish(job, SubmitStatus::kRefused);
+    return;
+  }
+  readHead(job);
+}
+
+void
+ConfigStore::tick()
+{
+  std::vector<std::pair<state::TimePoint, JobPtr>> delayed;
+  delayed.swap(delayed_);
+  for (const auto& [at, job] : delayed) {
+    if (at <= clock_.now()) {
+      readHead(job);
+    } else {
+      delayed_.emplace_back(at, job);
+    }
+  }
+}
+
+void
+ConfigStore::retry(const JobPtr& aJob)
+{
+  if (++aJob->attempts_ < kMaxAttempts) {
+    delayed_.emplace_back(clock_.now() + kRetryDelay, aJob);
+    return;
+  }
+  finish(aJob,
+         aJob->ambiguous_ ? SubmitStatus::kUnknown
+                          : SubmitStatus::kUnavailable);
+}
+
+void
+ConfigStore::finish(const JobPtr& aJob, SubmitStatus aStatus)
+{
+  aJob->result_.status_ = aStatus;
+  const SubmitHandler handler = std::exchange(aJob->handler_, nullptr);
+  handler(aJob->result_);
+}
+
+void
+ConfigStore::readHead(const JobPtr& aJob)
+{
+  store_.get(
+    kHeadKey,
+    StorePriority::kConfiguration,
+    [this, aJob](const StoreReply& aReply) { takeHead(aJob, aReply); });
+}
+
+void
+ConfigStore::takeHead(const JobPtr& aJob, const StoreReply& aReply)
+{
+  aJob->head_ = ConfigHead();
+  aJob->revision_ = aReply.revision_;
+  if (aReply.status_ == StoreStatus::kOk) {
+    const std::optional<ConfigHead> head = decodeHead(aReply.value_);
+    if (!head) {
+      aJob->result_.errors_.push_back({ kHeadKey, 0, "", "cannot be decoded" });
+      finish(aJob, SubmitStatus::kRefused);
+      return;
+    }
+    aJob->head_ = *head;
+  } else if (aReply.status_ != StoreStatus::kNotFound) {
+    retry(aJob);
+    return;
+  }
+  aJob->result_.generation_ = aJob->head_.generation_;
+  for (const CommittedSubmission& item : aJob->head_.recent_) {
+    if (item.submission_ == aJob->submission_.id_) {
+      aJob->result_.generation_ = item.generation_;
+      finish(aJob, SubmitStatus::kCommitted);
+      return;
+    }
+  }
+  if (aJob->head_.generation_ < known_()) {
+    // The store answers from an old revision.
+    retry(aJob);
+  } else if (aJob->head_.generation_ != aJob->submission_.base_) {
+    gather(aJob);
+  } else {
+    check(aJob);
+  }
+}
+
+void
+ConfigStore::check(const JobPtr& aJob)
+{
+  loader_.load(aJob->head_,
+               [this, aJob](const std::optional<state::DocumentTexts>& aTexts) {
+                 if (aTexts) {
+                   takeTexts(aJob, *aTexts);
+                 } else {
+                   retry(aJob);
+                 }
+               });
+}
+
+void
+ConfigStore::takeTexts(const JobPtr& aJob, state::DocumentTexts aTexts)
+{
+  std::vector<state::InputError>& errors = aJob->result_.errors_;
+  const Submission& submission = aJob->submission_;
+  for (const std::string& name : submission.remove_) {
+    if (aTexts.erase(name) == 0) {
+      errors.push_back({ name, 0, "", "cannot be removed: does not exist" });
+    }
+  }
+  for (const auto& [name, text] : submission.put_) {
+    aTexts[name] = text;
+  }
+  state::leaf::try_handle_all(
+    [&]() -> state::leaf::result<void> {
+      BOOST_LEAF_AUTO(
+        configuration,
+        state::decodeConfiguration(submission.base_.next(), aTexts));
+      const std::vector<state::InputError> faults = check_(configuration);
+      errors.insert(errors.end(), faults.begin(), faults.end());
+      return {};
+    },
+    [&](const state::InputErrors& aErrors) {
+      errors.insert(
+        errors.end(), aErrors.errors_.begin(), aErrors.errors_.end());
+    },
+    [&] {
+      errors.push_back({ "", 0, "", "cannot be decoded" });
+    });
+  if (encodeHead(makeHead(*aJob)).size() > kMaxHeadBytes) {
+    errors.push_back({ kHeadKey, 0, "", "has too many documents" });
+  }
+  if (!errors.empty()) {
+    finish(aJob, SubmitStatus::kRefused);
+    return;
+  }
+  aJob->unwritten_.clear();
+  for (const auto& [name, text] : submission.put_) {
+    aJob->unwritten_[state::sha256Hex(text)] = text;
+  }
+  writeDocuments(aJob);
+}
+
+void
+ConfigStore::writeDocuments(const JobPtr& aJob)
+{
+  if (aJob->unwritten_.empty()) {
+    archive(aJob);
+    return;
+  }
+  const auto first = aJob->unwritten_.begin();
+  const std::string digest = first->first;
+  store_.compareAndSwap(documentKey(digest),
+                        state::Revision(),
+                        first->second,
+                        StorePriority::kConfiguration,
+                        [this, aJob, digest](const StoreReply& aReply) {
+                          // A conflict means that the same text is there
+                          // already.
+                          const bool there =
+                            aReply.status_ == StoreStatus::kOk ||
+                            aReply.status_ == StoreStatus::kConflict;
+                          if (there) {
+                            aJob->unwritten_.erase(digest);
+                            writeDocuments(aJob);
+                          } else {
+                            retry(aJob);
+                          }
+                        });
+}
+
+void
+ConfigStore::archive(const JobPtr& aJob)
+{
+  const ConfigHead& head = aJob->head_;
+  if (head.generation_ == state::Generation()) {
+    swapHead(aJob);
+    return;
+  }
+  store_.get(
+    historyKey(head.generation_),
+    StorePriority::kConfiguration,
+    [this, aJob](const StoreReply& aReply) { takeArchived(aJob, aReply); });
+}
+
+void
+ConfigStore::takeArchived(const JobPtr& aJob, const StoreReply& aReply)
+{
+  const bool answered = aReply.status_ == StoreStatus::kOk ||
+                        aReply.status_ == StoreStatus::kNotFound;
+  if (!answered) {
+    retry(aJob);
+    return;
+  }
+  const std::optional<ConfigChange> held = decodeChange(aReply.value_);
+  if (held && held->generation_ >= aJob->head_.generation_) {
+    swapHead(aJob);
+    return;
+  }
+  store_.compareAndSwap(historyKey(aJob->head_.generation_),
+                        aReply.revision_,
+                        encodeChange(aJob->head_.change_),
+                        StorePriority::kConfiguration,
+                        [this, aJob](const StoreReply& aWritten) {
+                          // Whoever commits onto this head archives the same
+                          // record.
+                          const bool there =
+                            aWritten.status_ == StoreStatus::kOk ||
+                            aWritten.status_ == StoreStatus::kConflict;
+                          if (there) {
+                            swapHead(aJob);
+                          } else {
+                            retry(aJob);
+                          }
+                        });
+}
+
+ConfigHead
+ConfigStore::makeHead(const Job& aJob) const
+{
+  ConfigHead head = aJob.head_;
+  const state::Generation generation = head.generation_.next();
+  const std::string previous = head.generation_ == state::Generation()
+                                 ? std::string()
+                                 : state::sha256Hex(encodeChange(head.change_));
+  head.generation_ = generation;
+  head.change_ = aJob.result_.ours_;
+  head.change_.previous_ = previous;
+  for (DocumentChange& change : head.change_.documents_) {
+    const auto before = head.documents_.find(change.name_);
+    if (before != head.documents_.end()) {
+      change.before_ = before->second.digest_;
+    }
+    if (change.after_.empty()) {
+      head.documents_.erase(change.name_);
+    } else if (change.before_ != change.after_) {
+      head.documents_[change.name_] = { change.after_, generation };
+    }
+  }
+  head.recent_.push_back({ aJob.submission_.id_, generation });
+  if (head.recent_.size() > kMaxRecent) {
+    head.recent_.erase(head.recent_.begin());
+  }
+  return head;
+}
+
+void
+ConfigStore::swapHead(const JobPtr& aJob)
+{
+  const ConfigHead head = makeHead(*aJob);
+  aJob->result_.ours_ = head.change_;
+  store_.compareAndSwap(
+    kHeadKey,
+    aJob->revision_,
+    encodeHead(head),
+    StorePriority::kConfiguration,
+    [this, aJob](const StoreReply& aReply) { takeSwap(aJob, aReply); });
+}
+
+void
+ConfigStore::takeSwap(const JobPtr& aJob, const StoreReply& aReply)
+{
+  switch (aReply.status_) {
+    case StoreStatus::kOk:
+      aJob->result_.generation_ = aJob->result_.ours_.generation_;
+      finish(aJob, SubmitStatus::kCommitted);
+      return;
+    case StoreStatus::kConflict:
+    case StoreStatus::kNotFound:
+      readHead(aJob);
+      return;
+    case StoreStatus::kUnknown:
+      aJob->ambiguous_ = true;
+      retry(aJob);
+      return;
+    case StoreStatus::kUnavailable:
+      retry(aJob);
+      return;
+  }
+}
+
+void
+ConfigStore::gather(const JobPtr& aJob)
+{
+  const std::uint64_t newest = aJob->head_.generation_.value();
+  const std::uint64_t base = aJob->submission_.base_.value();
+  const std::uint64_t oldest =
+    std::max(base + 1, newest > kMaxGathered ? newest - kMaxGathered + 1 : 1);
+  readChanges(
+    state::Generation(newest == 0 ? 0 : newest - 1),
+    state::Generation(oldest),
+    { aJob->head_.change_ },
+    [this, aJob](const std::optional<std::vector<ConfigChange>>& aChanges) {
+      if (!aChanges) {
+        retry(aJob);
+        return;
+      }
+      for (const ConfigChange& change : *aChanges) {
+        if (change.submission_ == aJob->submission_.id_) {
+          aJob->result_.generation_ = change.generation_;
+          finish(aJob, SubmitStatus::kCommitted);
+          return;
+        }
+      }
+      aJob->result_.theirs_ = *aChanges;
+      finish(aJob, SubmitStatus::kConflict);
+    });
+}
+
+void
+ConfigStore::history(std::size_t aCount, HistoryHandler aHandler)
+{
+  store_.get(
+    kHeadKey,
+    StorePriority::kOther,
+    [this, aCount, handler = std::move(aHandler)](const StoreReply& aReply) {
+      if (aReply.status_ == StoreStatus::kNotFound) {
+        handler(std::vector<ConfigChange>{});
+        return;
+      }
+      const std::optional<ConfigHead> head = decodeHead(aReply.value_);
+      if (aReply.status_ != StoreStatus::kOk || !head) {
+        handler(std::nullopt);
+        return;
+      }
+      const std::uint64_t newest = head->generation_.value();
+      const std::uint64_t oldest = newest > aCount ? newest - aCount + 1 : 1;
+      readChanges(state::Generation(newest - 1),
+                  state::Generation(oldest),
+                  { head->change_ },
+                  handler);
+    });
+}
+
+void
+ConfigStore::readChanges(state::Generation aFrom,
+                         state::Generation aDownTo,
+                         std::vector<ConfigChange> aRead,
+                         HistoryHandler aHandler)
+{
+  if (aFrom < aDownTo || aFrom == state::Generation()) {
+    aHandler(aRead);
+    return;
+  }
+  store_.get(historyKey(aFrom),
+             StorePriority::kOther,
+             [this,
+              aFrom,
+              aDownTo,
+              read = std::move(aRead),
+              handler = std::move(aHandler)](const StoreReply& aReply) mutable {
+               if (aReply.status_ == StoreStatus::kUnavailable ||
+                   aReply.status_ == StoreStatus::kUnknown) {
+                 handler(std::nullopt);
+                 return;
+               }
+               const std::optional<ConfigChange> change =
+                 decodeChange(aReply.value_);
+               if (!change || change->generation_ != aFrom) {
+                 // Older records are no longer kept.
+                 handler(read);
+                 return;
+               }
+               read.push_back(*change);
+               readChanges(state::Generation(aFrom.value() - 1),
+                           aDownTo,
+                           std::move(read),
+                           std::move(handler));
+             });
+}
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/fleet/fleet_settings_type.h
@@ -0,0 +1,59 @@
+// Settings and periods of the daemon as a member of its zone.
+#pragma once
+
+#include "coordination/peer_port.h"
+
+#include "state/time_type.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace auburnhaven::coordination {
+
+inline constexpr std::chrono::milliseconds kGossipRound{
+  250
+}; ///< Time between two gossip messages on a link.
+inline constexpr std::chrono::milliseconds kMinBeatPeriod{
+  500
+}; ///< Least time between two heartbeats.
+inline constexpr std::chrono::milliseconds kMaxBeatPeriod{
+  2000
+}; ///< Greatest time between two heartbeats.
+inline constexpr std::chrono::milliseconds kBeatPeriodPerDaemon{
+  14
+}; ///< Heartbeat period for each daemon of the zone.
+
+/** Settings of one daemon. */
+struct FleetSettings
+{
+  PeerAddress self_;                   ///< The daemon.
+  std::vector<state::Endpoint> seeds_; ///< Daemons of the own zone to try.
+  std::map<state::ZoneId, std::vector<state::Endpoint>>
+    otherZones_; ///< Daemons of each other zone to try.
+  std::size_t tableBytesPerSecond_ =
+    6000; ///< Limit for entries sent, all links together.
+  std::size_t repairBytesPerSecond_ =
+    64000; ///< Limit for entries sent to daemons with empty tables.
+  std::uint32_t storeCallsPerSecond_ =
+    1500; ///< Calls that all daemons together may make to the store.
+  std::uint32_t zones_ = 1; ///< Availability zones that share the store.
+};
+
+/**
+ * Gives the time between two heartbeats so that the traffic of all heartbeats
+ * stays bounded. Pure.
+ * @param aDaemons Live daemons of the zone.
+ * @return The period.
+ */
+inline state::Duration
+beatPeriod(std::size_t aDaemons)
+{
+  const state::Duration period =
+    kBeatPeriodPerDaemon * static_cast<std::int64_t>(aDaemons);
+  return std::clamp<state::Duration>(period, kMinBeatPeriod, kMaxBeatPeriod);
+}
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/fleet/gossip_table.cpp
@@ -0,0 +1,393 @@
+// Versioned entries that spread by deltas and are repaired by digests.
+
+#include "coordination/fleet/gossip_table.h"
+
+#include "state/digest_func.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+constexpr std::size_t kBucketsPerRound = 8; ///< Buckets compared at once.
+constexpr std::size_t kFramingBytes = 16;   ///< Bytes of an entry beside texts.
+constexpr double kBurstSeconds = 2;         ///< Limits that may be saved up.
+constexpr state::Duration kCleanPeriod =
+  std::chrono::seconds(5); ///< Time between two searches for old entries.
+
+/** @return Hash of a key. */
+std::uint64_t
+hashOf(const EntryKey& aKey)
+{
+  return state::stableHash(aKey.name_,
+                           static_cast<std::uint64_t>(aKey.kind_) + 1);
+}
+
+/** @return Short hash of a payload. */
+std::uint32_t
+shortHash(const std::string& aPayload)
+{
+  return static_cast<std::uint32_t>(state::stableHash(aPayload));
+}
+
+/** @return Estimated size of an entry under way. */
+double
+sizeOf(const SharedEntry& aEntry)
+{
+  return static_cast<double>(aEntry.key_.name_.size() + aEntry.payload_.size() +
+                             kFramingBytes);
+}
+
+} // namespace
+
+GossipTable::GossipTable(const state::Clock& aClock, const TableBudget& aBudget)
+  : clock_(aClock)
+  , budget_(aBudget)
+  , refilledAt_(aClock.now())
+  , cleanedAt_(aClock.now())
+{
+}
+
+bool
+GossipTable::publish(const SharedEntry& aEntry)
+{
+  if (!put(aEntry, false)) {
+    return false;
+  }
+  spread(entries_.at(hashOf(aEntry.key_)), nullptr, true);
+  return true;
+}
+
+std::optional<SharedEntry>
+GossipTable::find(const EntryKey& aKey) const
+{
+  const auto found = entries_.find(hashOf(aKey));
+  if (found == entries_.end()) {
+    return std::nullopt;
+  }
+  return found->second.entry_;
+}
+
+std::vector<SharedEntry>
+GossipTable::list(EntryKind aKind) const
+{
+  std::vector<SharedEntry> entries;
+  const auto kind = byKind_.find(aKind);
+  if (kind == byKind_.end()) {
+    return entries;
+  }
+  for (const auto& [name, hash] : kind->second) {
+    const SharedEntry& entry = entries_.at(hash).entry_;
+    if (!entry.payload_.empty()) {
+      entries.push_back(entry);
+    }
+  }
+  return entries;
+}
+
+void
+GossipTable::subscribe(EntryKind aKind, EntryHandler aHandler)
+{
+  handlers_[aKind].push_back(std::move(aHandler));
+}
+
+bool
+GossipTable::put(const SharedEntry& aEntry, bool aForeign)
+{
+  const std::uint64_t hash = hashOf(aEntry.key_);
+  auto found = entries_.find(hash);
+  if (found != entries_.end()) {
+    SharedEntry& held = found->second.entry_;
+    if (held.version_ == aEntry.version_ && held.payload_ == aEntry.payload_) {
+      held.observedAt_ = std::max(held.observedAt_, aEntry.observedAt_);
+      return false;
+    }
+    if (std::tie(aEntry.version_, aEntry.payload_) <
+        std::tie(held.version_, held.payload_)) {
+      return false;
+    }
+    flip(found->second);
+  } else {
+    found = entries_.try_emplace(hash).first;
+    byKind_[aEntry.key_.kind_][aEntry.key_.name_] = hash;
+    buckets_[hash % kBuckets].insert(hash);
+  }
+  found->second = {
+    aEntry, aForeign, hash, shortHash(aEntry.payload_), clock_.now()
+  };
+  flip(found->second);
+  return true;
+}
+
+void
+GossipTable::flip(const Held& aHeld)
+{
+  const std::uint64_t words[] = { aHeld.keyHash_,
+                                  aHeld.entry_.version_.major_,
+                                  aHeld.entry_.version_.minor_,
+                                  aHeld.payload_ };
+  const std::string_view bytes(reinterpret_cast<const char*>(words),
+                               sizeof(words));
+  const auto digest = static_cast<std::uint32_t>(state::stableHash(bytes));
+  const std::size_t bucket = aHeld.keyHash_ % kBuckets;
+  zoneDigests_[bucket] ^= digest;
+  if (ruleOf(aHeld.entry_.key_.kind_).scope_ == EntryScope::kAllZones) {
+    allDigests_[bucket] ^= digest;
+  }
+}
+
+bool
+GossipTable::mayCross(const Held& aHeld, const GossipLink& aLink) const
+{
+  return !aLink.otherZone_ ||
+         ruleOf(aHeld.entry_.key_.kind_).scope_ == EntryScope::kAllZones;
+}
+
+void
+GossipTable::spread(const Held& aHeld, const GossipLink* aExcept, bool aForward)
+{
+  if (aForward) {
+    for (const auto& [link, queue] : queues_) {
+      // The zone in which an entry was made tells all other zones itself.
+      const bool skip = (aExcept != nullptr && link == *aExcept) ||
+                        (link.otherZone_ && aHeld.foreign_);
+      if (!skip) {
+        schedule(link, aHeld);
+      }
+    }
+  }
+  const auto handlers = handlers_.find(aHeld.entry_.key_.kind_);
+  if (handlers == handlers_.end()) {
+    return;
+  }
+  const SharedEntry entry = aHeld.entry_;
+  for (const EntryHandler& handler : handlers->second) {
+    handler(entry);
+  }
+}
+
+void
+GossipTable::schedule(const GossipLink& aTo, const Held& aHeld)
+{
+  const auto queue = queues_.find(aTo);
+  if (queue != queues_.end() && mayCross(aHeld, aTo)) {
+    const std::size_t order = ruleOf(aHeld.entry_.key_.kind_).order_;
+    queue->second.byOrder_.at(order).insert(aHeld.keyHash_);
+  }
+}
+
+void
+GossipTable::setLinks(const std::vector<GossipLink>& aLinks)
+{
+  const std::set<GossipLink> links(aLinks.begin(), aLinks.end());
+  std::erase_if(
+    queues_, [&](const auto& aItem) { return !links.contains(aItem.first); });
+  for (const GossipLink& link : links) {
+    queues_.try_emplace(link);
+  }
+}
+
+void
+GossipTable::receive(const GossipLink& aFrom, const WireEntry& aEntry)
+{
+  const bool newer = put(aEntry.entry_, aFrom.otherZone_ || aEntry.foreign_);
+  const std::uint64_t hash = hashOf(aEntry.entry_.key_);
+  const Held& held = entries_.at(hash);
+  if (newer) {
+    spread(held, &aFrom, !aEntry.repaired_);
+    return;
+  }
+  const auto queue = queues_.find(aFrom);
+  if (queue != queues_.end() &&
+      held.entry_.version_ == aEntry.entry_.version_ &&
+      held.entry_.payload_ == aEntry.entry_.payload_) {
+    queue->second.byOrder_.at(ruleOf(aEntry.entry_.key_.kind_).order_)
+      .erase(hash);
+  }
+}
+
+std::vector<WireEntry>
+GossipTable::collect(const GossipLink& aTo)
+{
+  std::vector<WireEntry> out;
+  const auto queue = queues_.find(aTo);
+  if (queue == queues_.end()) {
+    return out;
+  }
+  for (std::set<std::uint64_t>& keys : queue->second.byOrder_) {
+    if (!drain(keys, bytesLeft_, false, out)) {
+      return out;
+    }
+  }
+  drain(queue->second.repair_, repairBytesLeft_, true, out);
+  return out;
+}
+
+bool
+GossipTable::drain(std::set<std::uint64_t>& aKeys,
+                   double& aBudget,
+                   bool aRepaired,
+                   std::vector<WireEntry>& aOut)
+{
+  while (!aKeys.empty()) {
+    if (aBudget <= 0) {
+      return false;
+    }
+    const auto found = entries_.find(*aKeys.begin());
+    aKeys.erase(aKeys.begin());
+    if (found == entries_.end()) {
+      continue;
+    }
+    aBudget -= sizeOf(found->second.entry_);
+    aOut.push_back({ found->second.entry_, found->second.foreign_, aRepaired });
+  }
+  return true;
+}
+
+DigestMessage
+GossipTable::digest(const GossipLink& aTo) const
+{
+  const Digests& digests = aTo.otherZone_ ? allDigests_ : zoneDigests_;
+  return { { digests.begin(), digests.end() } };
+}
+
+std::vector<const GossipTable::Held*>
+GossipTable::inBucket(std::size_t aBucket, const GossipLink& aLink) const
+{
+  std::vector<const Held*> inside;
+  for (const std::uint64_t hash : buckets_.at(aBucket)) {
+    const Held& held = entries_.at(hash);
+    if (mayCross(held, aLink)) {
+      inside.push_back(&held);
+    }
+  }
+  return inside;
+}
+
+BucketMessage
+GossipTable::compare(const GossipLink& aFrom, const DigestMessage& aDigest)
+{
+  BucketMessage message;
+  const Digests& own = aFrom.otherZone_ ? allDigests_ : zoneDigests_;
+  const std::size_t count = std::min(kBuckets, aDigest.buckets_.size());
+  const auto queue = queues_.find(aFrom);
+  for (std::size_t bucket = 0; bucket < count; ++bucket) {
+    if (own[bucket] == aDigest.buckets_[bucket]) {
+      continue;
+    }
+    if (aDigest.buckets_[bucket] == 0 && queue != queues_.end()) {
+      for (const Held* held : inBucket(bucket, aFrom)) {
+        queue->second.repair_.insert(held->keyHash_);
+      }
+    } else if (message.buckets_.size() < kBucketsPerRound) {
+      message.buckets_.push_back(static_cast<std::uint32_t>(bucket));
+      for (const Held* held : inBucket(bucket, aFrom)) {
+        message.summaries_.push_back(
+          { held->keyHash_, held->entry_.version_, held->payload_ });
+      }
+    }
+  }
+  return message;
+}
+
+WantMessage
+GossipTable::compare(const GossipLink& aFrom, const BucketMessage& aBuckets)
+{
+  WantMessage want;
+  std::map<std::uint64_t, const EntrySummary*> theirs;
+  for (const EntrySummary& summary : aBuckets.summaries_) {
+    theirs[summary.key_] = &summary;
+    const auto own = entries_.find(summary.key_);
+    const bool lacking = own == entries_.end() ||
+                         own->second.entry_.version_ < summary.version_ ||
+                         (own->second.entry_.version_ == summary.version_ &&
+                          own->second.payload_ != summary.payload_);
+    if (lacking) {
+      want.keys_.push_back(summary.key_);
+    }
+  }
+  for (const std::uint32_t bucket : aBuckets.buckets_) {
+    if (bucket >= kBuckets) {
+      continue;
+    }
+    for (const Held* held : inBucket(bucket, aFrom)) {
+      const auto their = theirs.find(held->keyHash_);
+      const bool lacking = their == theirs.end() ||
+                           their->second->version_ < held->entry_.version_ ||
+                           (their->second->version_ == held->entry_.version_ &&
+                            their->second->payload_ != held->payload_);
+      if (lacking) {
+        schedule(aFrom, *held);
+      }
+    }
+  }
+  return want;
+}
+
+void
+GossipTable::answer(const GossipLink& aFrom, const WantMessage& aWant)
+{
+  for (const std::uint64_t key : aWant.keys_) {
+    const auto found = entries_.find(key);
+    if (found != entries_.end()) {
+      schedule(aFrom, found->second);
+    }
+  }
+}
+
+void
+GossipTable::tick()
+{
+  const state::TimePoint now = clock_.now();
+  const double seconds =
+    std::chrono::duration<double>(now - refilledAt_).count();
+  refilledAt_ = now;
+  const auto rate = static_cast<double>(budget_.bytesPerSecond_);
+  const auto repairRate = static_cast<double>(budget_.repairBytesPerSecond_);
+  bytesLeft_ = std::min(bytesLeft_ + rate * seconds, rate * kBurstSeconds);
+  repairBytesLeft_ =
+    std::min(repairBytesLeft_ + repairRate * seconds, repairRate);
+  if (now - cleanedAt_ >= kCleanPeriod) {
+    cleanedAt_ = now;
+    dropOld();
+  }
+}
+
+void
+GossipTable::dropOld()
+{
+  const state::TimePoint now = clock_.now();
+  std::erase_if(entries_, [&](const auto& aItem) {
+    const Held& held = aItem.second;
+    const EntryKey& key = held.entry_.key_;
+    const std::chrono::seconds limit = ruleOf(key.kind_).maxAge_;
+    const bool old =
+      held.entry_.payload_.empty()
+        ? now - held.changedAt_ > kRemovedRetention
+        : limit.count() > 0 && now - held.entry_.observedAt_ > limit;
+    if (old) {
+      flip(held);
+      byKind_[key.kind_].erase(key.name_);
+      buckets_[held.keyHash_ % kBuckets].erase(held.keyHash_);
+    }
+    return old;
+  });
+}
+
+std::size_t
+GossipTable::backlog() const
+{
+  std::size_t count = 0;
+  for (const auto& [link, queue] : queues_) {
+    for (const std::set<std::uint64_t>& keys : queue.byOrder_) {
+      count += keys.size();
+    }
+    count += queue.repair_.size();
+  }
+  return count;
+}
+
+} // namespace auburnhaven::coordination
--- a/src/coordination/shared_table_port.h
+++ b/src/coordination/shared_table_port.h
@@ -23,6 +23,8 @@
   kConfigHead,     ///< Head of the configuration; spreads to all zones.
   kDaemon,         ///< A daemon's own state; spreads in its zone.
   kUsage,          ///< Use of an account at a daemon; spreads in its zone.
+  kObservedSet,    ///< VMs that a daemon observes; spreads in its zone.
+  kOtherZone,      ///< State of another zone; spreads in its zone.
 };
 
 /** Key of a shared entry. */
