Give the fakes of groups and fleet different names

Cause: coordination_tests crashed in GroupManagerTest: two headers defined auburnhaven::fakes::FakeFleet and FleetDaemon, and the linker kept one of each. Change: the fakes of the groups are FakeEngineFleet and GroupDaemon. Conclusion: names in tests/fakes must be unique over all parts.

--- a/tests/coordination/group_manager_test.cpp
+++ b/tests/coordination/group_manager_test.cpp
@@ -13,14 +13,14 @@
 using std::chrono::seconds;
 
 /** @return A fleet of one domain with one group of one copy of three VMs. */
-std::unique_ptr<FakeFleet>
+std::unique_ptr<FakeEngineFleet>
 smallFleet(int aVms, bool aChecksFencing, std::uint32_t aReserves)
 {
   FleetShape shape;
   shape.domains_ = 1;
   shape.vmsPerDomain_ = aVms;
   shape.checksFencing_ = aChecksFencing;
-  auto fleet = std::make_unique<FakeFleet>(shape);
+  auto fleet = std::make_unique<FakeEngineFleet>(shape);
   fleet->engines_->loadTime_ = seconds(5);
   fleet->configuration_.policy_.reservesPerCopy_ = aReserves;
   fleet->setGroup("g", 1, 1, 3);
@@ -31,13 +31,13 @@
 }
 
 state::VmId
-memberOf(const FakeFleet& aFleet, std::size_t aRank)
+memberOf(const FakeEngineFleet& aFleet, std::size_t aRank)
 {
   return aFleet.storedRecord(0).copies_.begin()->second.members_.at(aRank);
 }
 
 void
-setStoreDown(FakeFleet& aFleet, bool aDown)
+setStoreDown(FakeEngineFleet& aFleet, bool aDown)
 {
   for (auto& daemon : aFleet.daemons_) {
     daemon->store_.faults().down_ = aDown;
@@ -86,7 +86,7 @@
       daemon->store_.faults().down_ = true;
     }
     fleet->engine(memberOf(*fleet, 2)).alive_ = false;
-    fleet->run(fleet->limits_.evidenceLimit_ + FakeFleet::kStep);
+    fleet->run(fleet->limits_.evidenceLimit_ + FakeEngineFleet::kStep);
     for (std::size_t daemon = 0; daemon < 3; ++daemon) {
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fleet->openCopies(daemon, "g"));
     }
@@ -97,7 +97,7 @@
     const auto fleet = smallFleet(5, false, 0);
     const int holder = fleet->holderOf(0);
     CPPUNIT_ASSERT(holder >= 0);
-    FleetDaemon& paused = *fleet->daemons_[static_cast<std::size_t>(holder)];
+    GroupDaemon& paused = *fleet->daemons_[static_cast<std::size_t>(holder)];
     paused.paused_ = true;
     fleet->engine(memberOf(*fleet, 0)).alive_ = false;
     fleet->run(minutes(1));
@@ -244,7 +244,7 @@
     fleet->start(0);
     coordination::AuditTrail trail;
     fleet->daemons_[0]->manager_->fetchAuditTrail(
-      FakeFleet::domainId(0),
+      FakeEngineFleet::domainId(0),
       [&trail](const coordination::AuditTrail& aTrail) { trail = aTrail; });
     fleet->run(seconds(1));
     CPPUNIT_ASSERT(trail.size() >= 4);
--- a/tests/fakes/fake_engine_faults.h
+++ b/tests/fakes/fake_engine_faults.h
@@ -20,7 +20,7 @@
    * @param aFleet The fleet.
    * @param aSeed Selects the schedule.
    */
-  FaultSchedule(FakeFleet& aFleet, std::uint64_t aSeed)
+  FaultSchedule(FakeEngineFleet& aFleet, std::uint64_t aSeed)
     : fleet_(aFleet)
     , random_(aSeed)
   {
@@ -102,8 +102,8 @@
     static constexpr int kKinds = 13;
     const auto daemon =
       static_cast<std::size_t>(pick(static_cast<int>(fleet_.daemons_.size())));
-    const state::VmId vm = FakeFleet::vmId(pick(fleet_.shape_.domains_),
-                                           pick(fleet_.shape_.vmsPerDomain_));
+    const state::VmId vm = FakeEngineFleet::vmId(
+      pick(fleet_.shape_.domains_), pick(fleet_.shape_.vmsPerDomain_));
     const int kind = pick(kKinds);
     if (kind <= 3) {
       hitVm(kind, vm);
@@ -143,7 +143,7 @@
 
   void hitDaemon(int aKind, std::size_t aDaemon)
   {
-    FleetDaemon& daemon = *fleet_.daemons_[aDaemon];
+    GroupDaemon& daemon = *fleet_.daemons_[aDaemon];
     if (isHit(daemon.id_.value())) {
       return;
     }
@@ -221,7 +221,7 @@
     }
     std::vector<state::VmId> hit;
     for (int vm = 0; vm < fleet_.shape_.vmsPerDomain_; ++vm) {
-      const state::VmId id = FakeFleet::vmId(aDomain, vm);
+      const state::VmId id = FakeEngineFleet::vmId(aDomain, vm);
       if (!isHit(id.value()) && fleet_.engine(id).alive_) {
         fleet_.engine(id).alive_ = false;
         hit.push_back(id);
@@ -250,7 +250,7 @@
     add("configuration", 1, [] {});
   }
 
-  FakeFleet& fleet_;          ///< The fleet.
+  FakeEngineFleet& fleet_;    ///< The fleet.
   std::mt19937_64 random_;    ///< Source of the schedule.
   std::vector<Fault> active_; ///< Faults that last.
   std::uint64_t count_ = 0;   ///< Faults so far.
@@ -263,7 +263,7 @@
 {
   FleetShape shape;
   shape.checksFencing_ = aChecksFencing;
-  FakeFleet fleet(shape);
+  FakeEngineFleet fleet(shape);
   fleet.engines_->loadTime_ = std::chrono::seconds(5);
   fleet.setGroup("drafts", 2, 2, 3);
   fleet.setGroup("notes", 1, 1, 3);
--- a/tests/fakes/fake_engine_fleet.h
+++ b/tests/fakes/fake_engine_fleet.h
@@ -30,9 +30,9 @@
 };
 
 /** One daemon with its connections. */
-struct FleetDaemon
+struct GroupDaemon
 {
-  FleetDaemon(FakeClock& aClock,
+  GroupDaemon(FakeClock& aClock,
               const std::shared_ptr<FakeStoreData>& aStore,
               const std::shared_ptr<FakeEngineData>& aEngines,
               const std::shared_ptr<FakeTableData>& aTable)
@@ -55,12 +55,12 @@
 
 /** Daemons, engines and a store under one clock. A broken invariant throws. Not
  * thread-safe. */
-class FakeFleet
+class FakeEngineFleet
 {
 public:
   static constexpr std::chrono::milliseconds kStep{ 100 }; ///< Time of a step.
 
-  explicit FakeFleet(const FleetShape& aShape)
+  explicit FakeEngineFleet(const FleetShape& aShape)
     : shape_(aShape)
   {
     for (int domain = 0; domain < shape_.domains_; ++domain) {
@@ -70,7 +70,7 @@
     }
     for (int daemon = 0; daemon < shape_.daemons_; ++daemon) {
       daemons_.push_back(
-        std::make_unique<FleetDaemon>(clock_, store_, engines_, table_));
+        std::make_unique<GroupDaemon>(clock_, store_, engines_, table_));
       daemons_.back()->id_ = state::DaemonId("daemon" + std::to_string(daemon));
     }
     configuration_.policy_.sparesPerDomain_ = 1;
@@ -103,7 +103,7 @@
 
   void start(std::size_t aDaemon)
   {
-    FleetDaemon& daemon = *daemons_.at(aDaemon);
+    GroupDaemon& daemon = *daemons_.at(aDaemon);
     daemon.paused_ = false;
     daemon.manager_ =
       std::make_unique<coordination::GroupManager>(clock_,
@@ -129,7 +129,7 @@
   /** Ends a daemon without a planned stop; it forgets everything. */
   void crash(std::size_t aDaemon)
   {
-    FleetDaemon& daemon = *daemons_.at(aDaemon);
+    GroupDaemon& daemon = *daemons_.at(aDaemon);
     daemon.manager_.reset();
     daemon.store_.dropPending();
     daemon.engines_.dropAnswers();
@@ -219,7 +219,7 @@
     std::make_shared<FakeEngineData>(); ///< The engines.
   std::shared_ptr<FakeTableData> table_ =
     std::make_shared<FakeTableData>(); ///< Entries of all daemons.
-  std::vector<std::unique_ptr<FleetDaemon>> daemons_; ///< The daemons.
+  std::vector<std::unique_ptr<GroupDaemon>> daemons_; ///< The daemons.
 
 private:
   using RoleKey = std::tuple<state::VmId,
@@ -252,7 +252,7 @@
     }
   }
 
-  void stepDaemon(FleetDaemon& aDaemon)
+  void stepDaemon(GroupDaemon& aDaemon)
   {
     constexpr std::uint64_t kStepsPerReport = 5;
     aDaemon.engines_.step(aDaemon.paused_ || !aDaemon.manager_);
@@ -312,7 +312,7 @@
     }
   }
 
-  static bool holds(const FleetDaemon& aDaemon, const state::DomainId& aDomain)
+  static bool holds(const GroupDaemon& aDaemon, const state::DomainId& aDomain)
   {
     return aDaemon.manager_ && aDaemon.manager_->holdsLease(aDomain);
   }
@@ -328,7 +328,7 @@
 
   /** Checks that each member of an open copy was ready in it lately, and that
    * open copies share no VM. */
-  void checkOpenCopies(const FleetDaemon& aDaemon) const
+  void checkOpenCopies(const GroupDaemon& aDaemon) const
   {
     std::map<state::VmId, state::CopyId> used;
     for (const auto& [copy, record] : aDaemon.manager_->openRecords()) {
