--- a/src/app/toml_reader.h
+++ b/src/app/toml_reader.h
@@ -343,13 +343,15 @@
 /**
  * Makes the descriptor of one member.
  * @tparam Member Pointer to the member.
+ * @tparam Codec How its value is read and printed.
  * @param aKey Key in the table.
  * @param aNeed Whether it may be left out.
  * @param aRange Allowed values or lengths.
  * @param aHelp One sentence for the reference.
  * @return The descriptor.
  */
-template<auto Member>
+template<auto Member,
+         class Codec = FieldCodec<typename MemberOf<decltype(Member)>::Value>>
 constexpr auto
 field(std::string_view aKey,
       FieldNeed aNeed,
@@ -357,7 +359,6 @@
       std::string_view aHelp)
 {
   using Record = typename MemberOf<decltype(Member)>::Record;
-  using Codec = FieldCodec<typename MemberOf<decltype(Member)>::Value>;
   return FieldDescriptor<Record>{
     aKey,
     aNeed,
