--- a/src/protocol/byte_links_port.h
+++ b/src/protocol/byte_links_port.h
@@ -10,7 +10,7 @@
 namespace auburnhaven::protocol {
 
 inline constexpr std::size_t kMaxPeerMessageBytes =
-  1024 * 1024; ///< Largest encoded message.
+  std::size_t{ 1024 } * 1024; ///< Largest encoded message.
 
 /**
  * Encoded messages between daemons over kept streams. A message arrives once,
