Wire the entry daemon and the operators' interface

Cause: the parts were in main but nothing ran them together. Change: `serve` wires transport, fleet, groups, requests and gateway on one control thread and the traffic threads; operators' endpoints for submit, config, history, progress, status and audit; settings name the other availability zones; SIGTERM fails readiness, waits out the balancer, drains, flushes claims, hands leases back. Conclusion: the whole path can be tried.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -2,18 +2,31 @@
 
 #include "app/serve.h"
 
-#include "app/command_line.h"
+#include "app/daemon.h"
 
-#include <iostream>
+#include <glog/logging.h>
 
 namespace auburnhaven::app {
 
+namespace {
+
+/** Sends the log to standard error from the configured level on. */
+void
+startLog(LogLevel aLevel)
+{
+  FLAGS_logtostderr = true;
+  FLAGS_minloglevel = static_cast<int>(aLevel);
+  google::InitGoogleLogging("auburnhaven");
+}
+
+} // namespace
+
 int
 runServe(const Settings& aSettings)
 {
-  std::cerr << "serve: daemon " << aSettings.daemon_
-            << " cannot run: this build lacks the daemon\n";
-  return kExitFailed;
+  startLog(aSettings.logLevel_);
+  Daemon daemon(aSettings);
+  return daemon.run();
 }
 
 } // namespace auburnhaven::app
--- a/src/app/settings_file.cpp
+++ b/src/app/settings_file.cpp
@@ -106,8 +106,27 @@
     "how long a connection may wait for its next request"),
 };
 
+constexpr std::array kOtherZoneFields = {
+  field<&OtherZoneSettings::zone_>("zone",
+                                   kRequired,
+                                   kNonEmpty,
+                                   "name of the availability zone"),
+  field<&OtherZoneSettings::peers_>(
+    "peers",
+    kRequired,
+    kNonEmpty,
+    "peer listeners of daemons there to contact first"),
+};
+
 } // namespace
 
+template<>
+std::span<const FieldDescriptor<OtherZoneSettings>>
+fieldsOf<OtherZoneSettings>()
+{
+  return kOtherZoneFields;
+}
+
 template<>
 std::span<const FieldDescriptor<ListenerSettings>>
 fieldsOf<ListenerSettings>()
@@ -183,6 +202,10 @@
                             kOptional,
                             kNonEmpty,
                             "limits towards callers"),
+  field<&Settings::otherZones_>("other_zones",
+                                kOptional,
+                                kAnyLength,
+                                "the other availability zones"),
 };
 
 } // namespace
--- a/src/app/settings_type.h
+++ b/src/app/settings_type.h
@@ -50,6 +50,15 @@
   bool operator==(const LimitSettings&) const = default;
 };
 
+/** Another availability zone. */
+struct OtherZoneSettings
+{
+  state::ZoneId zone_; ///< The zone.
+  std::vector<state::Endpoint>
+    peers_; ///< Peer listeners of daemons there to contact first.
+  bool operator==(const OtherZoneSettings&) const = default;
+};
+
 /** Settings of one daemon. Immutable after reading. */
 struct Settings
 {
@@ -70,8 +79,9 @@
   std::chrono::milliseconds balancerLag_{
     2000
   }; ///< How long the balancer still sends requests after readiness fails.
-  LogLevel logLevel_ = LogLevel::kInfo; ///< Least severe line written.
-  LimitSettings limits_;                ///< Limits towards callers.
+  LogLevel logLevel_ = LogLevel::kInfo;       ///< Least severe line written.
+  LimitSettings limits_;                      ///< Limits towards callers.
+  std::vector<OtherZoneSettings> otherZones_; ///< The other zones.
   bool operator==(const Settings&) const = default;
 };
 
