Ask VMs just before a heartbeat, mark chosen links, and measure many daemons

Cause: links that peers opened kept each other open (39 messages/s a daemon at 48 daemons), a zone of 48 took 255 s to settle from nothing, and evidence in a zone of 12 with one dead observer aged to 3.3 s. Change: gossip says whether its sender chose the link; a new link compares digests at once; the byte limit has a mean of 6 KB/s and a peak of 64 KB/s; VMs are asked 0.3 s before a heartbeat; entries are taken before the heartbeats that refer to them; rounds of 100 ms up to 32 daemons, 200 ms above.

--- a/src/coordination/fleet/fleet_node.cpp
+++ b/src/coordination/fleet/fleet_node.cpp
@@ -55,8 +55,9 @@
   , linkClock_(clock_)
   , limiter_(settings_, clock_, aPorts.store_)
   , membership_(settings_, clock_)
-  , table_(clock_,
-           { settings_.tableBytesPerSecond_, settings_.repairBytesPerSecond_ })
+  , table_(
+      clock_,
+      { settings_.tableBytesPerSecond_, settings_.tablePeakBytesPerSecond_ })
   , observer_(settings_,
               clock_,
               membership_,
@@ -81,6 +82,9 @@
   const auto phase = std::chrono::milliseconds(
     random_() % static_cast<std::uint64_t>(kGossipRound.count()));
   gossipAt_ = clock_.now() + phase;
+  beatAt_ = clock_.now() +
+            std::chrono::milliseconds(
+              random_() % static_cast<std::uint64_t>(kMinBeatPeriod.count()));
   table_.subscribe(EntryKind::kDaemon,
                    [this](const SharedEntry& aEntry) { takeDaemon(aEntry); });
   membership_.onBeat(
@@ -135,7 +139,7 @@
   table_.tick();
   limitStore();
   directory_.tick();
-  observer_.tick();
+  observer_.tick(beatAt_, beatPeriod(membership_.live().size()));
   follower_.tick();
   configStore_.tick();
   bridge_.tick();
@@ -148,12 +152,13 @@
     beat();
   }
   if (now >= gossipAt_) {
-    gossipAt_ = std::max(gossipAt_ + kGossipRound, now);
+    const state::Duration round = gossipRound(membership_.live().size());
+    gossipAt_ = std::max(gossipAt_ + round, now);
     gossip();
   }
   if (now >= digestAt_) {
     digestAt_ = now + kDigestPeriod;
-    sendDigest();
+    compareWithOne();
   }
   if (now >= retireAt_) {
     retireAt_ = now + kRetirePeriod;
@@ -235,6 +240,9 @@
 {
   const std::vector<GossipLink> links = allLinks();
   table_.setLinks(links);
+  std::erase_if(greeted_, [&](const GossipLink& aLink) {
+    return std::find(links.begin(), links.end(), aLink) == links.end();
+  });
   // The order changes so that no link is always last when bytes are short.
   const std::size_t first = links.empty() ? 0 : random_() % links.size();
   for (std::size_t step = 0; step < links.size(); ++step) {
@@ -242,6 +250,16 @@
   }
 }
 
+bool
+FleetNode::isChosen(const GossipLink& aLink) const
+{
+  if (!aLink.otherZone_) {
+    return membership_.chosen(aLink.endpoint_);
+  }
+  const std::vector<state::Endpoint> links = bridge_.chosenLinks();
+  return std::find(links.begin(), links.end(), aLink.endpoint_) != links.end();
+}
+
 void
 FleetNode::sendGossip(const GossipLink& aTo)
 {
@@ -251,19 +269,28 @@
   }
   if (linkClock_.stamp(aTo.endpoint_).echoMs_) {
     message.entries_ = table_.collect(aTo);
+    if (greeted_.insert(aTo).second) {
+      sendDigest(aTo);
+    }
   }
+  message.chosen_ = isChosen(aTo);
   if (!message.beats_.empty() || !message.entries_.empty()) {
     send(aTo.endpoint_, std::move(message));
   }
 }
 
 void
-FleetNode::sendDigest()
+FleetNode::sendDigest(const GossipLink& aTo)
+{
+  send(aTo.endpoint_, table_.digest(aTo));
+}
+
+void
+FleetNode::compareWithOne()
 {
   const std::vector<GossipLink> links = allLinks();
   if (!links.empty()) {
-    const GossipLink& link = links[random_() % links.size()];
-    send(link.endpoint_, table_.digest(link));
+    sendDigest(links[random_() % links.size()]);
   }
 }
 
@@ -372,40 +399,35 @@
                 const GossipMessage& aMessage,
                 std::optional<state::Duration> aTransit)
 {
-  if (aFrom.otherZone_) {
+  if (aMessage.chosen_ && aFrom.otherZone_) {
     bridge_.heardFrom(aFrom.endpoint_);
-  } else {
+  } else if (aMessage.chosen_) {
     membership_.heardFrom(aFrom.endpoint_);
   }
-  // Without a bound of the transit time, heartbeats prove life but no evidence.
-  constexpr state::Duration kUnknownTransit = std::chrono::hours(1);
-  for (const Beat& beat : aMessage.beats_) {
-    if (!aFrom.otherZone_) {
-      membership_.receive(aFrom.endpoint_,
-                          aged(beat, aTransit.value_or(kUnknownTransit)));
-    }
-  }
-  if (!aTransit) {
-    return;
-  }
+  // Heartbeats refer to the entries, so these come first.
   for (const WireEntry& entry : aMessage.entries_) {
     const bool allowed =
       !aFrom.otherZone_ ||
       ruleOf(entry.entry_.key_.kind_).scope_ == EntryScope::kAllZones;
-    if (allowed) {
+    if (allowed && aTransit) {
       WireEntry late = entry;
       late.entry_.observedAt_ -= *aTransit;
       table_.receive(aFrom, late);
     }
   }
+  // Without a bound of the transit time, heartbeats prove life but no evidence.
+  constexpr state::Duration kUnknownTransit = std::chrono::hours(1);
+  for (const Beat& beat : aMessage.beats_) {
+    if (!aFrom.otherZone_) {
+      membership_.receive(aFrom.endpoint_,
+                          aged(beat, aTransit.value_or(kUnknownTransit)));
+    }
+  }
 }
 
 void
 FleetNode::take(const GossipLink& aFrom, const DigestMessage& aMessage)
 {
-  if (!aFrom.otherZone_) {
-    membership_.heardFrom(aFrom.endpoint_);
-  }
   BucketMessage buckets = table_.compare(aFrom, aMessage);
   if (!buckets.buckets_.empty()) {
     send(aFrom.endpoint_, std::move(buckets));
--- a/src/coordination/fleet/fleet_node.h
+++ b/src/coordination/fleet/fleet_node.h
@@ -118,8 +118,10 @@
   void limitStore();
   void beat();
   void gossip();
+  bool isChosen(const GossipLink& aLink) const;
   void sendGossip(const GossipLink& aTo);
-  void sendDigest();
+  void sendDigest(const GossipLink& aTo);
+  void compareWithOne();
   void join();
   void askToJoin(const state::Endpoint& aTo);
   void retire();
@@ -151,6 +153,7 @@
   ZoneBridge bridge_;            ///< Links to other zones.
   Directory directory_;          ///< List of daemons in the store.
   std::uint64_t announced_ = 0;  ///< Version of the own kDaemon entry.
+  std::set<GossipLink> greeted_; ///< Links whose digests have been compared.
   double declared_ = 0;          ///< Declared demand of the store.
   bool stopped_ = false;         ///< Whether stop() was called.
   state::TimePoint declareAt_{}; ///< When to look at the demand again.
--- a/src/coordination/fleet/fleet_settings_type.h
+++ b/src/coordination/fleet/fleet_settings_type.h
@@ -13,9 +13,14 @@
 
 namespace auburnhaven::coordination {
 
+inline constexpr std::chrono::milliseconds kShortGossipRound{
+  100
+}; ///< Time between two gossip messages on a link in a small zone.
 inline constexpr std::chrono::milliseconds kGossipRound{
-  250
-}; ///< Time between two gossip messages on a link.
+  200
+}; ///< The same in a large zone.
+inline constexpr std::size_t kSmallZone =
+  32; ///< Most live daemons of a small zone.
 inline constexpr std::chrono::milliseconds kMinBeatPeriod{
   500
 }; ///< Least time between two heartbeats.
@@ -34,14 +39,24 @@
   std::map<state::ZoneId, std::vector<state::Endpoint>>
     otherZones_; ///< Daemons of each other zone to try.
   std::size_t tableBytesPerSecond_ =
-    6000; ///< Limit for entries sent, all links together.
-  std::size_t repairBytesPerSecond_ =
-    64000; ///< Limit for entries sent to daemons with empty tables.
+    6000; ///< Mean for entries sent, all links together.
+  std::size_t tablePeakBytesPerSecond_ = 64000; ///< Peak for the same.
   std::uint32_t storeCallsPerSecond_ =
     1500; ///< Calls that all daemons together may make to the store.
   std::uint32_t zones_ = 1; ///< Availability zones that share the store.
 };
 
+/**
+ * Gives the time between two gossip messages on a link. Pure.
+ * @param aDaemons Live daemons of the zone.
+ * @return The time.
+ */
+inline state::Duration
+gossipRound(std::size_t aDaemons)
+{
+  return aDaemons <= kSmallZone ? kShortGossipRound : kGossipRound;
+}
+
 /**
  * Gives the time between two heartbeats so that the traffic of all heartbeats
  * stays bounded. Pure.
--- a/src/coordination/fleet/gossip_table.cpp
+++ b/src/coordination/fleet/gossip_table.cpp
@@ -12,9 +12,8 @@
 
 namespace {
 
-constexpr std::size_t kBucketsPerRound = 8; ///< Buckets compared at once.
-constexpr std::size_t kFramingBytes = 16;   ///< Bytes of an entry beside texts.
-constexpr double kBurstSeconds = 2;         ///< Limits that may be saved up.
+constexpr std::size_t kMaxSummaries = 512; ///< Entries compared at once.
+constexpr std::size_t kFramingBytes = 16;  ///< Bytes of an entry beside texts.
 constexpr state::Duration kCleanPeriod =
   std::chrono::seconds(5); ///< Time between two searches for old entries.
 
@@ -46,6 +45,7 @@
 GossipTable::GossipTable(const state::Clock& aClock, const TableBudget& aBudget)
   : clock_(aClock)
   , budget_(aBudget)
+  , saved_(static_cast<double>(aBudget.savedBytes_))
   , refilledAt_(aClock.now())
   , cleanedAt_(aClock.now())
 {
@@ -218,22 +218,21 @@
     return out;
   }
   for (std::set<std::uint64_t>& keys : queue->second.byOrder_) {
-    if (!drain(keys, bytesLeft_, false, out)) {
+    if (!drain(keys, false, out)) {
       return out;
     }
   }
-  drain(queue->second.repair_, repairBytesLeft_, true, out);
+  drain(queue->second.repair_, true, out);
   return out;
 }
 
 bool
 GossipTable::drain(std::set<std::uint64_t>& aKeys,
-                   double& aBudget,
                    bool aRepaired,
                    std::vector<WireEntry>& aOut)
 {
   while (!aKeys.empty()) {
-    if (aBudget <= 0) {
+    if (bytesLeft_ <= 0) {
       return false;
     }
     const auto found = entries_.find(*aKeys.begin());
@@ -241,7 +240,8 @@
     if (found == entries_.end()) {
       continue;
     }
-    aBudget -= sizeOf(found->second.entry_);
+    bytesLeft_ -= sizeOf(found->second.entry_);
+    saved_ -= sizeOf(found->second.entry_);
     aOut.push_back({ found->second.entry_, found->second.foreign_, aRepaired });
   }
   return true;
@@ -282,7 +282,7 @@
       for (const Held* held : inBucket(bucket, aFrom)) {
         queue->second.repair_.insert(held->keyHash_);
       }
-    } else if (message.buckets_.size() < kBucketsPerRound) {
+    } else if (message.summaries_.size() < kMaxSummaries) {
       message.buckets_.push_back(static_cast<std::uint32_t>(bucket));
       for (const Held* held : inBucket(bucket, aFrom)) {
         message.summaries_.push_back(
@@ -345,11 +345,12 @@
   const double seconds =
     std::chrono::duration<double>(now - refilledAt_).count();
   refilledAt_ = now;
-  const auto rate = static_cast<double>(budget_.bytesPerSecond_);
-  const auto repairRate = static_cast<double>(budget_.repairBytesPerSecond_);
-  bytesLeft_ = std::min(bytesLeft_ + rate * seconds, rate * kBurstSeconds);
-  repairBytesLeft_ =
-    std::min(repairBytesLeft_ + repairRate * seconds, repairRate);
+  const auto limit = static_cast<double>(budget_.savedBytes_);
+  const auto peak = static_cast<double>(budget_.peakBytesPerSecond_);
+  saved_ = std::min(
+    saved_ + static_cast<double>(budget_.bytesPerSecond_) * seconds, limit);
+  // At most one gossip round's peak is left over.
+  bytesLeft_ = std::min({ bytesLeft_ + peak * seconds, peak / 4, saved_ });
   if (now - cleanedAt_ >= kCleanPeriod) {
     cleanedAt_ = now;
     dropOld();
--- a/src/coordination/fleet/gossip_table.h
+++ b/src/coordination/fleet/gossip_table.h
@@ -25,9 +25,9 @@
 /** Limits for what a table sends. */
 struct TableBudget
 {
-  std::size_t bytesPerSecond_ = 6000; ///< Entries to all peers together.
-  std::size_t repairBytesPerSecond_ =
-    64000; ///< Entries to peers whose tables are empty.
+  std::size_t bytesPerSecond_ = 6000;      ///< Mean for entries to all peers.
+  std::size_t peakBytesPerSecond_ = 64000; ///< Peak for entries to all peers.
+  std::size_t savedBytes_ = 4000000; ///< Unused bytes that may be saved up.
 };
 
 /**
@@ -121,7 +121,6 @@
   void flip(const Held& aHeld);
   void schedule(const GossipLink& aTo, const Held& aHeld);
   bool drain(std::set<std::uint64_t>& aKeys,
-             double& aBudget,
              bool aRepaired,
              std::vector<WireEntry>& aOut);
   std::vector<const Held*> inBucket(std::size_t aBucket,
@@ -139,8 +138,8 @@
   Digests allDigests_{};  ///< Digests of the entries for all zones.
   std::map<GossipLink, Queue> queues_; ///< What waits for each link.
   std::map<EntryKind, std::vector<EntryHandler>> handlers_; ///< Subscribers.
+  double saved_ = 0;              ///< Bytes saved up under the mean.
   double bytesLeft_ = 0;          ///< Bytes that may be sent now.
-  double repairBytesLeft_ = 0;    ///< The same for empty tables.
   state::TimePoint refilledAt_{}; ///< When the limits were refilled.
   state::TimePoint cleanedAt_{};  ///< When old entries were dropped.
 };
--- a/src/coordination/fleet/membership.cpp
+++ b/src/coordination/fleet/membership.cpp
@@ -128,8 +128,7 @@
     found->second = clock_.now();
     return;
   }
-  const bool linked = std::binary_search(links_.begin(), links_.end(), aFrom);
-  if (!linked && inbound_.size() < kMaxInbound) {
+  if (!chosen_.contains(aFrom) && inbound_.size() < kMaxInbound) {
     inbound_[aFrom] = clock_.now();
     changed_ = true;
   }
@@ -223,10 +222,11 @@
   for (const std::uint64_t seed : kRingSeeds) {
     addRingNeighbours(seed, links);
   }
+  links.erase(settings_.self_.endpoint_);
+  chosen_ = links;
   for (const auto& [endpoint, at] : inbound_) {
     links.insert(endpoint);
   }
-  links.erase(settings_.self_.endpoint_);
   for (const state::Endpoint& link : links) {
     if (!std::binary_search(links_.begin(), links_.end(), link)) {
       // A new link gets all heartbeats once.
--- a/src/coordination/fleet/membership.h
+++ b/src/coordination/fleet/membership.h
@@ -74,8 +74,8 @@
    */
   void receive(const state::Endpoint& aFrom, const Beat& aBeat);
   /**
-   * Notes that a daemon of the zone sends gossip to this one, which makes it a
-   * link for a while.
+   * Notes that a daemon of the zone has chosen a link to this one, which makes
+   * it a link for a while.
    * @param aFrom The daemon.
    */
   void heardFrom(const state::Endpoint& aFrom);
@@ -99,6 +99,14 @@
   const std::map<state::DaemonId, Member>& members() const { return members_; }
   /** @return Sorted live daemons, suspects excluded, this one included. */
   const std::vector<state::DaemonId>& live() const { return live_; }
+  /**
+   * @param aLink A link.
+   * @return Whether this daemon has chosen it.
+   */
+  bool chosen(const state::Endpoint& aLink) const
+  {
+    return chosen_.contains(aLink);
+  }
   /** @return Endpoints that this daemon sends gossip to. */
   const std::vector<state::Endpoint>& links() const { return links_; }
   /** @return Suspects that this daemon shall ask directly. */
@@ -120,6 +128,7 @@
   std::map<state::DaemonId, Member> members_;     ///< All known daemons.
   std::map<SessionId, state::DaemonId> sessions_; ///< Daemon of each session.
   std::vector<state::DaemonId> live_;             ///< Sorted live daemons.
+  std::set<state::Endpoint> chosen_;              ///< Neighbours in the rings.
   std::vector<state::Endpoint> links_;            ///< Where gossip goes.
   std::map<state::Endpoint, std::set<state::DaemonId>>
     pending_; ///< Heartbeats not yet sent on each link.
--- a/src/coordination/fleet/observer.cpp
+++ b/src/coordination/fleet/observer.cpp
@@ -17,12 +17,13 @@
 
 constexpr state::Duration kListPeriod =
   std::chrono::seconds(1); ///< Time between two readings of the list.
-constexpr state::Duration kQuestionPerVm = std::chrono::milliseconds(
-  100); ///< Question period for each VM that is asked.
-constexpr state::Duration kMinQuestionPeriod =
-  std::chrono::milliseconds(500); ///< Least time between two questions.
-constexpr state::Duration kMaxQuestionPeriod =
-  std::chrono::seconds(2); ///< Greatest time between two questions.
+constexpr double kMaxQuestionsPerSecond = 12; ///< Questions of one daemon.
+constexpr state::Duration kQuestionLead = std::chrono::milliseconds(
+  300); ///< Time before a heartbeat at which VMs are asked.
+constexpr state::Duration kLateAge =
+  std::chrono::seconds(4); ///< Greatest age of a late answer.
+constexpr std::uint64_t kLateEvery =
+  4; ///< Heartbeats of which one attests late answers, too.
 constexpr state::Duration kQuestionTimeout =
   std::chrono::seconds(1); ///< Longest wait for an answer.
 constexpr state::Duration kLoadRefresh =
@@ -87,23 +88,40 @@
                    [this](const SharedEntry& aEntry) { takeState(aEntry); });
 }
 
-state::Duration
-Observer::questionPeriod() const
-{
-  const state::Duration period =
-    kQuestionPerVm * static_cast<std::int64_t>(own_.size());
-  return std::clamp(period, kMinQuestionPeriod, kMaxQuestionPeriod);
-}
-
 void
-Observer::tick()
+Observer::tick(state::TimePoint aNextBeat, state::Duration aBeatPeriod)
 {
   readList();
   if (vmsChanged_ || chosenFor_ != membership_.live()) {
     chooseTargets();
   }
   for (auto& [vm, target] : own_) {
-    if (!target.asking_ && target.askAt_ <= clock_.now()) {
+    if (!target.asking_ && !target.report_) {
+      ask(target);
+    }
+  }
+  if (askedFor_ != aNextBeat && clock_.now() >= aNextBeat - kQuestionLead) {
+    askedFor_ = aNextBeat;
+    askAll(aBeatPeriod);
+  }
+}
+
+void
+Observer::askAll(state::Duration aBeatPeriod)
+{
+  const auto perBeat = std::max<std::uint64_t>(
+    1,
+    static_cast<std::uint64_t>(
+      kMaxQuestionsPerSecond *
+      std::chrono::duration<double>(aBeatPeriod).count()));
+  const std::uint64_t beatsPerQuestion =
+    std::max<std::uint64_t>(1, (own_.size() + perBeat - 1) / perBeat);
+  if (++beats_ % beatsPerQuestion != 0) {
+    return;
+  }
+  askedAt_ = clock_.now();
+  for (auto& [vm, target] : own_) {
+    if (!target.asking_) {
       ask(target);
     }
   }
@@ -213,7 +231,6 @@
   chosenFor_ = membership_.live();
   std::map<state::VmId, Target> chosen;
   std::vector<VmHash> hashes;
-  std::int64_t place = 0;
   for (const auto& [vm, info] : vms_) {
     const std::vector<state::DaemonId> observers =
       chooseDaemons("vm/" + vm.value(), chosenFor_, kObserversPerVm);
@@ -227,7 +244,6 @@
     if (held == own_.end()) {
       target.vm_ = vm;
       target.hash_ = hashVm(vm);
-      target.askAt_ = clock_.now() + place++ * std::chrono::milliseconds(20);
     }
     target.first_ = self == observers.begin();
     hashes.push_back(target.hash_);
@@ -249,7 +265,6 @@
 Observer::ask(Target& aTarget)
 {
   aTarget.asking_ = true;
-  aTarget.askAt_ = clock_.now() + questionPeriod();
   ++questions_;
   engines_.fetchReport(
     vms_.at(aTarget.vm_),
@@ -344,13 +359,14 @@
 }
 
 bool
-Observer::attestable(const Target& aTarget) const
+Observer::attestable(const Target& aTarget, bool aLate) const
 {
   const auto known = known_.find(aTarget.hash_);
-  return aTarget.report_ && known != known_.end() &&
-         known->second.evidence_ == aTarget.evidence_ &&
-         clock_.now() - aTarget.report_->observedAt_ <=
-           questionPeriod() + kQuestionTimeout;
+  const bool agreed = aTarget.report_ && known != known_.end() &&
+                      known->second.evidence_ == aTarget.evidence_;
+  return agreed &&
+         (aTarget.report_->observedAt_ >= askedAt_ ||
+          (aLate && clock_.now() - aTarget.report_->observedAt_ <= kLateAge));
 }
 
 bool
@@ -374,10 +390,11 @@
 Observer::attest(Beat& aBeat)
 {
   aBeat.observedAt_ = clock_.now();
+  const bool late = beats_ % kLateEvery == 0;
   std::uint64_t evidence = 0;
   std::uint32_t index = 0;
   for (auto& [vm, target] : own_) {
-    if (!attestable(target)) {
+    if (!attestable(target, late)) {
       aBeat.skipped_.push_back(index++);
       continue;
     }
--- a/src/coordination/fleet/observer.h
+++ b/src/coordination/fleet/observer.h
@@ -51,8 +51,13 @@
     return reports_;
   }
 
-  /** Asks the VMs and the list whose turn it is. Call at each tick. */
-  void tick();
+  /**
+   * Reads the list and asks the VMs shortly before a heartbeat, so that it
+   * attests young answers. Call at each tick.
+   * @param aNextBeat When the next heartbeat is due.
+   * @param aBeatPeriod Time between two heartbeats.
+   */
+  void tick(state::TimePoint aNextBeat, state::Duration aBeatPeriod);
   /**
    * Fills in what the next heartbeat attests.
    * @param aBeat The heartbeat.
@@ -69,8 +74,6 @@
   std::uint64_t questions() const { return questions_; }
   /** @return Heartbeats whose digest did not match what is known here. */
   std::uint64_t mismatches() const { return mismatches_; }
-  /** @return Time between two questions to the same VM. */
-  state::Duration questionPeriod() const;
 
 private:
   /** A VM that this daemon asks. */
@@ -79,7 +82,6 @@
     state::VmId vm_;                        ///< The VM.
     VmHash hash_ = 0;                       ///< Hash of its name.
     bool first_ = false;                    ///< Whether it reports the load.
-    state::TimePoint askAt_{};              ///< When to ask again.
     bool asking_ = false;                   ///< Whether an answer is awaited.
     std::optional<state::VmReport> report_; ///< Last answer.
     std::uint64_t evidence_ = 0;            ///< Digest of what it states.
@@ -99,6 +101,7 @@
   void publishInfo(const state::VmInfo& aInfo);
   void publishGone(const state::VmId& aVm);
   void chooseTargets();
+  void askAll(state::Duration aBeatPeriod);
   void ask(Target& aTarget);
   void takeAnswer(const state::VmId& aVm,
                   const std::optional<state::VmReport>& aReport);
@@ -106,7 +109,7 @@
   void takeInfo(const SharedEntry& aEntry);
   void takeState(const SharedEntry& aEntry);
   void takeReport(const state::VmReport& aReport);
-  bool attestable(const Target& aTarget) const;
+  bool attestable(const Target& aTarget, bool aLate) const;
   bool loadDue(Target& aTarget) const;
 
   const FleetSettings& settings_;                  ///< Settings of this daemon.
@@ -123,6 +126,9 @@
   bool vmsChanged_ = true;       ///< Whether VMs came or went since then.
   std::uint64_t setCount_ = 0;   ///< Version of the own observed set.
   std::string setPayload_;       ///< Its payload.
+  state::TimePoint askedFor_{};  ///< Heartbeat for which VMs were asked.
+  state::TimePoint askedAt_{};   ///< When they were asked.
+  std::uint64_t beats_ = 0;      ///< Heartbeats prepared.
   state::TimePoint listAt_{};    ///< When the list was last asked for.
   bool listing_ = false;         ///< Whether the list is awaited.
   std::uint64_t questions_ = 0;  ///< Questions sent.
--- a/src/coordination/fleet/peer_message_type.h
+++ b/src/coordination/fleet/peer_message_type.h
@@ -64,6 +64,7 @@
 {
   std::vector<Beat> beats_;        ///< Heartbeats.
   std::vector<WireEntry> entries_; ///< Entries.
+  bool chosen_ = false;            ///< Whether the sender has chosen this link.
   bool operator==(const GossipMessage&) const = default;
 };
 
--- a/src/coordination/fleet/zone_bridge.cpp
+++ b/src/coordination/fleet/zone_bridge.cpp
@@ -182,7 +182,7 @@
 }
 
 std::vector<state::Endpoint>
-ZoneBridge::links() const
+ZoneBridge::chosenLinks() const
 {
   std::vector<state::Endpoint> links;
   for (const auto& [zone, contact] : contacts_) {
@@ -195,6 +195,13 @@
       links.push_back(roster.front().endpoint_);
     }
   }
+  return links;
+}
+
+std::vector<state::Endpoint>
+ZoneBridge::links() const
+{
+  std::vector<state::Endpoint> links = chosenLinks();
   for (const auto& [endpoint, at] : inbound_) {
     if (std::find(links.begin(), links.end(), endpoint) == links.end()) {
       links.push_back(endpoint);
--- a/src/coordination/fleet/zone_bridge.h
+++ b/src/coordination/fleet/zone_bridge.h
@@ -61,11 +61,13 @@
    */
   void receive(const state::Endpoint& aFrom, const ZoneMessage& aMessage);
   /**
-   * Notes that a daemon of another zone sends gossip to this one.
+   * Notes that a daemon of another zone has chosen a link to this one.
    * @param aFrom The daemon.
    */
   void heardFrom(const state::Endpoint& aFrom);
-  /** @return Links to other zones. */
+  /** @return Links to other zones that this daemon has chosen. */
+  std::vector<state::Endpoint> chosenLinks() const;
+  /** @return All links to other zones. */
   std::vector<state::Endpoint> links() const;
   /** @return Live daemons of each other zone that is heard of; bounded. */
   std::map<state::ZoneId, std::vector<state::GatewayPeer>> otherZones() const;
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -112,6 +112,7 @@
     if (!aBody.beats_.empty()) {
       writeBeats(aBody.beats_, now_, *gossip.mutable_beats());
     }
+    gossip.set_chosen(aBody.chosen_);
     for (const WireEntry& entry : aBody.entries_) {
       writeEntry(entry, now_, *gossip.add_entries());
     }
@@ -228,6 +229,7 @@
     return std::nullopt;
   }
   body.beats_ = std::move(*beats);
+  body.chosen_ = aIn.chosen();
   for (const wire::Entry& in : aIn.entries()) {
     if (in.kind() >= kEntryKindRules.size()) {
       // A kind of a newer version of the protocol.
--- a/tests/fakes/fake_switch.h
+++ b/tests/fakes/fake_switch.h
@@ -93,6 +93,7 @@
     TrafficCount& count = counts_[aFrom];
     ++count.sentMessages_;
     count.sentBytes_ += bytes;
+    crossed_ += aFrom.address_ != aTo.address_ ? bytes : 0;
     std::uniform_real_distribution<double> part(0, 1);
     const bool lost =
       (cut_ && cut_(aFrom, aTo)) || part(random_) < faults_.loss_;
@@ -131,6 +132,10 @@
     }
   }
 
+  /** @return Bytes sent to an endpoint of another address. */
+  std::uint64_t crossed() const { return crossed_; }
+  /** Counts bytes to other addresses from zero. */
+  void resetCrossed() { crossed_ = 0; }
   /** @return Traffic of each endpoint since the start or the last reset. */
   std::map<state::Endpoint, TrafficCount>& counts() { return counts_; }
 
@@ -155,6 +160,7 @@
   std::map<state::Endpoint, std::vector<Flight>>
     held_; ///< Messages that wait for a paused receiver.
   std::map<state::Endpoint, TrafficCount> counts_; ///< Traffic.
+  std::uint64_t crossed_ = 0; ///< Bytes to other addresses.
 };
 
 } // namespace auburnhaven::fakes
