Say 503 for requests that certainly did not run

Change: 502 and 504 become 503 when the outcome is not_run; one identifier a request inside the daemon.

--- a/src/transport/gateway/gateway.cpp
+++ b/src/transport/gateway/gateway.cpp
@@ -45,6 +45,15 @@
   return aKind == OutcomeKind::kNotRun ? "not_run" : "unknown";
 }
 
+/** @return Status of an answer; what certainly did not run may be sent again.
+ */
+std::uint32_t
+statusFor(const RefusalRow& aRow, OutcomeKind aKind)
+{
+  const bool gatewayFault = aRow.status_ == 502 || aRow.status_ == 504;
+  return aKind == OutcomeKind::kNotRun && gatewayFault ? 503 : aRow.status_;
+}
+
 /** Counts requests in hand for as long as it lives. */
 class InHand
 {
@@ -97,10 +106,10 @@
                 const boost::asio::yield_context& aYield)
 {
   const std::string_view given = aRequest.header("X-Request-Id");
-  const std::string id = isUsableId(given)
-                           ? std::string(given)
-                           : settings_.idPrefix_ + std::to_string(nextId_++);
-  Exchange exchange{ aThread, aRequest, aResponder, aYield, id, views_.get() };
+  const std::string ownId = settings_.idPrefix_ + std::to_string(nextId_++);
+  const std::string id = isUsableId(given) ? std::string(given) : ownId;
+  Exchange exchange{ aThread, aRequest, aResponder,  aYield,
+                     ownId,   id,       views_.get() };
   const InHand inHand(inFlight_);
   if (inHand.before() >= settings_.maxInFlight_) {
     refuse(exchange,
@@ -209,7 +218,7 @@
                        const coordination::Outcome& aOutcome)
 {
   const RefusalRow& row = refusalRow(aOutcome.reason_);
-  HttpResponse answer = response(aExchange, row.status_);
+  HttpResponse answer = response(aExchange, statusFor(row, aOutcome.kind_));
   if (aOutcome.retryAfter_ > state::Duration::zero()) {
     answer.headers_.push_back(
       { "Retry-After", retrySeconds(aOutcome.retryAfter_) });
@@ -232,7 +241,7 @@
 Gateway::newInfo(const Exchange& aExchange, const state::AccountId& aAccount)
 {
   coordination::RequestInfo info;
-  info.id_ = state::RequestId(settings_.idPrefix_ + std::to_string(nextId_++));
+  info.id_ = state::RequestId(aExchange.ownId_);
   info.account_ = aAccount;
   std::chrono::milliseconds timeout = settings_.requestTimeout_;
   const std::string_view wanted =
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -72,8 +72,9 @@
     const HttpRequest& request_;              ///< The request.
     HttpResponder& responder_;                ///< Takes the response.
     const boost::asio::yield_context& yield_; ///< The coroutine.
-    std::string requestId_;                   ///< Identifier for the caller.
-    TrafficViewPtr view_;                     ///< Snapshot to answer by.
+    std::string ownId_;     ///< Identifier of this process for the request.
+    std::string requestId_; ///< Identifier for the caller.
+    TrafficViewPtr view_;   ///< Snapshot to answer by.
   };
   /** One route. */
   struct Route
