Remove the generate call from the engine codec

Cause: generate_codec gives the same functions and types in the same namespace. Change: engine_codec keeps orders, reports, cache events and the VM list.

--- a/src/coordination/fleet/config_store.cpp
+++ b/src/coordination/fleet/config_store.cpp
@@ -18,7 +18,8 @@
 constexpr std::uint64_t kMaxGathered = 64; ///< Changes shown on a conflict.
 constexpr std::size_t kMaxDocumentBytes =
   512UL * 1024; ///< Largest text of a document.
-constexpr std::size_t kMaxHeadBytes = 1000UL * 1000; ///< Largest text of a head.
+constexpr std::size_t kMaxHeadBytes =
+  1000UL * 1000; ///< Largest text of a head.
 
 } // namespace
 
--- a/src/protocol/engine_codec.cpp
+++ b/src/protocol/engine_codec.cpp
@@ -128,27 +128,6 @@
                 { "members", std::move(members) } });
 }
 
-std::string
-encodeGenerate(const GenerateRequest& aRequest)
-{
-  return dump({ { "request", aRequest.request_.value() },
-                { "prompt", aRequest.prompt_ },
-                { "max_tokens", aRequest.maxTokens_ },
-                { "priority", aRequest.priority_ },
-                { "resume_from", aRequest.resumeFrom_ },
-                { "stream", true },
-                { "copy",
-                  { { "group", aRequest.copy_.group_.value() },
-                    { "index", aRequest.copy_.index_ } } },
-                { "fencing", aRequest.fencing_.value() } });
-}
-
-std::string
-encodeCancel(const state::RequestId& aRequest)
-{
-  return dump({ { "request", aRequest.value() } });
-}
-
 leaf::result<state::VmReport>
 decodeReport(std::string_view aBody)
 {
@@ -165,21 +144,6 @@
   return reader.finish(std::move(report));
 }
 
-leaf::result<GenerateLine>
-decodeGenerateLine(std::string_view aLine)
-{
-  const JsonReader reader = JsonReader::parse("engine answer", aLine);
-  GenerateLine line;
-  line.done_ = reader.has("done") && reader.flag("done");
-  if (line.done_) {
-    line.offset_ = reader.number("tokens");
-  } else {
-    line.offset_ = reader.number("offset");
-    line.text_ = reader.text("text");
-  }
-  return reader.finish(std::move(line));
-}
-
 leaf::result<CacheEvents>
 decodeCacheEvents(std::string_view aBody)
 {
