--- a/src/transport/h2_callbacks.cpp
+++ b/src/transport/h2_callbacks.cpp
@@ -188,7 +188,8 @@
                       nghttp2_data_source* /*aSource*/,
                       void* aUser)
 {
-  H2Session::Stream* stream = sessionOf(aUser).find(aStream);
+  H2Session& session = sessionOf(aUser);
+  H2Session::Stream* stream = session.find(aStream);
   assert(stream != nullptr);
   const std::size_t left = stream->out_.size() - stream->sent_;
   if (left == 0 && !stream->ended_) {
@@ -208,6 +209,7 @@
       const auto lines = toNv(stream->trailers_);
       nghttp2_submit_trailer(aLibrary, aStream, lines.data(), lines.size());
     }
+    session.events_->onDrained(aStream);
   }
   return static_cast<ssize_t>(size);
 }
--- a/src/transport/h2_type.h
+++ b/src/transport/h2_type.h
@@ -66,6 +66,8 @@
    * @param aClose How it ended.
    */
   virtual void onStreamClosed(H2StreamId aStream, H2Close aClose) = 0;
+  /** All data queued on a stream was framed. @param aStream The stream. */
+  virtual void onDrained(H2StreamId /*aStream*/) {}
   /** The session is gone, after its streams. @param aReason Text for people. */
   virtual void onSessionClosed(const std::string& aReason) = 0;
 };
--- a/src/transport/peer_session.cpp
+++ b/src/transport/peer_session.cpp
@@ -193,6 +193,14 @@
   }
 }
 
+void
+PeerSession::onDrained(H2StreamId aStream)
+{
+  if (ready_ && aStream > kProofStream) {
+    user_->onDrained(aStream);
+  }
+}
+
 void
 PeerSession::onSessionClosed(const std::string& aReason)
 {
--- a/src/transport/peer_session.h
+++ b/src/transport/peer_session.h
@@ -65,6 +65,7 @@
   void onData(H2StreamId aStream, std::string_view aData) override;
   void onEnd(H2StreamId aStream) override;
   void onStreamClosed(H2StreamId aStream, H2Close aClose) override;
+  void onDrained(H2StreamId aStream) override;
   void onSessionClosed(const std::string& aReason) override;
 
 private:
