--- a/src/coordination/group/group_limits_type.h
+++ b/src/coordination/group/group_limits_type.h
@@ -31,6 +31,8 @@
     std::chrono::seconds(1); ///< Period of planning.
   state::Duration replaceAfter_ =
     std::chrono::seconds(10); ///< Absence after which a member is replaced.
+  state::Duration preemptAfter_ = std::chrono::seconds(
+    60); ///< Absence after which another copy gives VMs up.
   state::Duration settleTime_ = std::chrono::seconds(
     30); ///< Presence after which a returning VM is a spare.
   state::Duration flapWindow_ =
--- a/src/coordination/group/planner_func.cpp
+++ b/src/coordination/group/planner_func.cpp
@@ -94,13 +94,31 @@
           move(state::MakeSpare{ vm, "new in the domain" });
         }
       } else if (known->second.kind_ == AssignmentKind::kWithdrawn &&
-                 hasSettled(history->second, input_.now_, input_.limits_) &&
-                 isPresent(vm)) {
+                 mayReturn(vm, history->second)) {
         move(state::MakeSpare{ vm, "came back and settled" });
       }
     }
   }
 
+  /** @return Whether a withdrawn VM may be used again. While copies lack
+   * members it need not settle, unless it flaps. */
+  bool mayReturn(const VmId& aVm, const VmHistory& aHistory) const
+  {
+    const VmHealth vmHealth = health(aVm);
+    if (vmHealth == VmHealth::kPresent && lacksMembers()) {
+      return true;
+    }
+    return isPresent(aVm) && hasSettled(aHistory, input_.now_, input_.limits_);
+  }
+
+  bool lacksMembers() const
+  {
+    return std::any_of(
+      input_.record_.copies_.begin(),
+      input_.record_.copies_.end(),
+      [&](const auto& aEntry) { return !failedRanks(aEntry.second).empty(); });
+  }
+
   /** Withdraws spares that cannot be used, members that are gone for good, and
    * forgets withdrawn VMs that the platform no longer lists. */
   void dropUnusable()
@@ -229,9 +247,10 @@
   {
     const VmHealth oldHealth = health(aOld);
     if (!aOld.empty()) {
-      const bool good =
-        oldHealth == VmHealth::kPresent || oldHealth == VmHealth::kSuspect;
-      if (good && !servesInPlace(aNew, aCopy)) {
+      const bool serves =
+        oldHealth == VmHealth::kPresent &&
+        hasLoaded(input_.reports_.at(aOld), record_.copies_.at(aCopy), aRank);
+      if (serves && !servesInPlace(aNew, aCopy)) {
         return;
       }
       move(state::WithdrawVm{ aOld, describe(oldHealth) });
@@ -267,8 +286,11 @@
   /** Fills the ranks of a copy when that completes it. */
   void complete(const CopyId& aCopy)
   {
-    const auto found = record_.copies_.find(aCopy);
-    const std::vector<std::uint32_t> ranks = failedRanks(found->second);
+    std::vector<std::uint32_t> ranks = failedRanks(record_.copies_.at(aCopy));
+    std::erase_if(ranks, [&](std::uint32_t aRank) {
+      const VmId& old = record_.copies_.at(aCopy).members_[aRank];
+      return !old.empty() && isPrepared(aCopy, aRank);
+    });
     if (ranks.empty()) {
       return;
     }
@@ -285,6 +307,37 @@
     }
   }
 
+  /** @return Whether a present reserve loads the shard of a rank ahead. */
+  bool isPrepared(const CopyId& aCopy, std::uint32_t aRank) const
+  {
+    return std::any_of(record_.assignments_.begin(),
+                       record_.assignments_.end(),
+                       [&](const auto& aEntry) {
+                         const Assignment& assignment = aEntry.second;
+                         return assignment.kind_ == AssignmentKind::kReserve &&
+                                assignment.preload_ &&
+                                assignment.copy_ == aCopy &&
+                                assignment.rank_ == aRank &&
+                                isPresent(aEntry.first);
+                       });
+  }
+
+  /** @return Whether a VM holds the shard of a rank or loads it. */
+  bool holdsShard(const VmId& aVm,
+                  const CopyRecord& aCopy,
+                  std::uint32_t aRank) const
+  {
+    const auto report = input_.reports_.find(aVm);
+    if (report == input_.reports_.end()) {
+      return false;
+    }
+    state::VmReport loaded = report->second;
+    if (loaded.phase_ == state::EnginePhase::kLoading) {
+      loaded.phase_ = state::EnginePhase::kReady;
+    }
+    return hasLoaded(loaded, aCopy, aRank);
+  }
+
   void fillRank(const CopyId& aCopy,
                 std::uint32_t aRank,
                 std::vector<VmId>& aFree)
@@ -293,9 +346,7 @@
     const VmId old = copy.members_[aRank];
     const auto loaded =
       std::find_if(aFree.begin(), aFree.end(), [&](const VmId& aVm) {
-        const auto report = input_.reports_.find(aVm);
-        return report != input_.reports_.end() &&
-               hasLoaded(report->second, copy, aRank);
+        return holdsShard(aVm, copy, aRank);
       });
     const auto chosen = loaded == aFree.end() ? aFree.begin() : loaded;
     std::string reason = "completes the copy";
@@ -342,11 +393,12 @@
     std::vector<CopyId> order = copiesByPriority();
     std::reverse(order.begin(), order.end());
     addReserves(aCopy, order, victims);
+    const bool waited = hasWaited(aCopy);
     for (const CopyId& lesser : order) {
       if (lesser == aCopy) {
         break;
       }
-      if (mayTake(aCopy, lesser)) {
+      if (waited && mayTake(aCopy, lesser)) {
         addMembers(record_.copies_.at(lesser), victims);
       }
     }
@@ -361,6 +413,20 @@
     }
   }
 
+  /** @return Whether each absent member has been away for longer than it pays
+   * to wait for it. */
+  bool hasWaited(const CopyId& aCopy) const
+  {
+    const std::vector<VmId>& members = record_.copies_.at(aCopy).members_;
+    return std::all_of(members.begin(), members.end(), [&](const VmId& aVm) {
+      const auto history = input_.history_.find(aVm);
+      return history == input_.history_.end() ||
+             !history->second.absentSince_ ||
+             input_.now_ - *history->second.absentSince_ >=
+               input_.limits_.preemptAfter_;
+    });
+  }
+
   /** Collects idle reserves of copies without greater priority. */
   void addReserves(const CopyId& aCopy,
                    const std::vector<CopyId>& aOrder,
@@ -422,13 +488,16 @@
     const CopyRecord copy = record_.copies_.at(aCopy);
     std::set<std::uint32_t> prepared;
     for (const auto& [vm, assignment] : input_.record_.assignments_) {
+      if (assignment.kind_ != AssignmentKind::kReserve) {
+        continue;
+      }
       const auto present = record_.assignments_.find(vm);
       if (present == record_.assignments_.end() ||
           present->second.kind_ != AssignmentKind::kReserve ||
           !present->second.preload_ || present->second.copy_ != aCopy) {
         continue;
       }
-      if (needsReplacement(copy.members_[present->second.rank_])) {
+      if (stillNeedsReplacement(copy, present->second.rank_)) {
         prepared.insert(present->second.rank_);
       } else {
         move(state::MakeSpare{ vm, "replacement is not needed any more" });
@@ -457,8 +526,19 @@
       return false;
     }
     const VmHealth vmHealth = health(aVm);
-    return vmHealth == VmHealth::kLeaving || vmHealth == VmHealth::kStraggler ||
-           vmHealth == VmHealth::kFlapping || vmHealth == VmHealth::kFailing;
+    return vmHealth != VmHealth::kPresent;
+  }
+
+  /** @return Whether a replacement that was begun is still of use. */
+  bool stillNeedsReplacement(const CopyRecord& aCopy, std::uint32_t aRank) const
+  {
+    const VmId& vm = aCopy.members_[aRank];
+    if (vm.empty() || needsReplacement(vm)) {
+      return true;
+    }
+    const auto report = input_.reports_.find(vm);
+    return report == input_.reports_.end() ||
+           !hasLoaded(report->second, aCopy, aRank);
   }
 
   /** Reserves spares to complete copies ahead of store outages. */
@@ -493,6 +573,9 @@
 
   void addReservesTo(const CopyId& aCopy, std::size_t aCount)
   {
+    if (aCount == 0) {
+      return;
+    }
     for (const VmId& vm : replacements(aCopy)) {
       if (aCount == 0) {
         return;
