--- a/src/coordination/fleet/config_follower.cpp
+++ b/src/coordination/fleet/config_follower.cpp
@@ -33,6 +33,7 @@
   , store_(aStore)
   , loader_(aStore)
   , inForce_(std::make_shared<state::Configuration>())
+  , askAt_(aClock.now() + kStartGrace)
 {
   table_.subscribe(EntryKind::kConfigHead,
                    [this](const SharedEntry& aEntry) { takeNotice(aEntry); });
--- a/src/coordination/fleet/fleet_settings_type.h
+++ b/src/coordination/fleet/fleet_settings_type.h
@@ -31,6 +31,10 @@
   14
 }; ///< Heartbeat period for each daemon of the zone.
 
+inline constexpr std::chrono::seconds kStartGrace{
+  3
+}; ///< Time in which a new daemon looks for the others before it takes roles.
+
 /** Settings of one daemon. */
 struct FleetSettings
 {
--- a/src/coordination/fleet/observer.cpp
+++ b/src/coordination/fleet/observer.cpp
@@ -81,6 +81,7 @@
   , table_(aTable)
   , engines_(aEngines)
   , list_(aList)
+  , listAt_(aClock.now() + kStartGrace - kListPeriod)
 {
   table_.subscribe(EntryKind::kVmInfo,
                    [this](const SharedEntry& aEntry) { takeInfo(aEntry); });
