Send requests to other zones through their daemons

Cause: a daemon whose zone had no open copy answered 503 although other zones had copies (trial of three daemons). Change: the opener sends an attempt for a target of another zone to a daemon there, which checks the target by its own evidence and refuses as not run when it is not open at that assignment; graceful stop waits for forwarded attempts too; the settings check that the port after the peers' listener is free.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -63,6 +63,16 @@
   return limits;
 }
 
+/** @return Settings of forwarded requests. */
+transport::ForwardSettings
+forwardSettings(const Settings& aSettings)
+{
+  transport::ForwardSettings forward;
+  forward.listen_ = transport::forwardEndpointOf(aSettings.listeners_.peers_);
+  forward.key_ = aSettings.peerKey_;
+  return forward;
+}
+
 /** @return Signals that end the daemon. */
 sigset_t
 stopSignals()
@@ -109,32 +119,6 @@
   tracker_.record(sample);
 }
 
-/** Opens attempts through the HTTP client of the traffic thread. */
-class Daemon::Opener : public transport::StreamOpener
-{
-public:
-  /** @param aPool Traffic threads; outlive this object. */
-  explicit Opener(transport::TrafficPool& aPool)
-  {
-    for (std::size_t index = 0; index < aPool.size(); ++index) {
-      clients_.push_back(
-        std::make_unique<transport::HttpClient>(aPool.context(index)));
-    }
-  }
-
-  std::unique_ptr<transport::TargetStream> open(
-    std::size_t aThread,
-    const coordination::Choice& aChoice,
-    const transport::TargetCall& aCall) override
-  {
-    return transport::openLocalStream(*clients_[aThread], aChoice, aCall);
-  }
-
-private:
-  std::vector<std::unique_ptr<transport::HttpClient>>
-    clients_; ///< One client a thread.
-};
-
 Daemon::Daemon(Settings aSettings)
   : settings_(std::move(aSettings))
   , incarnation_(newIncarnation(clock_))
@@ -147,13 +131,16 @@
              })
   , admission_(limiter_)
   , claimDesk_(parts_.control_, parts_.claims_)
-  , opener_(std::make_unique<Opener>(traffic_))
+  , opener_(
+      std::make_unique<TargetOpener>(traffic_, forwardSettings(settings_)))
   , gateway_(gatewaySettings(settings_, incarnation_),
              { clock_, chooser_, admission_, budget_, claimDesk_, *opener_ },
              views_,
              metrics_,
              observer_)
   , admin_(settings_, parts_, promises_, clock_)
+  , forwardHandler_(*opener_, targets_)
+  , forwards_(traffic_, forwardSettings(settings_), forwardHandler_)
 {
 }
 
@@ -201,6 +188,10 @@
   if (!fault.empty()) {
     return "cannot listen for operators: " + fault;
   }
+  fault = forwards_.start();
+  if (!fault.empty()) {
+    return "cannot listen for forwarded requests: " + fault;
+  }
   fault = parts_.links_.start();
   if (!fault.empty()) {
     return "cannot listen for peers: " + fault;
@@ -269,6 +260,7 @@
 {
   const auto view = std::make_shared<const state::ServingView>(makeView());
   chooser_.setView(view);
+  targets_.set(view);
   const std::size_t daemons = parts_.fleet_.liveMembers().size();
   admission_.setView(*view, std::max<std::size_t>(1, daemons));
 }
@@ -315,6 +307,7 @@
   gateway_.setReady(false);
   std::this_thread::sleep_for(settings_.balancerLag_);
   callers_->drain();
+  forwards_.drain();
   waitForRequests();
   handBack();
   traffic_.stop();
@@ -331,16 +324,22 @@
   while (left.count() > 0 && quiet < kQuietTime) {
     std::this_thread::sleep_for(kDrainPoll);
     left -= kDrainPoll;
-    quiet = callers_->inFlight() == 0 ? quiet + kDrainPoll : milliseconds(0);
+    quiet = requestsInFlight() == 0 ? quiet + kDrainPoll : milliseconds(0);
   }
-  LOG_IF(WARNING, callers_->inFlight() > 0)
-    << "daemon: " << callers_->inFlight() << " requests outlasted the stop";
+  LOG_IF(WARNING, requestsInFlight() > 0)
+    << "daemon: " << requestsInFlight() << " requests outlasted the stop";
   for (left = kClaimFlush; left.count() > 0 && hasPendingClaims();
        left -= kDrainPoll) {
     std::this_thread::sleep_for(kDrainPoll);
   }
 }
 
+std::uint64_t
+Daemon::requestsInFlight() const
+{
+  return callers_->inFlight() + forwards_.inFlight();
+}
+
 bool
 Daemon::hasPendingClaims()
 {
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -3,6 +3,7 @@
 
 #include "app/admin_handler.h"
 #include "app/daemon_parts.h"
+#include "app/target_opener.h"
 #include "coordination/request/promise_tracker.h"
 #include "transport/gateway/gateway.h"
 #include "transport/traffic_pool.h"
@@ -49,8 +50,6 @@
   int run();
 
 private:
-  class Opener;
-
   std::string startServers();
   void schedule();
   void tick();
@@ -63,6 +62,7 @@
   void handBack();
   void waitForRequests();
   bool hasPendingClaims();
+  std::uint64_t requestsInFlight() const;
 
   const Settings settings_;               ///< Settings.
   transport::SystemClock clock_;          ///< Clock.
@@ -78,9 +78,12 @@
   coordination::RetryBudget budget_;      ///< Budget for retries.
   transport::ClaimDesk claimDesk_;        ///< Way to the claims.
   transport::TrafficViewHolder views_;    ///< Snapshot for the gateway.
-  std::unique_ptr<Opener> opener_;        ///< Ways to targets.
+  std::unique_ptr<TargetOpener> opener_;  ///< Ways to targets.
   transport::Gateway gateway_;            ///< Answers callers.
   AdminHandler admin_;                    ///< Answers operators.
+  ServingViewHolder targets_;             ///< Snapshot for forwarded requests.
+  ForwardedTargets forwardHandler_;       ///< Makes attempts for other daemons.
+  transport::ForwardServer forwards_;     ///< Takes forwarded requests.
   std::unique_ptr<transport::HttpServer> callers_;   ///< Callers' listener.
   std::unique_ptr<transport::HttpServer> operators_; ///< Operators' listener.
   std::thread controlThread_;                        ///< The control thread.
--- a/src/app/settings_file.cpp
+++ b/src/app/settings_file.cpp
@@ -60,10 +60,12 @@
                                      kRequired,
                                      kNonEmpty,
                                      "HTTP for callers, health and metrics"),
-  field<&ListenerSettings::peers_>("peers",
-                                   kRequired,
-                                   kNonEmpty,
-                                   "streams of other daemons"),
+  field<&ListenerSettings::peers_>(
+    "peers",
+    kRequired,
+    kNonEmpty,
+    "streams of other daemons; the next port takes "
+    "forwarded requests"),
   field<&ListenerSettings::operators_>("operators",
                                        kRequired,
                                        kNonEmpty,
@@ -241,6 +243,14 @@
                   "has the same address as another listener");
     }
   }
+  const state::Endpoint& peers = aListeners.peers_;
+  const state::Endpoint forward{ peers.address_,
+                                 static_cast<std::uint16_t>(peers.port_ + 1) };
+  if (peers.port_ != 0 && seen.contains(forward)) {
+    aFaults.add(*node,
+                "listeners.peers",
+                "needs the next port too, which another listener has");
+  }
 }
 
 /** Appends the rows of one record's fields to the reference. */
--- a/src/transport/gateway/claim_desk.cpp
+++ b/src/transport/gateway/claim_desk.cpp
@@ -18,7 +18,7 @@
 ClaimTicketPtr
 ClaimDesk::claim(coordination::ClaimRequest aRequest,
                  const boost::asio::any_io_executor& aExecutor,
-                 coordination::ClaimService::ClaimHandler aHandler)
+                 coordination::ClaimHandler aHandler)
 {
   auto ticket = std::make_shared<ClaimTicket>();
   auto deliver = [aExecutor, handler = std::move(aHandler)](
--- a/src/transport/gateway/claim_desk.h
+++ b/src/transport/gateway/claim_desk.h
@@ -38,7 +38,7 @@
    */
   ClaimTicketPtr claim(coordination::ClaimRequest aRequest,
                        const boost::asio::any_io_executor& aExecutor,
-                       coordination::ClaimService::ClaimHandler aHandler);
+                       coordination::ClaimHandler aHandler);
   /**
    * Ends a claim, also one whose handler was not called yet.
    * @param aTicket The ticket.
--- a/tools/world.sh
+++ b/tools/world.sh
@@ -56,7 +56,7 @@
 }
 
 caller_port() { echo $((base + 401 + 10 * $1)); }
-operator_port() { echo $((base + 403 + 10 * $1)); }
+operator_port() { echo $((base + 404 + 10 * $1)); }
 caller_url() { echo "http://127.0.0.1:$(caller_port "$1")"; }
 control() { curl -sf -m 5 "http://127.0.0.1:$1/control" -d "$2" >/dev/null; }
 
@@ -78,9 +78,12 @@
 
 # Writes the settings of daemon INDEX, one in each zone.
 write_settings() {
-  local index=$1 peers="" other
+  local index=$1 other_zones="" other
   for other in 0 1 2; do
-    [ "$other" = "$index" ] || peers+="\"127.0.0.1:$((base + 402 + 10 * other))\", "
+    [ "$other" = "$index" ] || other_zones+="
+[[other_zones]]
+zone = \"${zones[$other]}\"
+peers = [\"127.0.0.1:$((base + 402 + 10 * other))\"]"
   done
   cat >"$work/daemon-$index.toml" <<SETTINGS
 daemon = "entry-${zones[$index]}"
@@ -88,7 +91,6 @@
 region = "south"
 stores = ["127.0.0.1:$((base + 2 + index))"]
 vm_list = "127.0.0.1:$((base + 1))"
-seed_peers = [${peers%, }]
 peer_key = "peer-key-of-the-demo"
 operator_key = "$operator_key"
 balancer_lag_ms = ${balancer_lag_ms:-500}
@@ -96,10 +98,11 @@
 [listeners]
 callers = "127.0.0.1:$((base + 401 + 10 * index))"
 peers = "127.0.0.1:$((base + 402 + 10 * index))"
-operators = "127.0.0.1:$((base + 403 + 10 * index))"
+operators = "127.0.0.1:$((base + 404 + 10 * index))"
 [limits]
 body_bytes = 65536
 header_timeout_ms = 2000
+$other_zones
 SETTINGS
 }
 
