--- a/src/coordination/request/claim_service.h
+++ b/src/coordination/request/claim_service.h
@@ -44,6 +44,8 @@
 class ClaimService
 {
 public:
+  using ClaimHandler = coordination::ClaimHandler; ///< Takes the result.
+
   /**
    * @param aStore Store; outlives this object.
    * @param aClock Clock; outlives this object.
