--- a/src/app/command_status.cpp
+++ b/src/app/command_status.cpp
@@ -4,6 +4,8 @@
 
 #include "app/command_func.h"
 
+#include <algorithm>
+
 namespace auburnhaven::app {
 
 int
@@ -17,7 +19,14 @@
 runAudit(const OperatorOptions& aOptions, std::uint32_t aCount)
 {
   return runShow<protocol::AuditReply>(
-    aOptions, "/admin/audit?count=" + std::to_string(aCount), printAudit);
+    aOptions,
+    "/admin/audit?count=" + std::to_string(aCount),
+    [aCount](std::ostream& aOut, protocol::AuditReply aReply) {
+      // A daemon may answer with more lines than were asked for.
+      aReply.entries_.resize(
+        std::min<std::size_t>(aReply.entries_.size(), aCount));
+      printAudit(aOut, aReply);
+    });
 }
 
 } // namespace auburnhaven::app
