Hand claims to the daemon that writes their slot

Change: channels on the links between daemons, and a messenger that carries claim operations on one of them; the service falls back to its own write when no answer comes. Shares of account limits know the number of zones; a target's speed is sampled every tenth token, before the answer ends. Figures: ClaimMessengerTest: 20 keys claimed on two daemons at once, each granted once, also when every message is lost.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -217,6 +217,7 @@
 {
   parts_.fleet_.tick();
   parts_.groups_.setZoneDaemons(parts_.fleet_.liveMembers());
+  parts_.claims_.setDaemons(parts_.fleet_.liveMembers());
   parts_.groups_.tick();
   parts_.usage_.tick();
   ++ticks_;
--- a/src/app/daemon_parts.cpp
+++ b/src/app/daemon_parts.cpp
@@ -79,7 +79,8 @@
   , engines_(caller_, aClock)
   , vmList_(caller_, vmListSettings(aSettings))
   , links_(control_.context(), linkSettings(aSettings, aIncarnation))
-  , network_(links_, aClock)
+  , channels_(links_)
+  , network_(channels_.fleet(), aClock)
   , fleet_(fleetSettings(aSettings, aIncarnation),
            { aClock, network_, watch_, engines_, vmList_ },
            state::checkConfiguration,
@@ -92,9 +93,30 @@
             aSettings.daemon_,
             aSettings.zone_,
             groupLimits(aSettings))
-  , claims_(fleet_.store(), aClock, aSettings.daemon_, aIncarnation)
+  , claimPeers_(
+      channels_.claims(),
+      [this](const state::DaemonId& aDaemon) { return endpointOf(aDaemon); })
+  , claims_(fleet_.store(),
+            aClock,
+            aSettings.daemon_,
+            aIncarnation,
+            coordination::ClaimSettings(),
+            &claimPeers_)
   , usage_(fleet_.table(), aLimiter, aClock, aSettings.daemon_, aIncarnation)
 {
+  claimPeers_.serveWith(claims_);
+  usage_.setZonePart(1.0 /
+                     (1.0 + static_cast<double>(aSettings.otherZones_.size())));
+}
+
+std::optional<state::Endpoint>
+ControlParts::endpointOf(const state::DaemonId& aDaemon) const
+{
+  const auto found = fleet_.members().find(aDaemon);
+  if (found == fleet_.members().end()) {
+    return std::nullopt;
+  }
+  return found->second.address_.endpoint_;
 }
 
 } // namespace auburnhaven::app
--- a/src/app/daemon_parts.h
+++ b/src/app/daemon_parts.h
@@ -6,7 +6,9 @@
 #include "coordination/group/group_manager.h"
 #include "coordination/request/claim_service.h"
 #include "coordination/request/usage_sharer.h"
+#include "protocol/claim_messenger.h"
 #include "protocol/coded_peer_network.h"
+#include "protocol/link_channels.h"
 #include "transport/control_loop.h"
 #include "transport/engine_client.h"
 #include "transport/http_client.h"
@@ -33,6 +35,13 @@
                state::Incarnation aIncarnation,
                coordination::AccountLimiter& aLimiter);
 
+  /**
+   * @param aDaemon A daemon of the own zone.
+   * @return Its listening endpoint for peers, or nothing when unknown.
+   */
+  std::optional<state::Endpoint> endpointOf(
+    const state::DaemonId& aDaemon) const;
+
   transport::ControlLoop control_;      ///< Event loop of the control thread.
   transport::HttpClient client_;        ///< HTTP of the control thread.
   transport::ServiceCaller caller_;     ///< Short calls.
@@ -41,9 +50,11 @@
   transport::HttpEngineClient engines_; ///< Orders and reports.
   transport::HttpVmList vmList_;        ///< The platform's VM list.
   transport::PeerLinks links_;          ///< Links to other daemons.
+  protocol::LinkChannels channels_;     ///< Channels on the links.
   protocol::CodedPeerNetwork network_;  ///< Messages on the links.
   coordination::FleetNode fleet_;       ///< The daemon in the system.
   coordination::GroupManager groups_;   ///< Serving groups.
+  protocol::ClaimMessenger claimPeers_; ///< Claims of other daemons.
   coordination::ClaimService claims_;   ///< Claims of idempotency keys.
   coordination::UsageSharer usage_;     ///< Division of account limits.
 };
--- a/src/transport/gateway/request_runner.cpp
+++ b/src/transport/gateway/request_runner.cpp
@@ -36,6 +36,9 @@
   { TargetEventKind::kTimedOut, AttemptEnd::kTimedOut, WorkEnd::kFailed },
 } };
 
+constexpr std::uint64_t kTokensPerSample =
+  10; ///< Tokens between two samples of a target's speed.
+
 /** @return Row of the last event of an attempt. */
 const EndRow&
 endRow(TargetEventKind aKind)
@@ -247,7 +250,9 @@
     const state::Duration gap = time - lastTokenAt_;
     times.longestGap_ = std::max(times.longestGap_, gap);
     times.meanGap_ = (time - times.firstTokenAt_) / times.tokens_;
-    aWork.sample(gap, time);
+    if (times.tokens_ % kTokensPerSample == 0) {
+      aWork.sample(times.meanGap_, time);
+    }
   }
   lastTokenAt_ = time;
   ++times.tokens_;
