--- a/examples/krokvagg.cpp
+++ b/examples/krokvagg.cpp
@@ -47,7 +47,7 @@
     .kind(KindBuilder("buyer-answer", 30))
     .kind(listingDrafts())
     .kind(KindBuilder("catalogue-summary", 10))
-    .copies(2, 4)
+    .copies(3, 4)
     .priority(10)
     .worstMinute(1800ms, 26ms, 950);
 }
--- a/examples/sagarmatha.cpp
+++ b/examples/sagarmatha.cpp
@@ -54,7 +54,7 @@
     .kind(shiftPlans())
     .kind(KindBuilder("swap-explanation", 20))
     .kind(KindBuilder("incident-summary", 10))
-    .copies(2, 4)
+    .copies(3, 4)
     .worstMinute(1800ms, 26ms, 950);
 }
 
--- a/tools/world.sh
+++ b/tools/world.sh
@@ -132,7 +132,7 @@
     sed "s/127\.0\.0\.1:210/127.0.0.1:$((base / 100))/" >"$work/krokvagg.toml"
 }
 
-all_copies_serve() { operate "$1" status | grep -q 'copies 2 of 2'; }
+all_copies_serve() { operate "$1" status | grep -q 'copies 3 of 3'; }
 all_zones_serve() { all_copies_serve 0 && all_copies_serve 1 && all_copies_serve 2; }
 # Tells whether daemon INDEX has a generation in force: at_generation INDEX NUMBER
 at_generation() { operate "$1" status | grep -q "^configuration generation $2\$"; }
