--- a/bench/group_downtime.cpp
+++ b/bench/group_downtime.cpp
@@ -49,7 +49,8 @@
 print(const char* aPlanner, const WorldFigures& aFigures, double aSpareMinutes)
 {
   std::cout << std::fixed << std::setprecision(0) << "  " << std::setw(6)
-            << aPlanner << ": group downtime " << aFigures.downMinutes_
+            << aPlanner << ": copy downtime " << aFigures.downMinutes_
+            << " min, groups without a copy " << aFigures.noCopyMinutes_
             << " min, stranded " << aFigures.strandedMinutes_
             << " accelerator min (spares asked for: " << aSpareMinutes
             << "), loads " << aFigures.loads_ << ", records written "
@@ -75,7 +76,7 @@
                         static_cast<double>(aSeconds) / kMinute;
   print("naive", naive, spares);
   print("own", own, spares);
-  std::cout << std::setprecision(2) << "  downtime naive / own "
+  std::cout << std::setprecision(2) << "  copy downtime naive / own "
             << naive.downMinutes_ / own.downMinutes_
             << ", stranded own / naive "
             << own.strandedMinutes_ / naive.strandedMinutes_ << std::endl;
@@ -98,8 +99,8 @@
     std::cout << "  " << (naive ? "naive" : "own") << ": one member " << one
               << " s, one domain " << oneDomain << " s ("
               << std::setprecision(1) << domainDown
-              << " group min), all engines of the zone " << all << " s ("
-              << fleetDown << " group min)" << std::endl;
+              << " copy min), all engines of the zone " << all << " s ("
+              << fleetDown << " copy min)" << std::endl;
   }
   const std::int64_t copies = std::int64_t{ shape.copies_ } * shape.vmsPerCopy_;
   const std::int64_t perDomain = copies / shape.domains_;
--- a/bench/group_scale.cpp
+++ b/bench/group_scale.cpp
@@ -104,7 +104,7 @@
       shape.daemons_ = daemons;
       shape.domains_ = domains;
       shape.vmsPerDomain_ = 4;
-      fakes::FakeFleet fleet(shape);
+      fakes::FakeEngineFleet fleet(shape);
       fleet.setGroup("g", 1, static_cast<std::uint32_t>(domains), 3);
       fleet.startAll();
       fleet.run(std::chrono::seconds(90));
--- a/bench/group_world.h
+++ b/bench/group_world.h
@@ -54,6 +54,7 @@
 struct WorldFigures
 {
   double downMinutes_ = 0;     ///< Minutes of wanted copies that do not serve.
+  double noCopyMinutes_ = 0;   ///< Minutes of groups without any copy.
   double strandedMinutes_ = 0; ///< Minutes of healthy idle accelerators.
   std::uint64_t loads_ = 0;    ///< Loads started.
   std::uint64_t changes_ = 0;  ///< Records written.
@@ -262,11 +263,21 @@
 
   const WorldFigures& figures() const { return figures_; }
   std::uint32_t countOpen() const
+  {
+    std::uint32_t open = 0;
+    for (const auto& [id, group] : configuration_.groups_) {
+      open += countOpenOf(id);
+    }
+    return open;
+  }
+  std::uint32_t countOpenOf(const state::GroupId& aGroup) const
   {
     std::uint32_t open = 0;
     for (const state::DomainRecord& record : records_) {
       for (const auto& [id, copy] : record.copies_) {
-        open += isOpen(copy) && isAlive(copy) ? 1 : 0;
+        const bool serves =
+          id.group_ == aGroup && isOpen(copy) && isAlive(copy);
+        open += serves ? 1 : 0;
       }
     }
     return open;
@@ -396,6 +407,9 @@
     const std::uint32_t open = std::min(countOpen(), shape_.copies_);
     const double minutes = static_cast<double>(aSeconds) / kMinute;
     figures_.downMinutes_ += (shape_.copies_ - open) * minutes;
+    for (const auto& [id, group] : configuration_.groups_) {
+      figures_.noCopyMinutes_ += countOpenOf(id) > 0 ? 0 : minutes;
+    }
     std::uint32_t stranded = 0;
     for (const auto& [vm, engine] : engines_.engines_) {
       stranded += engine.alive_ ? engine.info_.accelerators_ : 0;
