--- a/bench/fleet_support.h
+++ b/bench/fleet_support.h
@@ -9,6 +9,7 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <vector>
 
@@ -79,7 +80,7 @@
   }
   std::sort(aValues.begin(), aValues.end());
   const auto place = static_cast<std::size_t>(
-    aPart * static_cast<double>(aValues.size() - 1) + 0.5);
+    std::lround(aPart * static_cast<double>(aValues.size() - 1)));
   return aValues[place];
 }
 
--- a/src/coordination/fleet/zone_bridge.cpp
+++ b/src/coordination/fleet/zone_bridge.cpp
@@ -12,17 +12,19 @@
 
 namespace {
 
-constexpr std::size_t kGateways = 2;       ///< Gateway and its stand-by.
-constexpr std::size_t kRosterDaemons = 16; ///< Daemons told to another zone.
-constexpr std::size_t kMaxBehind = 16;     ///< Daemons named as behind.
+constexpr std::size_t kGateways = 2;      ///< Gateway and its stand-by.
+constexpr std::size_t kRosterDaemons = 8; ///< Daemons told to another zone.
+constexpr std::size_t kMaxBehind = 8;     ///< Daemons named as behind.
 constexpr state::Duration kAskPeriods[kGateways] = {
   std::chrono::seconds(2),
   std::chrono::seconds(15)
 }; ///< Time between two questions by rank.
 constexpr state::Duration kReachableAge =
   std::chrono::seconds(30); ///< Silence after which a zone is unreachable.
-constexpr state::Duration kRefreshAge =
-  std::chrono::seconds(10); ///< Age at which what is known is renewed.
+constexpr state::Duration kProgressAge =
+  std::chrono::seconds(10); ///< Age at which the progress is renewed.
+constexpr state::Duration kRosterAge =
+  std::chrono::seconds(60); ///< Age at which the live daemons are renewed.
 constexpr state::Duration kInboundAge =
   std::chrono::seconds(5); ///< Time for which a daemon that sent is a link.
 constexpr std::size_t kMaxInbound = 16;   ///< Links beyond the chosen ones.
@@ -122,10 +124,14 @@
   summary.generation_ = least;
   for (const state::DaemonId& id : membership_.live()) {
     const Beat& beat = membership_.members().at(id).beat_;
-    if (beat.generation_ < greatest && summary.behind_.size() < kMaxBehind) {
+    if (beat.generation_ < greatest) {
       summary.behind_.push_back(id);
     }
   }
+  if (summary.behind_.size() > kMaxBehind) {
+    // A change is on its way; names are for the few that stay behind.
+    summary.behind_.clear();
+  }
   return summary;
 }
 
@@ -140,23 +146,25 @@
   ZoneSummary roster = told;
   roster.generation_ = state::Generation();
   roster.behind_.clear();
-  publish(told.zone_.value(), roster);
+  publish(told.zone_.value(), roster, kRosterAge);
   ZoneSummary progress = told;
   progress.daemons_.clear();
-  publish(told.zone_.value() + kProgress, progress);
+  publish(told.zone_.value() + kProgress, progress, kProgressAge);
   if (aMessage.wantsAnswer_) {
     send_(aFrom, ZoneMessage{ summaryFor(told.zone_), false });
   }
 }
 
 void
-ZoneBridge::publish(const std::string& aName, const ZoneSummary& aSummary)
+ZoneBridge::publish(const std::string& aName,
+                    const ZoneSummary& aSummary,
+                    state::Duration aMaxAge)
 {
   const EntryKey key{ EntryKind::kOtherZone, aName };
   const std::optional<SharedEntry> held = table_.find(key);
   const std::string payload = encodeZoneSummary(aSummary);
   const bool news = !held || held->payload_ != payload ||
-                    clock_.now() - held->observedAt_ >= kRefreshAge;
+                    clock_.now() - held->observedAt_ >= aMaxAge;
   if (news) {
     const std::uint64_t count = held ? held->version_.major_ + 1 : 1;
     table_.publish({ key, { count, 0 }, payload, clock_.now() });
--- a/src/coordination/fleet/zone_bridge.h
+++ b/src/coordination/fleet/zone_bridge.h
@@ -85,7 +85,9 @@
   void ask(const state::ZoneId& aZone, Contact& aContact, std::size_t aRank);
   ZoneSummary summaryFor(const state::ZoneId& aZone) const;
   std::vector<PeerAddress> rosterOf(const state::ZoneId& aZone) const;
-  void publish(const std::string& aName, const ZoneSummary& aSummary);
+  void publish(const std::string& aName,
+               const ZoneSummary& aSummary,
+               state::Duration aMaxAge);
 
   const FleetSettings& settings_;             ///< Settings of this daemon.
   const state::Clock& clock_;                 ///< Source of time.
--- a/tests/coordination/fleet_observer_test.cpp
+++ b/tests/coordination/fleet_observer_test.cpp
@@ -56,7 +56,7 @@
   void evidenceIsNeverYoungerThanTrue()
   {
     switch_->faults().loss_ = 0.05;
-    switch_->faults().jitter_ = 300ms;
+    switch_->faults().jitter_ = std::chrono::milliseconds(300);
     std::map<state::VmId, state::TimePoint> silentSince;
     for (int step = 0; step < 600; ++step) {
       if (step % 40 == 0) {
--- a/tests/protocol/peer_codec_test.cpp
+++ b/tests/protocol/peer_codec_test.cpp
@@ -67,7 +67,7 @@
     }
     const std::string bytes = protocol::encodePeerMessage(
       { state::ZoneId("zone-a"), {}, gossip }, kNow);
-    CPPUNIT_ASSERT(bytes.size() <= 100 * 23);
+    CPPUNIT_ASSERT(bytes.size() <= 2300);
   }
 
   void damagedBytesAreHarmless()
