Tell ends of claims sooner; metrics on a concurrent map; encode events once

Cause: a repeated key sent to another daemon at once got 409 for up to 0.7 s, as the end of a claim waited 500 ms for company; metrics took a lock for each request; quantiles of fewer than 21 samples were shown as 0; the worst minute was shown before any was over; each token's event was built from scratch; the sanitizer presets built all benchmarks. Change: ends wait 100 ms; oneTBB's concurrent map for metrics, quantiles only when known, gauges of the worst minute; an encoder that keeps what the events of an answer share; benchmarks only outside the core-only presets.

--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -54,11 +54,12 @@
 auburnhaven_tests(state auburnhaven_state)
 auburnhaven_tests(coordination auburnhaven_coordination)
 auburnhaven_tests(protocol auburnhaven_protocol)
-auburnhaven_benchmarks(group auburnhaven_coordination)
-auburnhaven_benchmarks(request auburnhaven_coordination)
-auburnhaven_benchmarks(fleet auburnhaven_protocol)
 
 if(NOT AUBURNHAVEN_CORE_ONLY)
+  auburnhaven_benchmarks(group auburnhaven_coordination)
+  auburnhaven_benchmarks(request auburnhaven_coordination)
+  auburnhaven_benchmarks(fleet auburnhaven_protocol)
+
   auburnhaven_layer(transport auburnhaven_protocol nghttp2 boost_context glog gflags unwind)
   target_compile_definitions(auburnhaven_transport PUBLIC BOOST_ASIO_NO_DEPRECATED)
   # g++ 12 reports a maybe-uninitialized member inside Boost.Accumulators.
--- a/src/app/command_output.cpp
+++ b/src/app/command_output.cpp
@@ -105,6 +105,18 @@
   }
 }
 
+/** @return The worst minute so far in words. */
+std::string
+worstMinuteText(const protocol::WorstMinute& aMinute)
+{
+  if (aMinute.requests_ == 0) {
+    return "no minute with requests is over yet";
+  }
+  return "worst minute " + std::to_string(aMinute.keptPermille_) + "/1000 of " +
+         std::to_string(aMinute.requests_) + " requests at " +
+         timeText(aMinute.minute_);
+}
+
 /** Prints one group. */
 void
 printGroup(std::ostream& aOut, const protocol::GroupStatus& aGroup)
@@ -117,9 +129,8 @@
        << stateText(aGroup.serving_, aGroup.whyNot_) << " since "
        << timeText(aGroup.since_) << '\n'
        << "    copies " << serving << " of " << aGroup.copiesWanted_
-       << ", downtime " << aGroup.downtime_.count() << " ms, worst minute "
-       << aGroup.worstMinute_.keptPermille_ << "/1000 of "
-       << aGroup.worstMinute_.requests_ << " requests\n";
+       << ", downtime " << aGroup.downtime_.count() << " ms, "
+       << worstMinuteText(aGroup.worstMinute_) << '\n';
   for (const protocol::CopyStatus& copy : aGroup.copies_) {
     printCopy(aOut, copy);
   }
--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -285,6 +285,14 @@
     gauges.emplace_back(
       "auburnhaven_stranded_accelerators{cause=\"" + cause + "\"}", count);
   }
+  for (const auto& standing : promises_.standings(clock_.wallNow())) {
+    if (standing.worst_.total_ > 0) {
+      gauges.emplace_back("auburnhaven_worst_minute_kept_permille{group=\"" +
+                            standing.group_.value() + "\",account=\"" +
+                            standing.account_.value() + "\"}",
+                          standing.worst_.sharePermille());
+    }
+  }
   gauges.emplace_back("auburnhaven_zone_daemons",
                       parts_.fleet_.liveMembers().size());
   gauges.emplace_back(
--- a/src/coordination/request/claim_settings_type.h
+++ b/src/coordination/request/claim_settings_type.h
@@ -29,7 +29,7 @@
     std::chrono::milliseconds(200); ///< Least time between two commits of a
                                     ///< slot.
   state::Duration endDelay_ =
-    std::chrono::milliseconds(500); ///< How long the end of a claim may wait
+    std::chrono::milliseconds(100); ///< How long the end of a claim may wait
                                     ///< for a claim to be written with it.
   state::Duration dispatchWindow_ =
     std::chrono::seconds(5); ///< Time from the request of a claim in which its
--- a/src/protocol/chat_codec.cpp
+++ b/src/protocol/chat_codec.cpp
@@ -213,12 +213,29 @@
   return body.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+ChatEventEncoder::ChatEventEncoder(std::string_view aRequestId,
+                                   std::string_view aModel)
+{
+  static constexpr std::string_view kEmptyText = R"("content":"")";
+  const std::string whole =
+    event(chunk(aRequestId, aModel, { { "content", "" } }, nullptr));
+  // Quotes inside of strings are escaped, so the last match is the field.
+  const std::size_t end = whole.rfind(kEmptyText) + kEmptyText.size();
+  head_ = whole.substr(0, end - 2);
+  tail_ = whole.substr(end);
+}
+
 std::string
-encodeChatEvent(std::string_view aRequestId,
-                std::string_view aModel,
-                std::string_view aText)
+ChatEventEncoder::encode(std::string_view aText) const
 {
-  return event(chunk(aRequestId, aModel, { { "content", aText } }, nullptr));
+  const std::string text =
+    Json(aText).dump(-1, ' ', false, Json::error_handler_t::replace);
+  std::string encoded;
+  encoded.reserve(head_.size() + text.size() + tail_.size());
+  encoded += head_;
+  encoded += text;
+  encoded += tail_;
+  return encoded;
 }
 
 std::string
--- a/src/protocol/chat_codec.h
+++ b/src/protocol/chat_codec.h
@@ -32,15 +32,27 @@
                  std::uint64_t aTokens);
 
 /**
- * @param aRequestId The request.
- * @param aModel Model name.
- * @param aText Text of the event.
- * @return One server-sent event with a part of the answer.
+ * Makes the server-sent events of one streamed answer; what all of them share
+ * is encoded once. Immutable, so thread-safe.
  */
-std::string
-encodeChatEvent(std::string_view aRequestId,
-                std::string_view aModel,
-                std::string_view aText);
+class ChatEventEncoder
+{
+public:
+  /**
+   * @param aRequestId The request.
+   * @param aModel Model name.
+   */
+  ChatEventEncoder(std::string_view aRequestId, std::string_view aModel);
+  /**
+   * @param aText Text of the event.
+   * @return One server-sent event with a part of the answer.
+   */
+  std::string encode(std::string_view aText) const;
+
+private:
+  std::string head_; ///< Event up to the text.
+  std::string tail_; ///< Event after the text.
+};
 
 /**
  * @param aRequestId The request.
--- a/src/transport/gateway/gateway_chat.cpp
+++ b/src/transport/gateway/gateway_chat.cpp
@@ -25,6 +25,7 @@
     , head_(std::move(aHead))
     , requestId_(std::move(aRequestId))
     , model_(std::move(aModel))
+    , events_(requestId_, model_)
   {
     head_.contentType_ = "text/event-stream";
     head_.headers_.push_back({ "Cache-Control", "no-cache" });
@@ -36,8 +37,7 @@
     if (!start(aYield)) {
       return false;
     }
-    return responder_.writeChunk(
-      protocol::encodeChatEvent(requestId_, model_, aText), aYield);
+    return responder_.writeChunk(events_.encode(aText), aYield);
   }
 
   void onCallerGone(std::function<void()> aHandler) override
@@ -77,11 +77,12 @@
     return responder_.startStream(head_, aYield);
   }
 
-  HttpResponder& responder_; ///< Takes the response.
-  HttpResponse head_;        ///< Status and headers.
-  std::string requestId_;    ///< The request.
-  std::string model_;        ///< Model name for the events.
-  bool started_ = false;     ///< Whether the response was started.
+  HttpResponder& responder_;          ///< Takes the response.
+  HttpResponse head_;                 ///< Status and headers.
+  std::string requestId_;             ///< The request.
+  std::string model_;                 ///< Model name for the events.
+  protocol::ChatEventEncoder events_; ///< Makes the events.
+  bool started_ = false;              ///< Whether the response was started.
 };
 
 /** Collects tokens for a plain answer. */
--- a/src/transport/metrics.cpp
+++ b/src/transport/metrics.cpp
@@ -20,6 +20,9 @@
 constexpr std::array<double, 9> kProbabilities{ 0.1,  0.25, 0.5,  0.75, 0.9,
                                                 0.95, 0.98, 0.99, 0.999 };
 
+constexpr std::uint64_t kQuantileSamples =
+  2 * kProbabilities.size() + 3; ///< Samples from which quantiles are known.
+
 /** @return Name of a metric without its labels. */
 std::string
 baseName(const std::string& aName)
@@ -41,6 +44,19 @@
   }
 }
 
+/** @return The metric of a name, made when there was none. Thread-safe. */
+template<class Table>
+auto&
+findOrMake(Table& aTable, const std::string& aName)
+{
+  const auto found = aTable.find(aName);
+  if (found != aTable.end()) {
+    return found->second;
+  }
+  using Metric = typename Table::mapped_type::element_type;
+  return aTable.emplace(aName, std::make_unique<Metric>()).first->second;
+}
+
 } // namespace
 
 /** Holds the library's accumulator. */
@@ -90,30 +106,13 @@
 Counter&
 Metrics::counter(const std::string& aName)
 {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  std::unique_ptr<Counter>& counter = counters_[aName];
-  if (!counter) {
-    counter = std::make_unique<Counter>();
-  }
-  return *counter;
+  return *findOrMake(counters_, aName);
 }
 
 LatencySummary&
 Metrics::latency(const std::string& aName)
 {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  std::unique_ptr<LatencySummary>& summary = latencies_[aName];
-  if (!summary) {
-    summary = std::make_unique<LatencySummary>();
-  }
-  return *summary;
-}
-
-void
-Metrics::setGauge(const std::string& aName, double aValue)
-{
-  const std::lock_guard<std::mutex> lock(mutex_);
-  gauges_[aName] = aValue;
+  return *findOrMake(latencies_, aName);
 }
 
 void
@@ -147,9 +146,11 @@
   for (const auto& [name, summary] : latencies_) {
     const LatencySummary::Values values = summary->values();
     out << "# TYPE " << name << " summary\n";
-    out << name << "{quantile=\"0.5\"} " << values.p50_ << '\n';
-    out << name << "{quantile=\"0.95\"} " << values.p95_ << '\n';
-    out << name << "{quantile=\"0.99\"} " << values.p99_ << '\n';
+    if (values.count_ >= kQuantileSamples) {
+      out << name << "{quantile=\"0.5\"} " << values.p50_ << '\n';
+      out << name << "{quantile=\"0.95\"} " << values.p95_ << '\n';
+      out << name << "{quantile=\"0.99\"} " << values.p99_ << '\n';
+    }
     out << name << "_sum " << values.sum_ << '\n';
     out << name << "_count " << values.count_ << '\n';
   }
--- a/src/transport/metrics.h
+++ b/src/transport/metrics.h
@@ -3,6 +3,8 @@
 
 #include "state/time_type.h"
 
+#include <oneapi/tbb/concurrent_map.h>
+
 #include <atomic>
 #include <cstdint>
 #include <functional>
@@ -74,12 +76,6 @@
    * @return The summary, made when there was none.
    */
   LatencySummary& latency(const std::string& aName);
-  /**
-   * Sets a gauge.
-   * @param aName Full name with labels.
-   * @param aValue Its value.
-   */
-  void setGauge(const std::string& aName, double aValue);
   /** Replaces all gauges whose names start with a prefix. */
   void replaceGauges(
     const std::string& aPrefix,
@@ -88,11 +84,12 @@
   std::string expose() const;
 
 private:
-  mutable std::mutex mutex_; ///< Guards the maps.
-  std::map<std::string, std::unique_ptr<Counter>>
-    counters_; ///< Counters by name.
-  std::map<std::string, std::unique_ptr<LatencySummary>>
-    latencies_;                          ///< Summaries by name.
+  template<class Metric>
+  using Table = tbb::concurrent_map<std::string, std::unique_ptr<Metric>>;
+
+  Table<Counter> counters_;              ///< Counters by name.
+  Table<LatencySummary> latencies_;      ///< Summaries by name.
+  mutable std::mutex mutex_;             ///< Guards the gauges.
   std::map<std::string, double> gauges_; ///< Gauges by name.
 };
 
