Lose no answer when a member dies under 1,000 concurrent callers

Cause: 2,000 callers (250/s, 200 tokens at 20 ms, about 1,000 at once, one member of a copy killed after 5 s) got 623 whole answers, 456 cut streams and 921 refusals as not run. The budget for retries held 10 at the start and 100 at most, but a dead copy cuts all its streams at once; the own zone was preferred until twice its slots; a copy whose engine said that it no longer serves was chosen again until its evidence ran out, each time at the cost of a retry. Ruled out: capacity (two copies with 1,000 slots each were left) and the forwarding between zones. Change: the budget holds up to 1,000 retries and starts with them, the sustained share stays one in ten; other zones are weighed from 0.8 of the own slots; an engine that does not serve the copy is shunned; a retry after a refusal costs no budget, since the refused attempt did no work, and a request still has three attempts.

--- a/src/coordination/request/request_machine.cpp
+++ b/src/coordination/request/request_machine.cpp
@@ -278,8 +278,8 @@
   if (aNow + settings_.minimumLeft_ >= info_.deadline_ || aNow >= sendUntil_) {
     return false;
   }
-  // An attempt that sent nothing has put no load on its target.
-  return !sending_ || budget_.tryRetry();
+  // An attempt that sent nothing or was refused has put no load on its target.
+  return !sending_ || aEnd == AttemptEnd::kRefused || budget_.tryRetry();
 }
 
 Action
--- a/src/coordination/request/retry_budget.h
+++ b/src/coordination/request/retry_budget.h
@@ -10,8 +10,8 @@
 struct RetryBudgetSettings
 {
   std::uint32_t ratioPermille_ = 100; ///< Retries earned by 1,000 requests.
-  std::uint32_t reserve_ = 10;        ///< Retries at hand at the start.
-  std::uint32_t maximum_ = 100;       ///< Most retries that can be saved up.
+  std::uint32_t reserve_ = 1000;      ///< Retries at hand at the start.
+  std::uint32_t maximum_ = 1000;      ///< Most retries that can be saved up.
   bool operator==(const RetryBudgetSettings&) const = default;
 };
 
--- a/src/coordination/request/target_chooser.h
+++ b/src/coordination/request/target_chooser.h
@@ -27,7 +27,7 @@
                                ///< the same targets at once.
   double prefixBonus_ = 0.1;   ///< Load in parts of a target's slots that a hit
                                ///< of the whole prompt outweighs.
-  double spillPressure_ = 2.0; ///< Load of the own zone in parts of its
+  double spillPressure_ = 0.8; ///< Load of the own zone in parts of its
                                ///< slots from which other zones are weighed.
   double remotePenalty_ = 0.5; ///< Load added to targets of other zones.
   double maxSlowness_ = 8.0;   ///< Greatest factor for a straggler.
--- a/src/transport/gateway/target_stream.cpp
+++ b/src/transport/gateway/target_stream.cpp
@@ -18,6 +18,11 @@
 constexpr std::size_t kMaxServiceAnswer =
   8ULL * 1024 * 1024; ///< Largest answer.
 
+constexpr std::uint32_t kOkStatus = 200; ///< The answer follows.
+constexpr std::uint32_t kNotServingStatus =
+  409;                                     ///< Not in that copy or not ready.
+constexpr std::uint32_t kFullStatus = 503; ///< Has no free place.
+
 /** @return Time limits for a call whose next event may take so long. */
 HttpTimeouts
 timeoutsFor(state::Duration aTimeout)
@@ -58,11 +63,17 @@
   return event;
 }
 
-/** @return Whether an engine's status says that it did not run the call. */
-bool
-engineRefused(std::uint32_t aStatus)
+/** @return The event for an engine's status other than success. */
+TargetEvent
+statusEvent(std::uint32_t aStatus)
 {
-  return aStatus == 409 || aStatus == 503;
+  TargetEvent event;
+  if (aStatus == kNotServingStatus) {
+    event.kind_ = TargetEventKind::kNotReached;
+  } else if (aStatus == kFullStatus) {
+    event.kind_ = TargetEventKind::kRefused;
+  }
+  return event;
 }
 
 } // namespace
@@ -108,16 +119,12 @@
   if (!call.hasResponse()) {
     return failureEvent(call.failure());
   }
-  TargetEvent event;
-  if (call.status() != 200) {
-    if (engineRefused(call.status())) {
-      event.kind_ = TargetEventKind::kRefused;
-      call.readAll(kMaxServiceAnswer, aYield);
-    }
-    return event;
+  if (call.status() != kOkStatus) {
+    call.readAll(kMaxServiceAnswer, aYield);
+    return statusEvent(call.status());
   }
   call_ = std::make_unique<HttpCall>(std::move(call));
-  return event;
+  return {};
 }
 
 TargetEvent
--- a/src/transport/gateway/target_stream.h
+++ b/src/transport/gateway/target_stream.h
@@ -21,7 +21,7 @@
   kToken,      ///< A token arrived.
   kWhole,      ///< The whole answer has arrived.
   kRefused,    ///< The target said that it did not run the request.
-  kNotReached, ///< No byte of the request can have reached the target.
+  kNotReached, ///< Certainly not run, and the target takes nothing at present.
   kCutShort,   ///< The connection broke, or the target broke its interface.
   kTimedOut,   ///< Nothing arrived in time.
 };
