Let one piece of code serve where the read-through found two

Change: SnapshotHolder, ScopedCount, sameSecret (OpenSSL) and serves() serve all of them; status() judges copies once; bodies are digested only for calls that make a claim.

--- a/src/app/admin_handler.cpp
+++ b/src/app/admin_handler.cpp
@@ -7,6 +7,7 @@
 #include "protocol/chat_codec.h"
 #include "state/config_codec.h"
 #include "transport/await_control.h"
+#include "transport/peer_auth.h"
 
 #include <glog/logging.h>
 
@@ -143,16 +144,8 @@
 bool
 AdminHandler::isAuthorized(const HttpRequest& aRequest) const
 {
-  const std::string_view given = aRequest.header("Authorization");
-  if (given.size() != authorization_.size()) {
-    return false;
-  }
-  // Compares all bytes so that the time taken tells nothing of the key.
-  unsigned difference = 0;
-  for (std::size_t index = 0; index < given.size(); ++index) {
-    difference |= static_cast<unsigned>(given[index] ^ authorization_[index]);
-  }
-  return difference == 0;
+  return transport::sameSecret(std::string(aRequest.header("Authorization")),
+                               authorization_);
 }
 
 void
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -77,13 +77,15 @@
   coordination::Admission admission_;     ///< Admission.
   coordination::RetryBudget budget_;      ///< Budget for retries.
   transport::ClaimDesk claimDesk_;        ///< Way to the claims.
-  transport::TrafficViewHolder views_;    ///< Snapshot for the gateway.
-  std::unique_ptr<TargetOpener> opener_;  ///< Ways to targets.
-  transport::Gateway gateway_;            ///< Answers callers.
-  AdminHandler admin_;                    ///< Answers operators.
-  ServingViewHolder targets_;             ///< Snapshot for forwarded requests.
-  ForwardedTargets forwardHandler_;       ///< Makes attempts for other daemons.
-  transport::ForwardServer forwards_;     ///< Takes forwarded requests.
+  transport::TrafficViewHolder views_{
+    transport::emptyTrafficView()
+  };                                     ///< Snapshot for the gateway.
+  std::unique_ptr<TargetOpener> opener_; ///< Ways to targets.
+  transport::Gateway gateway_;           ///< Answers callers.
+  AdminHandler admin_;                   ///< Answers operators.
+  ServingViewHolder targets_;            ///< Snapshot for forwarded requests.
+  ForwardedTargets forwardHandler_;      ///< Makes attempts for other daemons.
+  transport::ForwardServer forwards_;    ///< Takes forwarded requests.
   std::unique_ptr<transport::HttpServer> callers_;   ///< Callers' listener.
   std::unique_ptr<transport::HttpServer> operators_; ///< Operators' listener.
   std::thread controlThread_;                        ///< The control thread.
--- a/src/app/target_opener.h
+++ b/src/app/target_opener.h
@@ -6,27 +6,17 @@
 #include "transport/forward_server.h"
 #include "transport/gateway/request_runner.h"
 #include "transport/http_client.h"
+#include "transport/snapshot_holder.h"
 #include "transport/traffic_pool.h"
 
-#include <atomic>
 #include <memory>
-#include <utility>
+#include <optional>
 #include <vector>
 
 namespace auburnhaven::app {
 
-/** Newest serving view, set by the control thread. Thread-safe. */
-class ServingViewHolder
-{
-public:
-  /** @param aView New snapshot. */
-  void set(state::ServingViewPtr aView) { view_.store(std::move(aView)); }
-  /** @return Newest snapshot, or null before the first one. */
-  state::ServingViewPtr get() const { return view_.load(); }
-
-private:
-  std::atomic<state::ServingViewPtr> view_; ///< Newest snapshot.
-};
+using ServingViewHolder =
+  transport::SnapshotHolder<state::ServingView>; ///< Newest view, or null.
 
 /** Opens attempts with the clients of the request's traffic thread. */
 class TargetOpener : public transport::StreamOpener
--- a/src/coordination/group/group_manager.h
+++ b/src/coordination/group/group_manager.h
@@ -103,7 +103,8 @@
   bool areFactsKnown() const;
   void noteOpenStates(state::Duration aElapsed);
   void noteOpen(OpenState& aState, bool aOpen) const;
-  GroupStatus statusOf(const state::ServingGroup& aGroup) const;
+  GroupStatus statusOf(const state::ServingGroup& aGroup,
+                       const std::vector<state::ServingCopy>& aCopies) const;
   CopyStatus statusOf(const state::ServingCopy& aCopy) const;
   DomainStatus statusOf(const state::DomainRecord& aRecord) const;
   void countStranded(const state::DomainRecord& aRecord,
--- a/src/coordination/group/group_manager_status.cpp
+++ b/src/coordination/group/group_manager_status.cpp
@@ -18,8 +18,9 @@
 {
   GroupStatusReport report;
   if (configuration_) {
+    const std::vector<state::ServingCopy> known = copies();
     for (const auto& [id, group] : configuration_->groups_) {
-      report.groups_.push_back(statusOf(group));
+      report.groups_.push_back(statusOf(group, known));
     }
   }
   for (const auto& [domain, record] : knowledge_.records()) {
@@ -64,7 +65,8 @@
 }
 
 GroupStatus
-GroupManager::statusOf(const state::ServingGroup& aGroup) const
+GroupManager::statusOf(const state::ServingGroup& aGroup,
+                       const std::vector<state::ServingCopy>& aCopies) const
 {
   GroupStatus status;
   status.id_ = aGroup.id_;
@@ -73,7 +75,7 @@
   if (state != groupStates_.end()) {
     status.downtime_ = state->second.downtime_;
   }
-  for (const state::ServingCopy& copy : copies()) {
+  for (const state::ServingCopy& copy : aCopies) {
     if (copy.id_.group_ == aGroup.id_) {
       status.open_ += copy.open_ ? 1 : 0;
       status.copies_.push_back(statusOf(copy));
--- a/src/transport/gateway/gateway.cpp
+++ b/src/transport/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "transport/gateway/gateway.h"
 
 #include "protocol/chat_codec.h"
+#include "transport/scoped_count.h"
 #include "transport/table/refusal_table.h"
 
 #include <algorithm>
@@ -54,27 +55,6 @@
   return aKind == OutcomeKind::kNotRun && gatewayFault ? 503 : aRow.status_;
 }
 
-/** Counts requests in hand for as long as it lives. */
-class InHand
-{
-public:
-  /** @param aCount Where to count. */
-  explicit InHand(std::atomic<std::uint32_t>& aCount)
-    : count_(aCount)
-    , before_(aCount.fetch_add(1))
-  {
-  }
-  ~InHand() { --count_; }
-  InHand(const InHand&) = delete;
-  InHand& operator=(const InHand&) = delete;
-  /** @return How many there were before this one. */
-  std::uint32_t before() const { return before_; }
-
-private:
-  std::atomic<std::uint32_t>& count_; ///< Where to count.
-  std::uint32_t before_;              ///< Count before this one.
-};
-
 } // namespace
 
 const Gateway::Route Gateway::kRoutes[] = {
@@ -110,7 +90,7 @@
   const std::string id = isUsableId(given) ? std::string(given) : ownId;
   Exchange exchange{ aThread, aRequest, aResponder,  aYield,
                      ownId,   id,       views_.get() };
-  const InHand inHand(inFlight_);
+  const ScopedCount inHand(inFlight_);
   if (inHand.before() >= settings_.maxInFlight_) {
     refuse(exchange,
            503,
@@ -171,9 +151,7 @@
   }
   std::vector<std::string> models;
   for (const auto& [id, group] : aExchange.view_->configuration().groups_) {
-    const auto& allowed = group.accounts_;
-    if (std::find(allowed.begin(), allowed.end(), account->id_) !=
-        allowed.end()) {
+    if (serves(group.accounts_, account->id_)) {
       models.push_back(id.value());
     }
   }
--- a/src/transport/gateway/gateway_service.cpp
+++ b/src/transport/gateway/gateway_service.cpp
@@ -97,9 +97,7 @@
            "there is no such service or operation");
     return;
   }
-  const auto& allowed = found->second.accounts_;
-  if (std::find(allowed.begin(), allowed.end(), account->id_) ==
-      allowed.end()) {
+  if (!serves(found->second.accounts_, account->id_)) {
     refuse(aExchange,
            403,
            "service_not_allowed",
@@ -119,7 +117,9 @@
     call.info_.deadline_ =
       std::min(call.info_.deadline_, parts_.clock_.now() + operation->timeout_);
   }
-  call.info_.bodyDigest_ = state::sha256Hex(aExchange.request_.body_);
+  if (!call.info_.idempotent_ && !call.info_.idempotencyKey_.empty()) {
+    call.info_.bodyDigest_ = state::sha256Hex(aExchange.request_.body_);
+  }
   call.payload_ = aExchange.request_.body_;
   call.contentType_ = std::string(aExchange.request_.header("Content-Type"));
   runService(aExchange, std::move(call));
--- a/src/transport/gateway/traffic_view.cpp
+++ b/src/transport/gateway/traffic_view.cpp
@@ -9,19 +9,6 @@
 
 namespace auburnhaven::transport {
 
-namespace {
-
-/** @return Whether a group serves an account. */
-bool
-serves(const state::ServingGroup& aGroup, const state::AccountId& aAccount)
-{
-  return std::find(aGroup.accounts_.begin(),
-                   aGroup.accounts_.end(),
-                   aAccount) != aGroup.accounts_.end();
-}
-
-} // namespace
-
 TrafficView::TrafficView(state::ConfigurationPtr aConfiguration)
   : configuration_(std::move(aConfiguration))
 {
@@ -50,17 +37,26 @@
     }
     aKnown = true;
     const bool exact = id.value() == aModel;
-    if (serves(group, aAccount) && (exact || match == nullptr)) {
+    if (serves(group.accounts_, aAccount) && (exact || match == nullptr)) {
       match = &group;
     }
   }
   return match;
 }
 
-TrafficViewHolder::TrafficViewHolder()
-  : view_(std::make_shared<const TrafficView>(
-      std::make_shared<const state::Configuration>()))
+TrafficViewPtr
+emptyTrafficView()
+{
+  return std::make_shared<const TrafficView>(
+    std::make_shared<const state::Configuration>());
+}
+
+bool
+serves(const std::vector<state::AccountId>& aAccounts,
+       const state::AccountId& aAccount)
 {
+  return std::find(aAccounts.begin(), aAccounts.end(), aAccount) !=
+         aAccounts.end();
 }
 
 } // namespace auburnhaven::transport
--- a/src/transport/gateway/traffic_view.h
+++ b/src/transport/gateway/traffic_view.h
@@ -2,12 +2,13 @@
 #pragma once
 
 #include "state/config_type.h"
+#include "transport/snapshot_holder.h"
 
-#include <atomic>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace auburnhaven::transport {
 
@@ -44,18 +45,19 @@
 
 using TrafficViewPtr = std::shared_ptr<const TrafficView>; ///< Shared snapshot.
 
-/** Newest snapshot, set by the control thread. Thread-safe. */
-class TrafficViewHolder
-{
-public:
-  TrafficViewHolder();
-  /** @param aView New snapshot. */
-  void set(TrafficViewPtr aView) { view_.store(std::move(aView)); }
-  /** @return Newest snapshot, never null. */
-  TrafficViewPtr get() const { return view_.load(); }
+using TrafficViewHolder = SnapshotHolder<TrafficView>; ///< Newest snapshot.
 
-private:
-  std::atomic<TrafficViewPtr> view_; ///< Newest snapshot.
-};
+/** @return A snapshot of an empty configuration. Thread-safe. */
+TrafficViewPtr
+emptyTrafficView();
+
+/**
+ * @param aAccounts Client accounts that a group or service serves.
+ * @param aAccount A client account.
+ * @return Whether it is among them. Thread-safe.
+ */
+bool
+serves(const std::vector<state::AccountId>& aAccounts,
+       const state::AccountId& aAccount);
 
 } // namespace auburnhaven::transport
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -3,6 +3,7 @@
 #include "transport/http_session.h"
 
 #include "protocol/chat_codec.h"
+#include "transport/scoped_count.h"
 
 #include <boost/asio.hpp>
 #include <boost/asio/spawn.hpp>
@@ -24,24 +25,6 @@
 
 using Parser = http::request_parser<http::string_body>;
 
-/** Counts a request in flight for as long as it lives. */
-class InFlight
-{
-public:
-  /** @param aState Where to count. */
-  explicit InFlight(HttpServerState& aState)
-    : state_(aState)
-  {
-    ++state_.inFlight_;
-  }
-  ~InFlight() { --state_.inFlight_; }
-  InFlight(const InFlight&) = delete;
-  InFlight& operator=(const InFlight&) = delete;
-
-private:
-  HttpServerState& state_; ///< Where to count.
-};
-
 /** @return The library's view of a string. */
 beast::string_view
 view(std::string_view aText)
@@ -255,7 +238,7 @@
     if (!waitForBytes(aYield)) {
       return false;
     }
-    const InFlight counted(*context_.state_);
+    const ScopedCount counted(context_.state_->inFlight_);
     const boost::system::error_code error = read(parser, aYield);
     if (error) {
       refuse(describe(error, buffer_.size() > 0 || parser.got_some()), aYield);
--- a/src/transport/peer_auth.cpp
+++ b/src/transport/peer_auth.cpp
@@ -67,7 +67,7 @@
 }
 
 bool
-sameProof(const std::string& aOne, const std::string& aOther)
+sameSecret(const std::string& aOne, const std::string& aOther)
 {
   return aOne.size() == aOther.size() &&
          CRYPTO_memcmp(aOne.data(), aOther.data(), aOne.size()) == 0;
--- a/src/transport/peer_auth.h
+++ b/src/transport/peer_auth.h
@@ -35,9 +35,9 @@
           const std::string& aSide,
           const PeerChallenge& aChallenge);
 
-/** Compares two proofs in constant time. Thread-safe. */
+/** Compares two secrets in constant time. Thread-safe. */
 bool
-sameProof(const std::string& aOne, const std::string& aOther);
+sameSecret(const std::string& aOne, const std::string& aOther);
 
 /**
  * @param aText "address:port".
--- a/src/transport/peer_session.cpp
+++ b/src/transport/peer_session.cpp
@@ -107,7 +107,7 @@
   challenge_.serverNonce_ = fieldOf(aFields, "x-nonce");
   const std::string expected =
     makeProof(settings_.key_, kServerSide, challenge_);
-  if (!sameProof(fieldOf(aFields, "x-proof"), expected)) {
+  if (!sameSecret(fieldOf(aFields, "x-proof"), expected)) {
     close("peer has another key");
     return;
   }
@@ -123,7 +123,7 @@
   const std::string expected =
     makeProof(settings_.key_, kClientSide, challenge_);
   if (challenge_.serverNonce_.empty() ||
-      !sameProof(fieldOf(aFields, "x-proof"), expected)) {
+      !sameSecret(fieldOf(aFields, "x-proof"), expected)) {
     close("peer has another key");
     return;
   }
