Share the benchmarks' options and the tests' collection of faults

Cause: three benchmarks had the same option reader, two test files the same way from a parser to its faults. Change: bench/option_func.h and tests/app/faults_of.h; assertions and messages are as before.

--- a/bench/group_downtime.cpp
+++ b/bench/group_downtime.cpp
@@ -2,9 +2,8 @@
 // failure traces.
 
 #include "group_world.h"
+#include "option_func.h"
 
-#include <cstdlib>
-#include <cstring>
 #include <iomanip>
 #include <iostream>
 
@@ -15,17 +14,6 @@
 constexpr std::int64_t kDay = 86400;
 constexpr std::int64_t kHour = 3600;
 
-std::uint64_t
-option(int aCount, char** aArguments, const char* aName, std::uint64_t aDefault)
-{
-  for (int index = 1; index + 1 < aCount; ++index) {
-    if (std::strcmp(aArguments[index], aName) == 0) {
-      return std::strtoull(aArguments[index + 1], nullptr, 10);
-    }
-  }
-  return aDefault;
-}
-
 /** A size and an operator's choice. */
 struct Setting
 {
--- a/bench/group_random.cpp
+++ b/bench/group_random.cpp
@@ -2,28 +2,12 @@
 // after each step.
 
 #include "fakes/fake_engine_faults.h"
+#include "option_func.h"
 
-#include <cstdlib>
-#include <cstring>
 #include <iostream>
 
 using namespace auburnhaven;
 
-namespace {
-
-std::uint64_t
-option(int aCount, char** aArguments, const char* aName, std::uint64_t aDefault)
-{
-  for (int index = 1; index + 1 < aCount; ++index) {
-    if (std::strcmp(aArguments[index], aName) == 0) {
-      return std::strtoull(aArguments[index + 1], nullptr, 10);
-    }
-  }
-  return aDefault;
-}
-
-} // namespace
-
 /**
  * Runs --runs schedules of --steps steps, the first with --seed; odd seeds
  * write reserves ahead.
@@ -32,9 +16,12 @@
 int
 main(int aCount, char** aArguments)
 {
-  const std::uint64_t seed = option(aCount, aArguments, "--seed", 1);
-  const std::uint64_t steps = option(aCount, aArguments, "--steps", 20000);
-  const std::uint64_t runs = option(aCount, aArguments, "--runs", 1);
+  const std::uint64_t seed =
+    auburnhaven::bench::option(aCount, aArguments, "--seed", 1);
+  const std::uint64_t steps =
+    auburnhaven::bench::option(aCount, aArguments, "--steps", 20000);
+  const std::uint64_t runs =
+    auburnhaven::bench::option(aCount, aArguments, "--runs", 1);
   std::uint64_t failed = 0;
   for (std::uint64_t run = 0; run < runs; ++run) {
     for (const bool checks : { true, false }) {
--- a/bench/request_random.cpp
+++ b/bench/request_random.cpp
@@ -1,32 +1,17 @@
 // Long random run of requests with all invariants checked.
 
 #include "coordination/request_random_world.h"
+#include "option_func.h"
 
-#include <cstdlib>
-#include <cstring>
 #include <iostream>
 
-namespace {
-
-/** @return Value after an option on the command line, or a default. */
-std::uint64_t
-option(int aCount, char** aArguments, const char* aName, std::uint64_t aDefault)
-{
-  for (int index = 1; index + 1 < aCount; ++index) {
-    if (std::strcmp(aArguments[index], aName) == 0) {
-      return std::strtoull(aArguments[index + 1], nullptr, 10);
-    }
-  }
-  return aDefault;
-}
-
-} // namespace
-
 int
 main(int aCount, char** aArguments)
 {
-  const std::uint64_t seed = option(aCount, aArguments, "--seed", 1);
-  const std::uint64_t steps = option(aCount, aArguments, "--steps", 1000000);
+  const std::uint64_t seed =
+    auburnhaven::bench::option(aCount, aArguments, "--seed", 1);
+  const std::uint64_t steps =
+    auburnhaven::bench::option(aCount, aArguments, "--steps", 1000000);
   auburnhaven::fakes::RequestRandomWorld world(seed);
   const auburnhaven::fakes::RandomRunReport report = world.run(steps);
   std::cout << "bench_request_random --seed " << seed << " --steps " << steps
--- a/tests/app/config_file_test.cpp
+++ b/tests/app/config_file_test.cpp
@@ -1,6 +1,7 @@
 // Tests of reading and checking configuration files.
 
 #include "app/config_file.h"
+#include "app/faults_of.h"
 #include "auburnhaven/operator.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -55,16 +56,11 @@
 std::vector<state::InputError>
 faultsOf(const std::string& aText)
 {
-  std::vector<state::InputError> errors;
-  state::leaf::try_handle_all(
-    [&]() -> state::leaf::result<void> {
-      BOOST_LEAF_AUTO(parsed, app::parseConfiguration(aText, "c.toml"));
-      CPPUNIT_ASSERT(!parsed.accounts_.empty());
-      return {};
-    },
-    [&](const state::InputErrors& aErrors) { errors = aErrors.errors_; },
-    [] { CPPUNIT_FAIL("error without faults"); });
-  return errors;
+  return fakes::faultsOf([&]() -> state::leaf::result<void> {
+    BOOST_LEAF_AUTO(parsed, app::parseConfiguration(aText, "c.toml"));
+    CPPUNIT_ASSERT(!parsed.accounts_.empty());
+    return {};
+  });
 }
 
 /** One wrong edit of the good file and the fault that it gives. */
--- a/tests/app/settings_test.cpp
+++ b/tests/app/settings_test.cpp
@@ -1,5 +1,6 @@
 // Tests of reading settings files.
 
+#include "app/faults_of.h"
 #include "app/settings_file.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -29,16 +30,11 @@
 std::vector<state::InputError>
 faultsOf(const std::string& aText)
 {
-  std::vector<state::InputError> errors;
-  state::leaf::try_handle_all(
-    [&]() -> state::leaf::result<void> {
-      BOOST_LEAF_AUTO(settings, app::parseSettings(aText, "s.toml"));
-      CPPUNIT_ASSERT(!settings.daemon_.empty());
-      return {};
-    },
-    [&](const state::InputErrors& aErrors) { errors = aErrors.errors_; },
-    [] { CPPUNIT_FAIL("error without faults"); });
-  return errors;
+  return fakes::faultsOf([&]() -> state::leaf::result<void> {
+    BOOST_LEAF_AUTO(settings, app::parseSettings(aText, "s.toml"));
+    CPPUNIT_ASSERT(!settings.daemon_.empty());
+    return {};
+  });
 }
 
 /** @return A text with one part replaced. */
