Answer the next request on a kept connection while the server drains

A session looked at the drain after its response had gone out as keep-alive, and closed a connection on which the caller had been told to go on; a request sent there was cut off. Change: a connection is closed only after a response that says so; the header decides once, when it is made.

--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -252,7 +252,7 @@
     context_.handler_->handle(context_.thread_, request, *this, aYield);
     goneHandler_ = nullptr;
     stopWatching();
-    return keepAlive_ && !gone_ && !context_.state_->draining_;
+    return keepAlive_ && !gone_;
   }
 
   /** Waits for the first byte of a request. @return Whether one came in time.
