--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -5,6 +5,8 @@
 #include "app/command_config.h"
 #include "app/command_func.h"
 #include "app/command_status.h"
+#include "app/relay_daemon.h"
+#include "app/relay_settings_file.h"
 #include "app/serve.h"
 #include "app/settings_file.h"
 
@@ -38,6 +40,32 @@
   });
 }
 
+/** Reads the settings and runs the relay daemon. */
+int
+relay(const std::string& aPath)
+{
+  return runCommand([&]() -> state::leaf::result<int> {
+    BOOST_LEAF_AUTO(settings, readRelaySettings(aPath));
+    return RelayDaemon(std::move(settings)).run();
+  });
+}
+
+/** Declares `relay` and `relay-settings`. */
+void
+addRelayCommands(CLI::App& aApp, CommandOptions& aOptions)
+{
+  CLI::App* command = aApp.add_subcommand(
+    "relay", "Run the relay daemon, which passes requests through");
+  command->add_option("--settings", aOptions.settings_, "Settings file in TOML")
+    ->required();
+  command->callback(
+    [&aOptions] { aOptions.status_ = relay(aOptions.settings_); });
+  aApp
+    .add_subcommand("relay-settings",
+                    "Print the reference of the relay daemon's settings")
+    ->callback([] { std::cout << relaySettingsReference(); });
+}
+
 /** Declares `serve` and `settings`. */
 void
 addDaemonCommands(CLI::App& aApp, CommandOptions& aOptions)
@@ -176,6 +204,7 @@
   app.require_subcommand(1);
   CommandOptions options;
   addDaemonCommands(app, options);
+  addRelayCommands(app, options);
   addConfigCommands(app, options);
   addStatusCommands(app, options);
   try {
--- /dev/null
+++ b/src/app/relay_daemon.cpp
@@ -0,0 +1,432 @@
+// The relay daemon: wiring, periodic work and graceful stop.
+
+#include "app/relay_daemon.h"
+
+#include "app/command_line.h"
+#include "protocol/base64_func.h"
+#include "state/routing_func.h"
+
+#include <algorithm>
+#include <csignal>
+#include <unistd.h>
+#include <utility>
+
+namespace auburnhaven::app {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kControlTick(40); ///< Period of the control work.
+constexpr milliseconds kDrainPoll(20);   ///< Period of checks at the stop.
+constexpr milliseconds kStopMargin(500); ///< Kept of the stop limit.
+constexpr milliseconds kOwnZonePatience(
+  120); ///< Longest random wait before a daemon of the zone tries for the
+        ///< vacant duty.
+constexpr milliseconds kOtherZonePatience(
+  2500); ///< Wait before a daemon of another zone does.
+constexpr milliseconds kTryPeriod(400);        ///< Between two tries.
+constexpr milliseconds kLeaseTimeToLive(1500); ///< Of a zone's duty.
+constexpr milliseconds kLeaseRenewal(400);     ///< Between two renewals.
+constexpr milliseconds kLeaseMargin(400); ///< End of the own authority before
+                                          ///< the store's lease.
+constexpr milliseconds kLeaseRetry(150);  ///< After a renewal that failed.
+constexpr std::chrono::seconds kProbeAfter(1); ///< Silence before TCP probes.
+constexpr std::uint32_t kPermille = 1000;      ///< Thousandths.
+constexpr char kOwnPrefix[] = "auburnhaven/";  ///< Of the daemons' keys.
+constexpr char kDutyPrefix[] = "auburnhaven/coordinator/"; ///< Of the duties.
+constexpr std::string_view kPart = "daemon"; ///< Part of the program in logs.
+
+/** @return Text form of an endpoint. */
+std::string
+textOf(const state::Endpoint& aEndpoint)
+{
+  return aEndpoint.address_ + ':' + std::to_string(aEndpoint.port_);
+}
+
+/** @return Times of a zone's lease. */
+coordination::LeaseLimits
+dutyLimits()
+{
+  coordination::LeaseLimits limits;
+  limits.timeToLive_ = kLeaseTimeToLive;
+  limits.renewal_ = kLeaseRenewal;
+  limits.margin_ = kLeaseMargin;
+  limits.retryPause_ = kLeaseRetry;
+  return limits;
+}
+
+/** @return What a coordinator is told about its zone. */
+coordination::ReplicaZone
+replicaZone(const RelayDaemonSettings& aSettings, const state::ZoneId& aZone)
+{
+  coordination::ReplicaZone zone;
+  zone.zone_ = aZone;
+  zone.zones_ = static_cast<std::uint32_t>(
+    std::max<std::size_t>(1, aSettings.zones_.size()));
+  zone.firstStart_ = aSettings.firstStart_;
+  zone.formationTime_ = aSettings.formationTime_;
+  return zone;
+}
+
+/** @return Limits of the copies. */
+coordination::ReplicaLimits
+replicaLimits(const RelayDaemonSettings& aSettings)
+{
+  coordination::ReplicaLimits limits;
+  limits.stallLimit_ = aSettings.stallLimit_;
+  return limits;
+}
+
+/** @return Settings of the follower. */
+coordination::FollowerSettings
+followerSettings()
+{
+  coordination::FollowerSettings settings;
+  settings.configKey_ = platform::kConfigKey;
+  settings.instancePrefix_ = platform::kInstancePrefix;
+  settings.ownPrefix_ = kOwnPrefix;
+  return settings;
+}
+
+/** @return Settings of the links to other daemons. */
+transport::PeerLinksSettings
+linkSettings(const RelayDaemonSettings& aSettings, std::uint64_t aSeed)
+{
+  transport::PeerLinksSettings links;
+  links.listen_ = aSettings.listeners_.peers_;
+  links.key_ = aSettings.peerKey_;
+  links.seed_ = aSeed;
+  return links;
+}
+
+/** @return Limits of the connections that clients keep. */
+transport::HttpClientLimits
+clientLimits()
+{
+  transport::HttpClientLimits limits;
+  limits.probeAfter_ = kProbeAfter;
+  return limits;
+}
+
+/** @return Signals that end the daemon, and the one that announces settings. */
+sigset_t
+awaitedSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  return signals;
+}
+
+/** @return The daemon's part of the budget of repeated sends. */
+coordination::RetryBudgetSettings
+budgetSettings(const RelayRetryLimits& aLimits)
+{
+  constexpr double kUsedShare = 0.8; // Part of the ratio that is used.
+  // With the limit's extra sends divided by this many daemons, all together
+  // stay below it also when some have more requests than others.
+  constexpr std::uint32_t kDaemons = 30;
+  coordination::RetryBudgetSettings budget;
+  budget.ratioPermille_ =
+    static_cast<std::uint32_t>(aLimits.ratio_ * kUsedShare * kPermille);
+  budget.reserve_ = std::max(4U, aLimits.extra_ / kDaemons);
+  budget.maximum_ = budget.reserve_;
+  return budget;
+}
+
+} // namespace
+
+ZoneDuty::ZoneDuty(const RelayDaemonSettings& aSettings,
+                   state::Clock& aClock,
+                   coordination::Store& aStore,
+                   coordination::ReplicaEngines& aEngines,
+                   state::EventLog& aLog,
+                   const state::ZoneId& aZone)
+  : clock_(aClock)
+  , key_(kDutyPrefix + aZone.value())
+  , self_(textOf(aSettings.listeners_.peers_) + ' ' +
+          std::to_string(aClock.wallNow().time_since_epoch().count()))
+  , vacantSince_(aClock.now())
+  , lease_(aClock, aStore, key_, self_, dutyLimits())
+  , coordinator_(aClock,
+                 aEngines,
+                 lease_,
+                 aLog,
+                 replicaZone(aSettings, aZone),
+                 replicaLimits(aSettings))
+{
+  std::mt19937_64 random{ std::random_device{}() };
+  const auto jitter = milliseconds(
+    random() % static_cast<std::uint64_t>(kOwnZonePatience.count()));
+  patience_ =
+    aZone == aSettings.zone_ ? jitter : kOtherZonePatience + jitter * 10;
+}
+
+void
+ZoneDuty::setHolder(const std::optional<std::string>& aHolder)
+{
+  if (holder_ && !aHolder) {
+    vacantSince_ = clock_.now();
+  }
+  holder_ = aHolder;
+}
+
+void
+ZoneDuty::tick(bool aMayTry)
+{
+  const bool vacant = !holder_ || *holder_ == self_;
+  const bool tries =
+    aMayTry && vacant && clock_.now() - vacantSince_ >= patience_;
+  lease_.tick(tries ? std::optional<state::Duration>(kTryPeriod)
+                    : std::nullopt);
+  coordinator_.tick();
+}
+
+void
+ZoneDuty::handBack()
+{
+  if (lease_.holds()) {
+    lease_.release([] {});
+  }
+}
+
+RelayDaemon::RelayDaemon(RelayDaemonSettings aSettings)
+  : settings_(std::move(aSettings))
+  , seed_(std::random_device{}())
+  , log_(clock_, STDOUT_FILENO)
+  , client_(control_.context(), clientLimits())
+  , caller_(control_.context(), client_)
+  , store_(caller_, { settings_.store_ })
+  , engines_(caller_, clock_)
+  , follower_(clock_, store_, codec_, log_, followerSettings())
+  , links_(control_.context(), linkSettings(settings_, seed_))
+  , exchange_(clock_, links_, follower_, settings_.listeners_.peers_, seed_)
+  , traffic_(1)
+  , targets_(clock_,
+             {},
+             [engine = std::mt19937_64(seed_)]() mutable { return engine(); })
+  , budget_(budgetSettings(settings_.retries_))
+  , relay_({ clock_,
+             targets_,
+             budget_,
+             dialect_,
+             routes_,
+             trafficClients_,
+             log_,
+             metrics_ },
+           {})
+  , status_(settings_.readyPath_, metrics_)
+{
+  for (std::size_t thread = 0; thread < traffic_.size(); ++thread) {
+    trafficClients_.push_back(std::make_unique<transport::HttpClient>(
+      traffic_.context(thread), clientLimits()));
+  }
+  for (const state::ZoneId& zone : settings_.zones_) {
+    duties_[zone] = std::make_unique<ZoneDuty>(
+      settings_, clock_, store_, engines_, log_, zone);
+  }
+}
+
+RelayDaemon::~RelayDaemon() = default;
+
+int
+RelayDaemon::run()
+{
+  const sigset_t signals = awaitedSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::string fault = startServers();
+  if (!fault.empty()) {
+    log_.write(state::LogWeight::kChange,
+               kPart,
+               "cannot start",
+               { state::logField("why", std::string_view(fault)) });
+    return kExitFailed;
+  }
+  connectParts();
+  control_.every(kControlTick, [this] { tick(); });
+  controlThread_ = std::thread([this] { control_.run(); });
+  traffic_.start();
+  log_.write(
+    state::LogWeight::kChange,
+    kPart,
+    "started",
+    { state::logField("daemon", std::string_view(settings_.daemon_.value())),
+      state::logField("zone", std::string_view(settings_.zone_.value())),
+      state::logField("first_start", settings_.firstStart_) });
+  noteSignals();
+  stop();
+  return kExitOk;
+}
+
+std::string
+RelayDaemon::startServers()
+{
+  callers_ =
+    std::make_unique<transport::HttpServer>(traffic_,
+                                            settings_.listeners_.callers_,
+                                            transport::HttpServerLimits(),
+                                            relay_);
+  std::string fault = callers_->start();
+  if (!fault.empty()) {
+    return "cannot listen for callers: " + fault;
+  }
+  balancer_ =
+    std::make_unique<transport::HttpServer>(traffic_,
+                                            settings_.listeners_.status_,
+                                            transport::HttpServerLimits(),
+                                            status_);
+  fault = balancer_->start();
+  if (!fault.empty()) {
+    return "cannot listen for status: " + fault;
+  }
+  fault = links_.start();
+  return fault.empty() ? fault : "cannot listen for peers: " + fault;
+}
+
+void
+RelayDaemon::connectParts()
+{
+  follower_.onConfig(
+    [this](const state::RoutingConfigPtr& /*aConfig*/) { takeConfig(); });
+  follower_.onInstances(
+    [this](const state::InstanceMapPtr& /*aInstances*/) { takeInstances(); });
+  follower_.onOwnKey(
+    [this](const std::string& aKey, const std::optional<std::string>& aValue) {
+      takeOwnKey(aKey, aValue);
+    });
+  updatePeers();
+}
+
+void
+RelayDaemon::tick()
+{
+  follower_.tick();
+  exchange_.tick();
+  const bool mayTry =
+    !stopping_ && follower_.hasListed() && !follower_.hasOutage();
+  for (auto& [zone, duty] : duties_) {
+    if (relay_.requests() > 0) {
+      duty->coordinator().noteTraffic();
+    }
+    duty->tick(mayTry);
+  }
+}
+
+void
+RelayDaemon::takeConfig()
+{
+  const state::RoutingConfigPtr& config = follower_.config();
+  routes_.set(std::make_shared<const coordination::RouteTable>(config));
+  std::optional<state::EngineSpec> engine;
+  for (const state::ServiceSpec& service : config->services_) {
+    if (service.engine_) {
+      engine = service.engine_;
+    }
+  }
+  for (auto& [zone, duty] : duties_) {
+    duty->coordinator().setEngine(engine);
+  }
+  updateView();
+  if (!stopping_) {
+    status_.setReady(true);
+  }
+}
+
+void
+RelayDaemon::takeInstances()
+{
+  std::map<state::ZoneId, std::vector<state::Instance>> engines;
+  for (const auto& [vm, instance] : *follower_.instances()) {
+    if (instance.engine_) {
+      engines[instance.zone_].push_back(instance);
+    }
+  }
+  for (auto& [zone, duty] : duties_) {
+    duty->coordinator().setInstances(engines[zone]);
+  }
+  updateView();
+}
+
+void
+RelayDaemon::takeOwnKey(const std::string& aKey,
+                        const std::optional<std::string>& aValue)
+{
+  for (auto& [zone, duty] : duties_) {
+    if (duty->key() == aKey) {
+      duty->setHolder(aValue);
+      updatePeers();
+    }
+  }
+}
+
+void
+RelayDaemon::updateView()
+{
+  if (follower_.config()) {
+    targets_.setView(follower_.config(), follower_.instances());
+  }
+}
+
+void
+RelayDaemon::updatePeers()
+{
+  std::vector<state::Endpoint> peers = settings_.seedPeers_;
+  for (const auto& [zone, duty] : duties_) {
+    const std::string holder = duty->holder().value_or("");
+    if (const auto endpoint =
+          platform::decodeEndpoint(holder.substr(0, holder.find(' ')))) {
+      peers.push_back(*endpoint);
+    }
+  }
+  exchange_.setPeers(std::move(peers));
+}
+
+void
+RelayDaemon::noteSignals()
+{
+  const sigset_t signals = awaitedSignals();
+  int signal = SIGHUP;
+  while (signal == SIGHUP) {
+    sigwait(&signals, &signal);
+    log_.write(state::LogWeight::kChange,
+               kPart,
+               signal == SIGHUP ? "settings may have changed" : "stopping",
+               { state::logField("signal", signal) });
+  }
+}
+
+void
+RelayDaemon::stop()
+{
+  status_.setReady(false);
+  callers_->closeAfterResponses();
+  control_.post([this] {
+    stopping_ = true;
+    status_.setReady(false);
+    for (auto& [zone, duty] : duties_) {
+      duty->handBack();
+    }
+  });
+  std::this_thread::sleep_for(settings_.balancerLag_);
+  callers_->drain();
+  milliseconds left =
+    settings_.stopLimit_ - settings_.balancerLag_ - kStopMargin;
+  while (left.count() > 0 && callers_->inFlight() > 0) {
+    std::this_thread::sleep_for(kDrainPoll);
+    left -= kDrainPoll;
+  }
+  log_.write(state::LogWeight::kChange,
+             kPart,
+             "stopped",
+             { state::logField("requests_cut", callers_->inFlight()),
+               state::logField("requests", relay_.requests()) });
+  traffic_.stop();
+  control_.stop();
+  controlThread_.join();
+}
+
+} // namespace auburnhaven::app
--- /dev/null
+++ b/src/app/relay_daemon.h
@@ -0,0 +1,143 @@
+// The relay daemon: wiring, periodic work and graceful stop.
+#pragma once
+
+#include "app/relay_settings_type.h"
+#include "coordination/authority_lease.h"
+#include "coordination/replica/replica_coordinator.h"
+#include "coordination/request/retry_budget.h"
+#include "coordination/routing/store_follower.h"
+#include "coordination/routing/target_pool.h"
+#include "platform/engine_orders.h"
+#include "platform/kv_store.h"
+#include "platform/request_dialect.h"
+#include "platform/routing_codec.h"
+#include "protocol/config_exchange.h"
+#include "transport/control_loop.h"
+#include "transport/event_log_writer.h"
+#include "transport/http_client.h"
+#include "transport/peer_links.h"
+#include "transport/relay/relay_handler.h"
+#include "transport/relay/status_handler.h"
+#include "transport/service_caller.h"
+#include "transport/system_clock.h"
+#include "transport/traffic_pool.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+
+namespace auburnhaven::app {
+
+/** Tries for the coordination of zones, the own one first. Control thread only.
+ */
+class ZoneDuty
+{
+public:
+  /**
+   * @param aSettings Settings of the daemon.
+   * @param aClock Clock; outlives this object.
+   * @param aStore The store; outlives this object.
+   * @param aEngines The engines; outlive this object.
+   * @param aLog Log; outlives this object.
+   * @param aZone The zone.
+   */
+  ZoneDuty(const RelayDaemonSettings& aSettings,
+           state::Clock& aClock,
+           coordination::Store& aStore,
+           coordination::ReplicaEngines& aEngines,
+           state::EventLog& aLog,
+           const state::ZoneId& aZone);
+
+  /** @return Key of the zone's lease. */
+  const std::string& key() const { return key_; }
+  /**
+   * Takes the present holder of the lease.
+   * @param aHolder The holder, or nothing when there is none.
+   */
+  void setHolder(const std::optional<std::string>& aHolder);
+  /** @return The present holder, as last heard. */
+  const std::optional<std::string>& holder() const { return holder_; }
+  /**
+   * Does what is due.
+   * @param aMayTry Whether to try for the lease when nobody has it.
+   */
+  void tick(bool aMayTry);
+  /** @return The coordinator of the zone. */
+  coordination::ReplicaCoordinator& coordinator() { return coordinator_; }
+  /** Gives the lease back, when it is held. */
+  void handBack();
+
+private:
+  const state::Clock& clock_;          ///< Clock.
+  std::string key_;                    ///< Key of the lease.
+  std::string self_;                   ///< Holder's name of this process.
+  state::Duration patience_;           ///< Wait before a try.
+  std::optional<std::string> holder_;  ///< Present holder.
+  state::TimePoint vacantSince_{};     ///< Since when there is none.
+  coordination::AuthorityLease lease_; ///< The lease.
+  coordination::ReplicaCoordinator coordinator_; ///< The coordinator.
+};
+
+/** One relay daemon. Used by the thread that makes it. */
+class RelayDaemon
+{
+public:
+  /** @param aSettings Checked settings. */
+  explicit RelayDaemon(RelayDaemonSettings aSettings);
+  ~RelayDaemon();
+  RelayDaemon(const RelayDaemon&) = delete;
+  RelayDaemon& operator=(const RelayDaemon&) = delete;
+
+  /**
+   * Runs until SIGTERM or SIGINT, then stops without cutting off a request.
+   * @return Exit status.
+   */
+  int run();
+
+private:
+  std::string startServers();
+  void connectParts();
+  void tick();
+  void takeConfig();
+  void takeInstances();
+  void takeOwnKey(const std::string& aKey,
+                  const std::optional<std::string>& aValue);
+  void updateView();
+  void updatePeers();
+  void noteSignals();
+  void stop();
+
+  const RelayDaemonSettings settings_;   ///< Settings.
+  transport::SystemClock clock_;         ///< Clock.
+  const std::uint64_t seed_;             ///< Seed of random numbers.
+  transport::EventLogWriter log_;        ///< Log.
+  transport::Metrics metrics_;           ///< Metrics.
+  transport::ControlLoop control_;       ///< Event loop of the control thread.
+  transport::HttpClient client_;         ///< HTTP of the control thread.
+  transport::ServiceCaller caller_;      ///< Short calls.
+  platform::KvStore store_;              ///< The store.
+  platform::EngineOrders engines_;       ///< The engines.
+  platform::PlatformRoutingCodec codec_; ///< Reads values of the store.
+  coordination::StoreFollower follower_; ///< Follows the store.
+  transport::PeerLinks links_;           ///< Links to other daemons.
+  protocol::ConfigExchange exchange_;    ///< Configuration from peers.
+  std::map<state::ZoneId, std::unique_ptr<ZoneDuty>>
+    duties_;                       ///< Coordination of each zone.
+  transport::TrafficPool traffic_; ///< Traffic thread.
+  std::vector<std::unique_ptr<transport::HttpClient>>
+    trafficClients_;                 ///< HTTP of each traffic thread.
+  coordination::TargetPool targets_; ///< Choice of targets.
+  coordination::RetryBudget budget_; ///< Budget of repeated sends.
+  platform::RequestDialect dialect_; ///< Request headers.
+  transport::SnapshotHolder<coordination::RouteTable> routes_; ///< Routes.
+  transport::RelayHandler relay_;                   ///< Answers callers.
+  transport::StatusHandler status_;                 ///< Answers the balancer.
+  std::unique_ptr<transport::HttpServer> callers_;  ///< Callers' listener.
+  std::unique_ptr<transport::HttpServer> balancer_; ///< Status listener.
+  std::thread controlThread_;                       ///< The control thread.
+  bool stopping_ = false; ///< Control thread: whether it stops.
+};
+
+} // namespace auburnhaven::app
--- /dev/null
+++ b/src/app/relay_settings_type.h
@@ -0,0 +1,60 @@
+// Settings of a relay daemon, as read from its settings file.
+#pragma once
+
+#include "state/endpoint_type.h"
+#include "state/id_type.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace auburnhaven::app {
+
+/** Where a relay daemon listens. */
+struct RelayListeners
+{
+  state::Endpoint callers_; ///< HTTP for callers.
+  state::Endpoint status_;  ///< HTTP for readiness and metrics.
+  state::Endpoint peers_;   ///< Streams of other daemons.
+  bool operator==(const RelayListeners&) const = default;
+};
+
+/** Limit of sends beyond the first of each request, over all daemons. */
+struct RelayRetryLimits
+{
+  double ratio_ = 0.2;        ///< Repeated sends for each request.
+  std::uint32_t extra_ = 300; ///< Repeated sends beyond that in a window.
+  std::chrono::seconds window_{ 10 }; ///< The window.
+  bool operator==(const RelayRetryLimits&) const = default;
+};
+
+/** Settings of a relay daemon. Immutable after reading. */
+struct RelayDaemonSettings
+{
+  state::DaemonId daemon_;           ///< Name of the daemon.
+  state::ZoneId zone_;               ///< Its availability zone.
+  std::vector<state::ZoneId> zones_; ///< All availability zones.
+  state::Endpoint store_;            ///< The platform's key-value service.
+  RelayListeners listeners_;         ///< Where it listens.
+  std::vector<state::Endpoint> seedPeers_; ///< Peer listeners to ask first.
+  std::string peerKey_;                    ///< Key shared by all daemons.
+  std::string readyPath_ = "/readyz"; ///< Path of the question for readiness.
+  bool firstStart_ = false; ///< Whether the system starts for the first time.
+  std::chrono::milliseconds formationTime_{
+    8000
+  }; ///< After a first start: time before callers come.
+  std::chrono::milliseconds stallLimit_{
+    6000
+  }; ///< After which a copy without one of its members is broken.
+  std::chrono::milliseconds stopLimit_{
+    8000
+  }; ///< Longest time of a graceful stop.
+  std::chrono::milliseconds balancerLag_{
+    2200
+  }; ///< How long callers still come after readiness fails.
+  RelayRetryLimits retries_; ///< Limit of repeated sends.
+  bool operator==(const RelayDaemonSettings&) const = default;
+};
+
+} // namespace auburnhaven::app
--- a/src/app/settings_file.cpp
+++ b/src/app/settings_file.cpp
@@ -3,6 +3,7 @@
 #include "app/settings_file.h"
 
 #include "app/file_func.h"
+#include "app/settings_reference.h"
 #include "app/toml_reader.h"
 
 #include <array>
@@ -253,28 +254,6 @@
   }
 }
 
-/** Appends the rows of one record's fields to the reference. */
-template<class Record>
-void
-appendRows(const std::string& aPrefix, std::string& aText)
-{
-  const Record defaults;
-  for (const FieldDescriptor<Record>& row : fieldsOf<Record>()) {
-    if (row.type_ == FieldCodec<ListenerSettings>::kType) {
-      continue;
-    }
-    aText += "| `" + aPrefix + std::string(row.key_) + "` | ";
-    aText += std::string(row.type_) + " | ";
-    const bool ranged = row.type_ == "integer";
-    aText += ranged ? std::to_string(row.range_.least_) + " to " +
-                        std::to_string(row.range_.greatest_)
-                    : "";
-    const bool required = row.need_ == FieldNeed::kRequired;
-    aText += " | " + (required ? "required" : row.show_(defaults)) + " | ";
-    aText += std::string(row.help_) + " |\n";
-  }
-}
-
 } // namespace
 
 state::leaf::result<Settings>
@@ -303,8 +282,7 @@
 std::string
 settingsReference()
 {
-  std::string text = "| Key | Type | Range | Default | Meaning |\n"
-                     "| --- | --- | --- | --- | --- |\n";
+  std::string text = referenceHead();
   appendRows<Settings>("", text);
   appendRows<ListenerSettings>("listeners.", text);
   appendRows<LimitSettings>("limits.", text);
--- a/src/app/toml_reader.cpp
+++ b/src/app/toml_reader.cpp
@@ -2,6 +2,8 @@
 
 #include "app/toml_reader.h"
 
+#include <sstream>
+
 #include <arpa/inet.h>
 
 #include <algorithm>
@@ -177,6 +179,29 @@
   }
 }
 
+void
+FieldCodec<double>::read(const toml::node& aNode,
+                         const FieldRange& aRange,
+                         double& aValue,
+                         FaultList& aFaults)
+{
+  const std::optional<double> value = aNode.value<double>();
+  if (!expectType(aNode, aNode.is_number() && value, kType, aFaults)) {
+    return;
+  }
+  aValue = *value;
+  checkRange(
+    aNode, static_cast<std::int64_t>(aValue), aRange, "value", aFaults);
+}
+
+std::string
+FieldCodec<double>::show(double aValue)
+{
+  std::ostringstream text;
+  text << aValue;
+  return text.str();
+}
+
 void
 FieldCodec<state::Endpoint>::read(const toml::node& aNode,
                                   const FieldRange& aRange,
--- a/src/app/toml_reader.h
+++ b/src/app/toml_reader.h
@@ -162,6 +162,18 @@
   static std::string show(bool aValue) { return aValue ? "true" : "false"; }
 };
 
+/** Numbers with fractions; the range holds for the whole part. */
+template<>
+struct FieldCodec<double>
+{
+  static constexpr std::string_view kType = "number";
+  static void read(const toml::node& aNode,
+                   const FieldRange& aRange,
+                   double& aValue,
+                   FaultList& aFaults);
+  static std::string show(double aValue);
+};
+
 /** Endpoints. */
 template<>
 struct FieldCodec<state::Endpoint>
--- a/src/coordination/group/domain_lease.cpp
+++ b/src/coordination/authority_lease.cpp
@@ -1,25 +1,17 @@
-// Lease of one fabric domain's coordination, with an authority that ends early.
+// Lease of a duty, with an authority that ends before the store's lease.
 
-#include "coordination/group/domain_lease.h"
+#include "coordination/authority_lease.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace auburnhaven::coordination {
 
-namespace {
-
-constexpr std::chrono::seconds kRetryPause{
-  1
-}; ///< Pause before a failed renewal is repeated.
-
-} // namespace
-
-DomainLease::DomainLease(state::Clock& aClock,
-                         Store& aStore,
-                         std::string aName,
-                         std::string aHolder,
-                         const GroupLimits& aLimits)
+AuthorityLease::AuthorityLease(state::Clock& aClock,
+                               Store& aStore,
+                               std::string aName,
+                               std::string aHolder,
+                               const LeaseLimits& aLimits)
   : clock_(aClock)
   , store_(aStore)
   , name_(std::move(aName))
@@ -30,7 +22,7 @@
 }
 
 void
-DomainLease::tick(std::optional<state::Duration> aPeriod)
+AuthorityLease::tick(std::optional<state::Duration> aPeriod)
 {
   const state::TimePoint now = clock_.now();
   if (stopped_ || underWay_) {
@@ -49,25 +41,31 @@
 }
 
 bool
-DomainLease::holds() const
+AuthorityLease::holds() const
 {
   return !stopped_ && clock_.now() < until_;
 }
 
 state::TimePoint
-DomainLease::heldSince() const
+AuthorityLease::heldSince() const
 {
   return since_;
 }
 
+std::uint64_t
+AuthorityLease::number() const
+{
+  return number_;
+}
+
 state::TimePoint
-DomainLease::lastAnswer() const
+AuthorityLease::lastAnswer() const
 {
   return lastAnswer_;
 }
 
 void
-DomainLease::release(DoneHandler aHandler)
+AuthorityLease::release(DoneHandler aHandler)
 {
   stopped_ = true;
   until_ = {};
@@ -81,15 +79,15 @@
 }
 
 void
-DomainLease::request()
+AuthorityLease::request()
 {
   const state::TimePoint sentAt = clock_.now();
   underWay_ = true;
-  nextRequest_ = std::max(nextRequest_, sentAt + limits_.leaseRenewal_);
+  nextRequest_ = std::max(nextRequest_, sentAt + limits_.renewal_);
   const std::weak_ptr<bool> alive = alive_;
   store_.acquireLease(name_,
                       holder_,
-                      limits_.leaseTimeToLive_,
+                      limits_.timeToLive_,
                       [this, alive, sentAt](const LeaseReply& aReply) {
                         if (!alive.expired()) {
                           takeAnswer(aReply, sentAt);
@@ -98,7 +96,7 @@
 }
 
 void
-DomainLease::takeAnswer(const LeaseReply& aReply, state::TimePoint aSentAt)
+AuthorityLease::takeAnswer(const LeaseReply& aReply, state::TimePoint aSentAt)
 {
   underWay_ = false;
   const state::TimePoint now = clock_.now();
@@ -108,7 +106,7 @@
     lastAnswer_ = now;
   }
   if (!answered && holds()) {
-    nextRequest_ = now + kRetryPause;
+    nextRequest_ = now + limits_.retryPause_;
   }
   if (aReply.status_ == StoreStatus::kConflict) {
     until_ = {};
@@ -121,8 +119,8 @@
     number_ = aReply.number_;
     since_ = now;
   }
-  until_ = aSentAt + limits_.leaseTimeToLive_ - limits_.leaseMargin_;
-  nextRequest_ = aSentAt + limits_.leaseRenewal_;
+  until_ = aSentAt + limits_.timeToLive_ - limits_.margin_;
+  nextRequest_ = aSentAt + limits_.renewal_;
 }
 
 } // namespace auburnhaven::coordination
--- a/src/coordination/group/domain_lease.h
+++ b/src/coordination/authority_lease.h
@@ -1,7 +1,6 @@
-// Lease of one fabric domain's coordination, with an authority that ends early.
+// Lease of a duty, with an authority that ends before the store's lease.
 #pragma once
 
-#include "coordination/group/group_limits_type.h"
 #include "coordination/store_port.h"
 #include "state/time_type.h"
 
@@ -12,12 +11,25 @@
 
 namespace auburnhaven::coordination {
 
+/** Times of a lease. */
+struct LeaseLimits
+{
+  state::Duration timeToLive_ =
+    std::chrono::seconds(10); ///< Time to live in the store.
+  state::Duration renewal_ = std::chrono::seconds(3); ///< Period of renewals.
+  state::Duration margin_ = std::chrono::seconds(
+    2); ///< How much earlier the holder's own authority ends.
+  state::Duration retryPause_ =
+    std::chrono::seconds(1); ///< Pause before a failed renewal is repeated.
+  bool operator==(const LeaseLimits&) const = default;
+};
+
 /**
  * Keeps a lease while asked to. The own authority counts from before the
  * request was sent and ends a margin earlier than the store's lease, so that it
  * is over before the store gives the lease to another. Control thread only.
  */
-class DomainLease
+class AuthorityLease
 {
 public:
   using DoneHandler = std::function<void()>; ///< Called when a call has ended.
@@ -29,11 +41,11 @@
    * @param aHolder Name of this process, unique to its start.
    * @param aLimits Limits.
    */
-  DomainLease(state::Clock& aClock,
-              Store& aStore,
-              std::string aName,
-              std::string aHolder,
-              const GroupLimits& aLimits);
+  AuthorityLease(state::Clock& aClock,
+                 Store& aStore,
+                 std::string aName,
+                 std::string aHolder,
+                 const LeaseLimits& aLimits);
 
   /**
    * Renews the lease, or tries to get it, when the time has come.
@@ -45,6 +57,9 @@
   bool holds() const;
   /** @return When the present authority began. Precondition: holds(). */
   state::TimePoint heldSince() const;
+  /** @return Number under which the lease was last held; grows with each change
+   * of the holder. */
+  std::uint64_t number() const;
   /** @return When the store last answered. */
   state::TimePoint lastAnswer() const;
   /**
@@ -61,7 +76,7 @@
   Store& store_;                   ///< The store.
   std::string name_;               ///< Name of the lease.
   std::string holder_;             ///< Name of this process.
-  GroupLimits limits_;             ///< Limits.
+  LeaseLimits limits_;             ///< Limits.
   bool underWay_ = false;          ///< Whether a request is under way.
   bool stopped_ = false;           ///< Whether the lease was given back.
   std::uint64_t number_ = 0;       ///< Number under which it was last held.
--- a/src/coordination/group/domain_coordinator.cpp
+++ b/src/coordination/group/domain_coordinator.cpp
@@ -30,6 +30,17 @@
     [] { return std::optional<DomainRecord>(); });
 }
 
+/** @return Times of a domain's lease. */
+LeaseLimits
+leaseLimits(const GroupLimits& aLimits)
+{
+  LeaseLimits limits;
+  limits.timeToLive_ = aLimits.leaseTimeToLive_;
+  limits.renewal_ = aLimits.leaseRenewal_;
+  limits.margin_ = aLimits.leaseMargin_;
+  return limits;
+}
+
 } // namespace
 
 std::string
@@ -54,7 +65,11 @@
   , zone_(std::move(aZone))
   , holder_(std::move(aHolder))
   , limits_(aLimits)
-  , lease_(aClock, aStore, "lease/domain/" + domain_.value(), holder_, aLimits)
+  , lease_(aClock,
+           aStore,
+           "lease/domain/" + domain_.value(),
+           holder_,
+           leaseLimits(aLimits))
   , audit_(aStore, domain_, aLimits.auditEntries_)
 {
 }
@@ -176,7 +191,7 @@
 }
 
 void
-DomainCoordinator::handBack(DomainLease::DoneHandler aHandler)
+DomainCoordinator::handBack(AuthorityLease::DoneHandler aHandler)
 {
   lease_.release(std::move(aHandler));
 }
--- a/src/coordination/group/domain_coordinator.h
+++ b/src/coordination/group/domain_coordinator.h
@@ -1,9 +1,9 @@
 // Coordinates one fabric domain while it holds the domain's lease.
 #pragma once
 
+#include "coordination/authority_lease.h"
 #include "coordination/group/allocation_func.h"
 #include "coordination/group/domain_audit.h"
-#include "coordination/group/domain_lease.h"
 #include "coordination/group/planner_func.h"
 #include "coordination/observation_port.h"
 #include "coordination/store_port.h"
@@ -110,7 +110,7 @@
    * Stops and gives the lease back when it is held.
    * @param aHandler Called when done.
    */
-  void handBack(DomainLease::DoneHandler aHandler);
+  void handBack(AuthorityLease::DoneHandler aHandler);
 
 private:
   /** An order that was sent. */
@@ -147,7 +147,7 @@
   state::ZoneId zone_;             ///< Its availability zone.
   std::string holder_;             ///< Name of this process.
   GroupLimits limits_;             ///< Limits.
-  DomainLease lease_;              ///< Lease of the domain.
+  AuthorityLease lease_;           ///< Lease of the domain.
   DomainAudit audit_;              ///< Audit trail.
   std::optional<state::DomainRecord> record_; ///< Newest record known.
   state::Revision revision_;     ///< Its revision, when read by this process.
--- /dev/null
+++ b/src/coordination/replica/engine_watch.h
@@ -0,0 +1,122 @@
+// Asks the model engines of a zone for their reports and judges who is lost.
+#pragma once
+
+#include "coordination/replica/replica_engine_port.h"
+#include "coordination/replica/replica_limits_type.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace auburnhaven::coordination {
+
+/** How often a VM is asked. */
+enum class ReportPace : std::uint8_t
+{
+  kIdle,    ///< Free VM.
+  kMember,  ///< Member of a copy.
+  kHead,    ///< Head of an open copy.
+  kJoining, ///< About to change.
+};
+
+/** What is known of an engine. */
+struct WatchedEngine
+{
+  state::Instance instance_; ///< As it registered itself.
+  std::optional<state::EngineReport>
+    report_;                   ///< Newest report; absent before the first one.
+  std::uint32_t misses_ = 0;   ///< Reports in a row without answer.
+  state::TimePoint heardAt_{}; ///< When the newest answer arrived.
+  bool operator==(const WatchedEngine&) const = default;
+};
+
+/**
+ * Asks the engines of one zone for their reports. A VM is lost when several
+ * questions in a row get no answer while other VMs do answer. Control thread
+ * only.
+ */
+class EngineWatch
+{
+public:
+  /**
+   * @param aClock Clock; outlives this object.
+   * @param aEngines The engines; outlive this object.
+   * @param aLimits Limits.
+   */
+  EngineWatch(const state::Clock& aClock,
+              ReplicaEngines& aEngines,
+              const ReplicaLimits& aLimits);
+  EngineWatch(const EngineWatch&) = delete;
+  EngineWatch& operator=(const EngineWatch&) = delete;
+
+  /**
+   * Takes the engines to ask from now on. Knowledge of engines that stay is
+   * kept.
+   * @param aInstances The engines.
+   */
+  void setInstances(const std::vector<state::Instance>& aInstances);
+  /**
+   * Sets how often a VM is asked.
+   * @param aVm The VM.
+   * @param aPace How often.
+   */
+  void setPace(const state::VmId& aVm, ReportPace aPace);
+  /** Asks the VMs whose time has come. */
+  void tick();
+  /** Forgets all reports, for a new authority. */
+  void forget();
+
+  /** @return All engines. */
+  const std::map<state::VmId, WatchedEngine>& engines() const
+  {
+    return engines_;
+  }
+  /**
+   * @param aVm A VM.
+   * @return The engine, or null when it is not registered.
+   */
+  const WatchedEngine* find(const state::VmId& aVm) const;
+  /**
+   * @param aVm A VM.
+   * @return Whether it is registered and answers.
+   */
+  bool isAlive(const state::VmId& aVm) const;
+  /**
+   * @param aVm A VM.
+   * @return Whether it is not registered any more or has stopped answering.
+   */
+  bool isLost(const state::VmId& aVm) const;
+  /** @return Whether each engine has answered or is lost. */
+  bool isComplete() const;
+  /** @return Whether no VM has answered for so long that the fault may be this
+   * daemon's. */
+  bool doubtsItself() const;
+
+private:
+  /** When and how to ask a VM. */
+  struct Question
+  {
+    ReportPace pace_ = ReportPace::kIdle; ///< How often.
+    state::TimePoint nextAt_{};           ///< When to ask next.
+    bool underWay_ = false;               ///< Whether an answer is awaited.
+  };
+
+  state::Duration periodOf(ReportPace aPace) const;
+  void ask(const state::VmId& aVm);
+  void forgiveMisses();
+  void take(const state::VmId& aVm,
+            const std::optional<state::EngineReport>& aReport);
+
+  const state::Clock& clock_;                    ///< Clock.
+  ReplicaEngines& engineCalls_;                  ///< The engines.
+  ReplicaLimits limits_;                         ///< Limits.
+  std::map<state::VmId, WatchedEngine> engines_; ///< What is known.
+  std::map<state::VmId, Question> questions_;    ///< When to ask.
+  state::TimePoint heardAt_{};                   ///< Newest answer of any VM.
+  std::shared_ptr<bool> alive_ =
+    std::make_shared<bool>(true); ///< Ends callbacks after destruction.
+};
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -0,0 +1,782 @@
+// Forms, opens and shuts the copies of one zone while it has the authority.
+
+#include "coordination/replica/replica_coordinator.h"
+
+#include "state/routing_func.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <utility>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+constexpr std::uint64_t kEpochsPerAuthority =
+  1ULL << 20U; ///< Epochs that one authority can give.
+constexpr double kLoadRateShare =
+  0.9; ///< Part of the weight store's rate that is used.
+constexpr double kLoadBurst = 2; ///< Loads of a zone that may start at once.
+constexpr std::chrono::milliseconds kSettleTime{
+  250
+}; ///< How long the VMs of a domain must stay before copies are formed.
+constexpr char kHeadMark = '.'; ///< Stands before the head in a copy's name.
+constexpr std::string_view kPart = "replica"; ///< Part of the program in logs.
+
+/** @return Name of a copy; tells the head. */
+state::ReplicaId
+nameFor(state::Epoch aEpoch, const state::VmId& aHead)
+{
+  return state::ReplicaId("r" + std::to_string(aEpoch.value()) + kHeadMark +
+                          aHead.value());
+}
+
+/** @return Head that a copy's name tells, or an empty identifier. */
+state::VmId
+headOf(const state::ReplicaId& aReplica)
+{
+  const std::size_t mark = aReplica.value().find(kHeadMark);
+  return mark == std::string::npos
+           ? state::VmId()
+           : state::VmId(aReplica.value().substr(mark + 1));
+}
+
+} // namespace
+
+ReplicaCoordinator::ReplicaCoordinator(const state::Clock& aClock,
+                                       ReplicaEngines& aEngines,
+                                       const AuthorityLease& aLease,
+                                       state::EventLog& aLog,
+                                       const ReplicaZone& aZone,
+                                       const ReplicaLimits& aLimits)
+  : clock_(aClock)
+  , engineCalls_(aEngines)
+  , lease_(aLease)
+  , log_(aLog)
+  , zone_(aZone)
+  , limits_(aLimits)
+  , watch_(aClock, aEngines, aLimits)
+  , loadLimiter_(aClock)
+  , startedAt_(aClock.now())
+{
+}
+
+void
+ReplicaCoordinator::setEngine(const std::optional<state::EngineSpec>& aEngine)
+{
+  engine_ = aEngine;
+  if (engine_) {
+    loadLimiter_.setRate(
+      engine_->loadsPerSecond_ * kLoadRateShare / zone_.zones_, kLoadBurst);
+  }
+}
+
+void
+ReplicaCoordinator::setInstances(const std::vector<state::Instance>& aInstances)
+{
+  watch_.setInstances(aInstances);
+}
+
+void
+ReplicaCoordinator::tick()
+{
+  if (!lease_.holds() || !engine_) {
+    return;
+  }
+  if (authority_ != lease_.number()) {
+    startAuthority();
+  }
+  watch_.tick();
+  if (watch_.doubtsItself() || (!adopted_ && !watch_.isComplete())) {
+    return;
+  }
+  noteModels();
+  adoptUnknown();
+  adopted_ = true;
+  static constexpr std::array<Step, 6> kSteps = {
+    &ReplicaCoordinator::stepJoining,  &ReplicaCoordinator::stepOpening,
+    &ReplicaCoordinator::stepOpen,     &ReplicaCoordinator::stepEmptying,
+    &ReplicaCoordinator::stepShutting, &ReplicaCoordinator::stepParked
+  };
+  for (auto at = replicas_.begin(); at != replicas_.end();) {
+    Replica& replica = (at++)->second;
+    (this->*kSteps[static_cast<std::size_t>(replica.phase_)])(replica);
+  }
+  std::erase_if(replicas_, [&](const auto& aEntry) {
+    return dissolved_.contains(aEntry.first);
+  });
+  plan();
+  setPaces();
+}
+
+void
+ReplicaCoordinator::startAuthority()
+{
+  authority_ = lease_.number();
+  epochs_ = 0;
+  adopted_ = false;
+  replicas_.clear();
+  dissolved_.clear();
+  orders_.clear();
+  settledSince_.clear();
+  watch_.forget();
+  log_.write(state::LogWeight::kChange,
+             kPart,
+             "coordination begins",
+             { state::logField("zone", std::string_view(zone_.zone_.value())),
+               state::logField("authority", authority_),
+               state::logField("engines", watch_.engines().size()) });
+}
+
+bool
+ReplicaCoordinator::isKnown(const state::MemberPlace& aPlace) const
+{
+  return replicas_.contains(aPlace.replica_) ||
+         dissolved_.contains(aPlace.replica_);
+}
+
+void
+ReplicaCoordinator::adoptUnknown()
+{
+  for (const auto& [vm, engine] : watch_.engines()) {
+    if (!watch_.isAlive(vm)) {
+      continue;
+    }
+    const auto& place = engine.report_->state_.place_;
+    if (place && !isKnown(*place)) {
+      adopt(*place);
+    }
+  }
+}
+
+void
+ReplicaCoordinator::adopt(const state::MemberPlace& aPlace)
+{
+  Replica replica;
+  replica.id_ = aPlace.replica_;
+  replica.epoch_ = aPlace.epoch_;
+  replica.maybeOpened_ = true;
+  replica.since_ = clock_.now();
+  std::size_t present = 0;
+  for (const auto& [vm, engine] : watch_.engines()) {
+    const bool alive = watch_.isAlive(vm);
+    const auto& place = engine.report_ ? engine.report_->state_.place_
+                                       : std::optional<state::MemberPlace>();
+    const bool here = alive && place && place->replica_ == replica.id_ &&
+                      place->epoch_ == replica.epoch_;
+    if (!here) {
+      continue;
+    }
+    if (replica.members_.size() <= place->rank_) {
+      replica.members_.resize(place->rank_ + 1);
+    }
+    ++present;
+    replica.members_[place->rank_] = { vm, engine.report_->state_.bornAtMs_ };
+    replica.domain_ = engine.report_->state_.domain_;
+    if (replica.model_.empty()) {
+      replica.model_ = engine.report_->state_.model_;
+    }
+  }
+  ReplicaMember& head = replica.members_.front();
+  const bool headPresent = !head.vm_.empty();
+  if (!headPresent) {
+    head.vm_ = headOf(replica.id_);
+  }
+  const state::ModelSpec* model = state::findModel(*engine_, replica.model_);
+  const bool complete = headPresent && model != nullptr &&
+                        present == model->size_ &&
+                        replica.members_.size() == model->size_;
+  if (!complete) {
+    replica.phase_ = ReplicaPhase::kShutting;
+  } else if (placeIn(replica, head.vm_)->state_ == state::MemberState::kOpen) {
+    replica.phase_ = ReplicaPhase::kOpen;
+  }
+  log_.write(
+    state::LogWeight::kChange,
+    kPart,
+    "copy adopted",
+    { state::logField("replica", std::string_view(replica.id_.value())),
+      state::logField("model", std::string_view(replica.model_.value())),
+      state::logField("members", present),
+      state::logField("phase", nameOf(replica.phase_)) });
+  replicas_.emplace(replica.id_, std::move(replica));
+}
+
+void
+ReplicaCoordinator::noteModels()
+{
+  for (const auto& [vm, engine] : watch_.engines()) {
+    if (!engine.report_) {
+      continue;
+    }
+    const state::EngineState& state = engine.report_->state_;
+    auto& [born, model] = lastModels_[vm];
+    if (born != state.bornAtMs_) {
+      born = state.bornAtMs_;
+      model = state::ModelId();
+    }
+    const bool holds = state.place_ && !state.model_.empty() &&
+                       state.place_->state_ != state::MemberState::kJoining;
+    if (holds) {
+      model = state.model_;
+    }
+  }
+}
+
+void
+ReplicaCoordinator::setPhase(Replica& aReplica,
+                             ReplicaPhase aPhase,
+                             std::string_view aWhy)
+{
+  log_.write(
+    state::LogWeight::kChange,
+    kPart,
+    "copy changes",
+    { state::logField("replica", std::string_view(aReplica.id_.value())),
+      state::logField("model", std::string_view(aReplica.model_.value())),
+      state::logField("from", nameOf(aReplica.phase_)),
+      state::logField("to", nameOf(aPhase)),
+      state::logField("why", aWhy),
+      state::logField("after_ms",
+                      std::chrono::duration<double, std::milli>(clock_.now() -
+                                                                aReplica.since_)
+                        .count()) });
+  aReplica.phase_ = aPhase;
+  aReplica.since_ = clock_.now();
+  aReplica.freeAt_ = {};
+}
+
+void
+ReplicaCoordinator::dissolve(Replica& aReplica, std::string_view aWhy)
+{
+  log_.write(
+    state::LogWeight::kChange,
+    kPart,
+    "copy dissolved",
+    { state::logField("replica", std::string_view(aReplica.id_.value())),
+      state::logField("from", nameOf(aReplica.phase_)),
+      state::logField("why", aWhy) });
+  dissolved_.insert(aReplica.id_);
+}
+
+const state::MemberPlace*
+ReplicaCoordinator::placeIn(const Replica& aReplica,
+                            const state::VmId& aVm) const
+{
+  const WatchedEngine* engine = watch_.find(aVm);
+  if (engine == nullptr || !engine->report_ ||
+      !engine->report_->state_.place_) {
+    return nullptr;
+  }
+  const state::MemberPlace& place = *engine->report_->state_.place_;
+  const bool here =
+    place.replica_ == aReplica.id_ && place.epoch_ == aReplica.epoch_;
+  return here ? &place : nullptr;
+}
+
+bool
+ReplicaCoordinator::isReported(const Replica& aReplica,
+                               const state::VmId& aVm) const
+{
+  const WatchedEngine* engine = watch_.find(aVm);
+  return engine != nullptr && engine->report_ &&
+         engine->report_->askedAt_ > aReplica.since_;
+}
+
+bool
+ReplicaCoordinator::hasLeft(const Replica& aReplica,
+                            const ReplicaMember& aMember) const
+{
+  return watch_.isAlive(aMember.vm_) && isReported(aReplica, aMember.vm_) &&
+         placeIn(aReplica, aMember.vm_) == nullptr;
+}
+
+std::string_view
+ReplicaCoordinator::faultOf(const Replica& aReplica, bool aPlaced) const
+{
+  for (const ReplicaMember& member : aReplica.members_) {
+    if (watch_.isLost(member.vm_)) {
+      return "member lost";
+    }
+    const WatchedEngine* engine = watch_.find(member.vm_);
+    if (engine->report_ &&
+        engine->report_->state_.bornAtMs_ != member.bornAtMs_) {
+      return "member restarted";
+    }
+    if (aPlaced && hasLeft(aReplica, member)) {
+      return "member is elsewhere";
+    }
+  }
+  return {};
+}
+
+bool
+ReplicaCoordinator::hasLeavingMember(const Replica& aReplica) const
+{
+  return std::any_of(aReplica.members_.begin(),
+                     aReplica.members_.end(),
+                     [&](const ReplicaMember& aMember) {
+                       const WatchedEngine* engine = watch_.find(aMember.vm_);
+                       return engine != nullptr && engine->instance_.leaving_;
+                     });
+}
+
+void
+ReplicaCoordinator::stepJoining(Replica& aReplica)
+{
+  std::string_view fault = faultOf(aReplica, false);
+  if (fault.empty() && hasLeavingMember(aReplica)) {
+    fault = "member leaves";
+  }
+  if (fault.empty() && clock_.now() - aReplica.since_ > limits_.joinTimeout_) {
+    fault = "not ready in time";
+  }
+  if (!fault.empty()) {
+    // Without an order to open, its head cannot take requests.
+    if (aReplica.maybeOpened_) {
+      setPhase(aReplica, ReplicaPhase::kShutting, fault);
+    } else {
+      dissolve(aReplica, fault);
+    }
+    return;
+  }
+  std::size_t ready = 0;
+  for (const ReplicaMember& member : aReplica.members_) {
+    const state::MemberPlace* place = placeIn(aReplica, member.vm_);
+    if (place == nullptr) {
+      sendJoin(aReplica, member.vm_);
+    } else if (place->state_ == state::MemberState::kReady) {
+      ++ready;
+    } else if (place->state_ == state::MemberState::kOpen) {
+      ++ready;
+    }
+  }
+  if (ready == aReplica.members_.size()) {
+    setPhase(aReplica, ReplicaPhase::kOpening, "all members are ready");
+    stepOpening(aReplica);
+  }
+}
+
+void
+ReplicaCoordinator::stepOpening(Replica& aReplica)
+{
+  const std::string_view fault = faultOf(aReplica, true);
+  if (!fault.empty() || hasLeavingMember(aReplica)) {
+    setPhase(aReplica,
+             ReplicaPhase::kShutting,
+             fault.empty() ? "member leaves" : fault);
+    return;
+  }
+  const state::VmId& head = aReplica.members_.front().vm_;
+  const state::MemberPlace* place = placeIn(aReplica, head);
+  if (place != nullptr && place->state_ == state::MemberState::kOpen) {
+    setPhase(aReplica, ReplicaPhase::kOpen, "the head takes requests");
+    return;
+  }
+  aReplica.maybeOpened_ = true;
+  send(head, orderOf(aReplica, ReplicaOrderKind::kOpen));
+}
+
+void
+ReplicaCoordinator::stepOpen(Replica& aReplica)
+{
+  const std::string_view fault = faultOf(aReplica, true);
+  if (!fault.empty()) {
+    setPhase(aReplica, ReplicaPhase::kShutting, fault);
+    return;
+  }
+  if (hasLeavingMember(aReplica)) {
+    setPhase(aReplica, ReplicaPhase::kEmptying, "member leaves");
+    return;
+  }
+  const state::MemberPlace* place =
+    placeIn(aReplica, aReplica.members_.front().vm_);
+  const bool reported = isReported(aReplica, aReplica.members_.front().vm_);
+  if (!reported || place == nullptr ||
+      place->state_ == state::MemberState::kOpen) {
+    return;
+  }
+  const bool closed = place->state_ == state::MemberState::kReady;
+  setPhase(aReplica,
+           closed ? ReplicaPhase::kOpening : ReplicaPhase::kShutting,
+           closed ? "the head is closed" : "the head is broken");
+}
+
+void
+ReplicaCoordinator::stepEmptying(Replica& aReplica)
+{
+  const std::string_view fault = faultOf(aReplica, true);
+  if (!fault.empty()) {
+    setPhase(aReplica, ReplicaPhase::kShutting, fault);
+    return;
+  }
+  const WatchedEngine* head = watch_.find(aReplica.members_.front().vm_);
+  const state::TargetLoad load = head->report_->load_;
+  const bool empty = isReported(aReplica, head->instance_.id_) &&
+                     load.running_ == 0 && load.waiting_ == 0 &&
+                     clock_.now() - aReplica.since_ > limits_.stallMargin_;
+  if (empty || clock_.now() - aReplica.since_ > limits_.emptyingLimit_) {
+    setPhase(aReplica,
+             ReplicaPhase::kShutting,
+             empty ? "its requests have ended"
+                   : "time for its requests is over");
+  }
+}
+
+void
+ReplicaCoordinator::stepShutting(Replica& aReplica)
+{
+  const ReplicaMember& head = aReplica.members_.front();
+  const WatchedEngine* engine = watch_.find(head.vm_);
+  const bool reborn = engine != nullptr && engine->report_ &&
+                      head.bornAtMs_ != 0 &&
+                      engine->report_->state_.bornAtMs_ != head.bornAtMs_;
+  if (reborn) {
+    dissolve(aReplica, "the head started anew");
+  } else if (hasLeft(aReplica, head)) {
+    dissolve(aReplica, "the head has left");
+  } else if (watch_.isLost(head.vm_)) {
+    setPhase(aReplica, ReplicaPhase::kParked, "the head cannot be reached");
+  } else if (placeIn(aReplica, head.vm_) != nullptr) {
+    send(head.vm_, orderOf(aReplica, ReplicaOrderKind::kLeave));
+  }
+}
+
+void
+ReplicaCoordinator::stepParked(Replica& aReplica)
+{
+  const state::TimePoint now = clock_.now();
+  if (watch_.isAlive(aReplica.members_.front().vm_)) {
+    setPhase(aReplica, ReplicaPhase::kShutting, "the head answers again");
+    return;
+  }
+  bool anyAlive = false;
+  bool anyLeft = false;
+  for (std::size_t rank = 1; rank < aReplica.members_.size(); ++rank) {
+    const ReplicaMember& member = aReplica.members_[rank];
+    if (member.vm_.empty() || !watch_.isAlive(member.vm_)) {
+      continue;
+    }
+    anyAlive = true;
+    anyLeft = anyLeft || hasLeft(aReplica, member);
+    if (placeIn(aReplica, member.vm_) != nullptr) {
+      send(member.vm_, orderOf(aReplica, ReplicaOrderKind::kLeave));
+    }
+  }
+  if (!anyAlive) {
+    dissolve(aReplica, "no member can be reached");
+    return;
+  }
+  if (anyLeft && aReplica.freeAt_ == state::TimePoint{}) {
+    aReplica.freeAt_ = now + limits_.stallLimit_ + limits_.stallMargin_;
+  }
+  if (aReplica.freeAt_ != state::TimePoint{} && now >= aReplica.freeAt_) {
+    dissolve(aReplica, "the head must be broken");
+  }
+}
+
+void
+ReplicaCoordinator::setPaces()
+{
+  std::map<state::VmId, ReportPace> paces;
+  for (const auto& [id, replica] : replicas_) {
+    const bool steady = replica.phase_ == ReplicaPhase::kOpen;
+    for (std::size_t rank = 0; rank < replica.members_.size(); ++rank) {
+      const ReportPace pace =
+        rank == 0 ? ReportPace::kHead : ReportPace::kMember;
+      paces[replica.members_[rank].vm_] = steady ? pace : ReportPace::kJoining;
+    }
+  }
+  for (const auto& [vm, engine] : watch_.engines()) {
+    const auto found = paces.find(vm);
+    watch_.setPace(vm,
+                   found == paces.end() ? ReportPace::kIdle : found->second);
+  }
+}
+
+bool
+ReplicaCoordinator::needsLoad(const WatchedEngine& aEngine,
+                              const state::ModelId& aModel) const
+{
+  const auto last = lastModels_.find(aEngine.instance_.id_);
+  const bool holds = last != lastModels_.end() && last->second.second == aModel;
+  return !holds && !aEngine.report_->state_.staged_.contains(aModel);
+}
+
+FreeVm
+ReplicaCoordinator::describe(const WatchedEngine& aEngine) const
+{
+  const auto last = lastModels_.find(aEngine.instance_.id_);
+  const auto order = orders_.find(aEngine.instance_.id_);
+  const bool ordered = order != orders_.end() && order->second.underWay_;
+  return { aEngine.instance_.id_,
+           aEngine.report_->state_.staged_,
+           last == lastModels_.end() ? state::ModelId() : last->second.second,
+           aEngine.report_->state_.busy_ || ordered };
+}
+
+bool
+ReplicaCoordinator::isFree(const WatchedEngine& aEngine) const
+{
+  const state::VmId& vm = aEngine.instance_.id_;
+  if (!watch_.isAlive(vm) || aEngine.instance_.leaving_) {
+    return false;
+  }
+  return std::none_of(
+    replicas_.begin(), replicas_.end(), [&](const auto& aEntry) {
+      const auto& members = aEntry.second.members_;
+      return std::any_of(
+        members.begin(), members.end(), [&](const ReplicaMember& aMember) {
+          return aMember.vm_ == vm;
+        });
+    });
+}
+
+bool
+ReplicaCoordinator::isSettled(const state::DomainId& aDomain,
+                              const DomainFacts& aFacts)
+{
+  std::vector<state::VmId> vms;
+  for (const FreeVm& vm : aFacts.free_) {
+    vms.push_back(vm.id_);
+  }
+  auto& [known, since] = settledSince_[aDomain];
+  if (known != vms) {
+    known = std::move(vms);
+    since = clock_.now();
+  }
+  const bool shutting =
+    std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& aEntry) {
+      return aEntry.second.domain_ == aDomain &&
+             aEntry.second.phase_ == ReplicaPhase::kShutting;
+    });
+  return !shutting && clock_.now() - since >= kSettleTime;
+}
+
+ZoneFacts
+ReplicaCoordinator::makeFacts()
+{
+  ZoneFacts facts;
+  facts.models_ = engine_->models_;
+  facts.loads_ = loadsNow();
+  for (const auto& [vm, engine] : watch_.engines()) {
+    if (isFree(engine)) {
+      facts.domains_[engine.report_->state_.domain_].free_.push_back(
+        describe(engine));
+    }
+  }
+  for (const auto& [id, replica] : replicas_) {
+    const bool stays = replica.phase_ == ReplicaPhase::kJoining ||
+                       replica.phase_ == ReplicaPhase::kOpening ||
+                       replica.phase_ == ReplicaPhase::kOpen;
+    if (!stays) {
+      continue;
+    }
+    PresentReplica present{ id, replica.model_, {} };
+    for (const ReplicaMember& member : replica.members_) {
+      const WatchedEngine* engine = watch_.find(member.vm_);
+      if (engine != nullptr && engine->report_) {
+        present.members_.push_back(describe(*engine));
+      }
+    }
+    facts.domains_[replica.domain_].present_.push_back(std::move(present));
+  }
+  for (auto& [domain, state] : facts.domains_) {
+    state.settled_ = isSettled(domain, state);
+  }
+  return facts;
+}
+
+bool
+ReplicaCoordinator::loadsAreQuick() const
+{
+  return zone_.firstStart_ && !trafficSeen_;
+}
+
+std::uint32_t
+ReplicaCoordinator::loadsInProgress() const
+{
+  std::uint32_t loads = 0;
+  for (const auto& [id, replica] : replicas_) {
+    if (replica.phase_ != ReplicaPhase::kJoining) {
+      continue;
+    }
+    for (const ReplicaMember& member : replica.members_) {
+      const state::MemberPlace* place = placeIn(replica, member.vm_);
+      const WatchedEngine* engine = watch_.find(member.vm_);
+      const bool loading =
+        engine != nullptr && engine->report_ &&
+        (place == nullptr || place->state_ == state::MemberState::kJoining) &&
+        needsLoad(*engine, replica.model_);
+      loads += loading ? 1 : 0;
+    }
+  }
+  return loads;
+}
+
+std::uint32_t
+ReplicaCoordinator::loadsNow() const
+{
+  constexpr std::uint32_t kNoLimit = 1000;
+  const bool lateStart =
+    loadsAreQuick() && clock_.now() - startedAt_ >= zone_.formationTime_;
+  if (lateStart) {
+    return kNoLimit;
+  }
+  std::uint32_t largest = 1;
+  for (const state::ModelSpec& model : engine_->models_) {
+    largest = std::max(largest, model.size_);
+  }
+  // A whole copy may start to load as soon as fewer loads than the zone's share
+  // of the weight store are in progress.
+  const std::uint32_t share =
+    std::max(1U, engine_->loadsAtOnce_ / std::max(1U, zone_.zones_));
+  return loadsInProgress() < share ? largest : 0;
+}
+
+void
+ReplicaCoordinator::plan()
+{
+  const ReplicaMoves moves = planReplicas(makeFacts());
+  for (const state::ReplicaId& id : moves.giveUp_) {
+    setPhase(
+      replicas_.at(id), ReplicaPhase::kShutting, "another model needs its VMs");
+  }
+  for (const FormMove& move : moves.form_) {
+    form(move);
+  }
+  for (const StageMove& move : moves.stage_) {
+    if (loadsAreQuick() || loadLimiter_.take()) {
+      ReplicaOrder order;
+      order.kind_ = ReplicaOrderKind::kStage;
+      order.model_ = move.model_;
+      send(move.vm_, order);
+    }
+  }
+}
+
+void
+ReplicaCoordinator::form(const FormMove& aMove)
+{
+  assert(epochs_ + 1 < kEpochsPerAuthority);
+  Replica replica;
+  replica.epoch_ = state::Epoch(authority_ * kEpochsPerAuthority + ++epochs_);
+  replica.id_ = nameFor(replica.epoch_, aMove.members_.front());
+  replica.model_ = aMove.model_;
+  replica.domain_ = aMove.domain_;
+  replica.since_ = clock_.now();
+  for (const state::VmId& vm : aMove.members_) {
+    const WatchedEngine* engine = watch_.find(vm);
+    assert(engine != nullptr && isFree(*engine));
+    replica.members_.push_back({ vm, engine->report_->state_.bornAtMs_ });
+  }
+  log_.write(
+    state::LogWeight::kChange,
+    kPart,
+    "copy is formed",
+    { state::logField("replica", std::string_view(replica.id_.value())),
+      state::logField("model", std::string_view(replica.model_.value())),
+      state::logField("domain", std::string_view(replica.domain_.value())),
+      state::logField("members", replica.members_.size()),
+      state::logField("loads", aMove.loads_) });
+  const auto [at, added] = replicas_.emplace(replica.id_, std::move(replica));
+  assert(added);
+  stepJoining(at->second);
+}
+
+bool
+ReplicaCoordinator::sendJoin(const Replica& aReplica, const state::VmId& aVm)
+{
+  const WatchedEngine* engine = watch_.find(aVm);
+  const auto order = orders_.find(aVm);
+  const bool waits =
+    order != orders_.end() &&
+    (order->second.underWay_ || clock_.now() < order->second.notBefore_);
+  if (engine == nullptr || !engine->report_ || waits) {
+    return false;
+  }
+  if (needsLoad(*engine, aReplica.model_) && !loadsAreQuick() &&
+      !loadLimiter_.take()) {
+    return false;
+  }
+  return send(aVm, orderOf(aReplica, ReplicaOrderKind::kJoin));
+}
+
+ReplicaOrder
+ReplicaCoordinator::orderOf(const Replica& aReplica,
+                            ReplicaOrderKind aKind) const
+{
+  ReplicaOrder order;
+  order.kind_ = aKind;
+  order.replica_ = aReplica.id_;
+  order.epoch_ = aReplica.epoch_;
+  if (aKind == ReplicaOrderKind::kJoin) {
+    order.model_ = aReplica.model_;
+    for (const ReplicaMember& member : aReplica.members_) {
+      order.members_.push_back(member.vm_);
+    }
+  }
+  return order;
+}
+
+bool
+ReplicaCoordinator::send(const state::VmId& aVm, const ReplicaOrder& aOrder)
+{
+  const WatchedEngine* engine = watch_.find(aVm);
+  OrderState& state = orders_[aVm];
+  const state::TimePoint now = clock_.now();
+  const bool allowed = engine != nullptr && engine->report_ &&
+                       !state.underWay_ && now >= state.notBefore_ &&
+                       lease_.holds();
+  if (!allowed) {
+    return false;
+  }
+  const state::EngineState& reported = engine->report_->state_;
+  if (state.bornAtMs_ != reported.bornAtMs_) {
+    state.bornAtMs_ = reported.bornAtMs_;
+    state.begun_ = 0;
+  }
+  state.begun_ = std::max(state.begun_, reported.orders_);
+  ReplicaOrder order = aOrder;
+  order.expectedOrders_ = state.begun_;
+  state.underWay_ = true;
+  state.notBefore_ = now + limits_.orderRetry_;
+  const std::weak_ptr<bool> alive = alive_;
+  engineCalls_.sendOrder(engine->instance_,
+                         order,
+                         limits_.orderTimeout_,
+                         [this, alive, aVm, order](ReplicaOrderStatus aStatus) {
+                           if (!alive.expired()) {
+                             takeAnswer(aVm, order, aStatus);
+                           }
+                         });
+  return true;
+}
+
+void
+ReplicaCoordinator::takeAnswer(const state::VmId& aVm,
+                               const ReplicaOrder& aOrder,
+                               ReplicaOrderStatus aStatus)
+{
+  OrderState& state = orders_[aVm];
+  state.underWay_ = false;
+  state.notBefore_ = clock_.now() + limits_.orderRetry_;
+  if (aStatus == ReplicaOrderStatus::kBegun) {
+    state.begun_ = aOrder.expectedOrders_ + 1;
+  } else if (aStatus == ReplicaOrderStatus::kRefused) {
+    state.begun_ = 0;
+  }
+  watch_.setPace(aVm, ReportPace::kJoining);
+  log_.write(
+    state::LogWeight::kChange,
+    kPart,
+    "order answered",
+    { state::logField("vm", std::string_view(aVm.value())),
+      state::logField("order", nameOf(aOrder.kind_)),
+      state::logField("replica", std::string_view(aOrder.replica_.value())),
+      state::logField("expected_orders", aOrder.expectedOrders_),
+      state::logField("status", nameOf(aStatus)) });
+}
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/replica/replica_layout_func.cpp
@@ -0,0 +1,252 @@
+// Counts of copies for each fabric domain of a zone.
+
+#include "coordination/replica/replica_layout_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+constexpr double kCountOffset =
+  0.25; ///< Added to a count of copies, so that none has a finite value.
+constexpr double kGiveUpPenalty =
+  0.12; ///< Value that giving one copy up must at least bring.
+constexpr double kLoadPenalty =
+  0.01; ///< Value that one load from the weight store must at least bring.
+constexpr std::size_t kMaxCombinations =
+  20000; ///< Combinations of domains that are tried; more are chosen one by
+         ///< one.
+
+/** One way to divide a domain. */
+struct Option
+{
+  ReplicaCounts counts_; ///< Copies of each model.
+  double penalty_ = 0;   ///< What the change to it costs.
+};
+
+/** @return Copies of each model that a domain has. */
+ReplicaCounts
+presentCounts(const DomainFacts& aDomain,
+              const std::vector<state::ModelSpec>& aModels)
+{
+  ReplicaCounts counts;
+  for (const state::ModelSpec& model : aModels) {
+    counts.push_back(static_cast<std::uint32_t>(
+      std::count_if(aDomain.present_.begin(),
+                    aDomain.present_.end(),
+                    [&](const PresentReplica& aReplica) {
+                      return aReplica.model_ == model.id_;
+                    })));
+  }
+  return counts;
+}
+
+/** @return VMs of a domain, free or in a copy. */
+std::uint32_t
+vmCount(const DomainFacts& aDomain)
+{
+  std::size_t count = aDomain.free_.size();
+  for (const PresentReplica& replica : aDomain.present_) {
+    count += replica.members_.size();
+  }
+  return static_cast<std::uint32_t>(count);
+}
+
+/** @return VMs of a domain that can join a copy of a model without a load. */
+std::uint32_t
+warmCount(const DomainFacts& aDomain, const state::ModelId& aModel)
+{
+  const auto isWarm = [&](const FreeVm& aVm) {
+    return aVm.lastModel_ == aModel || aVm.staged_.contains(aModel);
+  };
+  auto count =
+    std::count_if(aDomain.free_.begin(), aDomain.free_.end(), isWarm);
+  for (const PresentReplica& replica : aDomain.present_) {
+    count +=
+      std::count_if(replica.members_.begin(), replica.members_.end(), isWarm);
+  }
+  return static_cast<std::uint32_t>(count);
+}
+
+/** Finds the options of one domain. */
+class OptionFinder
+{
+public:
+  OptionFinder(const DomainFacts& aDomain,
+               const std::vector<state::ModelSpec>& aModels)
+    : domain_(aDomain)
+    , models_(aModels)
+    , present_(presentCounts(aDomain, aModels))
+  {
+  }
+
+  /** @return All options into which no further copy fits, and the present one.
+   */
+  std::vector<Option> find()
+  {
+    ReplicaCounts counts(models_.size(), 0);
+    if (domain_.settled_) {
+      extend(counts, 0, vmCount(domain_));
+    }
+    if (options_.empty()) {
+      options_.push_back({ present_, 0 });
+    }
+    return std::move(options_);
+  }
+
+private:
+  /** Adds the options that begin with the given counts. */
+  void extend(ReplicaCounts& aCounts, std::size_t aModel, std::uint32_t aLeft)
+  {
+    if (aModel == models_.size()) {
+      const bool full = std::all_of(
+        models_.begin(), models_.end(), [&](const state::ModelSpec& aSpec) {
+          return aSpec.size_ > aLeft;
+        });
+      if (full) {
+        options_.push_back({ aCounts, penaltyOf(aCounts) });
+      }
+      return;
+    }
+    const std::uint32_t size = std::max(1U, models_[aModel].size_);
+    for (std::uint32_t count = 0; count * size <= aLeft; ++count) {
+      aCounts[aModel] = count;
+      extend(aCounts, aModel + 1, aLeft - count * size);
+    }
+    aCounts[aModel] = 0;
+  }
+
+  /** @return What the change to the counts costs. */
+  double penaltyOf(const ReplicaCounts& aCounts) const
+  {
+    double penalty = 0;
+    for (std::size_t index = 0; index < models_.size(); ++index) {
+      const std::uint32_t before = present_[index];
+      const std::uint32_t after = aCounts[index];
+      penalty += kGiveUpPenalty * (before > after ? before - after : 0);
+      const std::uint32_t wanted = after * models_[index].size_;
+      const std::uint32_t warm = warmCount(domain_, models_[index].id_);
+      penalty += kLoadPenalty * (wanted > warm ? wanted - warm : 0);
+    }
+    return penalty;
+  }
+
+  const DomainFacts& domain_;                   ///< The domain.
+  const std::vector<state::ModelSpec>& models_; ///< Models to serve.
+  ReplicaCounts present_;                       ///< Present counts.
+  std::vector<Option> options_;                 ///< Options found.
+};
+
+/** Searches the best combination of the domains' options. */
+class LayoutSearch
+{
+public:
+  explicit LayoutSearch(const ZoneFacts& aFacts)
+    : models_(aFacts.models_)
+    , totals_(aFacts.models_.size(), 0)
+  {
+    for (const auto& [id, domain] : aFacts.domains_) {
+      domains_.push_back(id);
+      options_.push_back(OptionFinder(domain, models_).find());
+    }
+  }
+
+  /** @return The best layout. */
+  ZoneLayout find()
+  {
+    std::size_t combinations = 1;
+    for (const auto& options : options_) {
+      combinations = std::min(combinations * options.size(), kMaxCombinations);
+    }
+    chosen_.assign(domains_.size(), 0);
+    best_ = chosen_;
+    if (combinations < kMaxCombinations) {
+      bestValue_ = -INFINITY;
+      searchAll(0, 0);
+    } else {
+      searchOneByOne();
+    }
+    ZoneLayout layout;
+    for (std::size_t index = 0; index < domains_.size(); ++index) {
+      layout[domains_[index]] = options_[index][best_[index]].counts_;
+    }
+    return layout;
+  }
+
+private:
+  /** @return Value of the present totals. */
+  double value() const
+  {
+    double value = 0;
+    for (std::size_t index = 0; index < models_.size(); ++index) {
+      value +=
+        models_[index].workShare_ * std::log(totals_[index] + kCountOffset);
+    }
+    return value;
+  }
+
+  /** Adds the counts of an option to the totals, or takes them away. */
+  void count(const Option& aOption, int aSign)
+  {
+    for (std::size_t index = 0; index < totals_.size(); ++index) {
+      totals_[index] += aSign * static_cast<int>(aOption.counts_[index]);
+    }
+  }
+
+  void searchAll(std::size_t aDomain, double aPenalty)
+  {
+    if (aDomain == domains_.size()) {
+      const double found = value() - aPenalty;
+      if (found > bestValue_) {
+        bestValue_ = found;
+        best_ = chosen_;
+      }
+      return;
+    }
+    for (std::size_t index = 0; index < options_[aDomain].size(); ++index) {
+      const Option& option = options_[aDomain][index];
+      chosen_[aDomain] = index;
+      count(option, 1);
+      searchAll(aDomain + 1, aPenalty + option.penalty_);
+      count(option, -1);
+    }
+  }
+
+  void searchOneByOne()
+  {
+    for (std::size_t domain = 0; domain < domains_.size(); ++domain) {
+      double best = -INFINITY;
+      for (std::size_t index = 0; index < options_[domain].size(); ++index) {
+        const Option& option = options_[domain][index];
+        count(option, 1);
+        const double found = value() - option.penalty_;
+        count(option, -1);
+        if (found > best) {
+          best = found;
+          best_[domain] = index;
+        }
+      }
+      count(options_[domain][best_[domain]], 1);
+    }
+  }
+
+  const std::vector<state::ModelSpec>& models_; ///< Models to serve.
+  std::vector<state::DomainId> domains_;        ///< Domains in order.
+  std::vector<std::vector<Option>> options_;    ///< Options of each domain.
+  std::vector<int> totals_;                     ///< Copies of each model.
+  std::vector<std::size_t> chosen_;             ///< Option of each domain.
+  std::vector<std::size_t> best_;               ///< Best options so far.
+  double bestValue_ = 0;                        ///< Their value.
+};
+
+} // namespace
+
+ZoneLayout
+chooseLayout(const ZoneFacts& aFacts)
+{
+  return LayoutSearch(aFacts).find();
+}
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/replica/replica_plan_func.cpp
@@ -0,0 +1,236 @@
+// Chooses which copies of which models the VMs of a zone form.
+
+#include "coordination/replica/replica_plan_func.h"
+
+#include "coordination/replica/replica_layout_func.h"
+
+#include <algorithm>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+/** How soon a VM can serve a model; lesser is sooner. */
+enum class Readiness : std::uint8_t
+{
+  kHolds,  ///< Its latest copy had the model.
+  kStaged, ///< The model is on its host.
+  kCold,   ///< It must load the model from the weight store.
+};
+
+/** @return How soon a VM can serve a model. */
+Readiness
+readinessOf(const FreeVm& aVm, const state::ModelId& aModel)
+{
+  if (aVm.lastModel_ == aModel) {
+    return Readiness::kHolds;
+  }
+  return aVm.staged_.contains(aModel) ? Readiness::kStaged : Readiness::kCold;
+}
+
+/** Plans one zone. */
+class Planner
+{
+public:
+  explicit Planner(const ZoneFacts& aFacts)
+    : facts_(aFacts)
+    , layout_(chooseLayout(aFacts))
+    , loadsLeft_(aFacts.loads_)
+  {
+  }
+
+  ReplicaMoves plan()
+  {
+    for (const auto& [id, domain] : facts_.domains_) {
+      if (domain.settled_) {
+        giveUpSurplus(id, domain);
+      }
+    }
+    formMissing();
+    stageFree();
+    return std::move(moves_);
+  }
+
+private:
+  /** A copy that a domain lacks. */
+  struct Lack
+  {
+    state::DomainId domain_;           ///< Where.
+    const state::ModelSpec* model_;    ///< Which model.
+    std::uint32_t loads_ = 0;          ///< Members that must load.
+    std::vector<state::VmId> members_; ///< Members.
+  };
+
+  /** @return Copies of a model that a domain has. */
+  static std::uint32_t presentOf(const DomainFacts& aDomain,
+                                 const state::ModelId& aModel)
+  {
+    return static_cast<std::uint32_t>(
+      std::count_if(aDomain.present_.begin(),
+                    aDomain.present_.end(),
+                    [&](const PresentReplica& aReplica) {
+                      return aReplica.model_ == aModel;
+                    }));
+  }
+
+  /** Gives up the copies that a domain has too many. */
+  void giveUpSurplus(const state::DomainId& aId, const DomainFacts& aDomain)
+  {
+    const ReplicaCounts& wanted = layout_.at(aId);
+    for (std::size_t index = 0; index < facts_.models_.size(); ++index) {
+      std::uint32_t present = presentOf(aDomain, facts_.models_[index].id_);
+      for (const PresentReplica& replica : aDomain.present_) {
+        const bool surplus = replica.model_ == facts_.models_[index].id_ &&
+                             present > wanted[index];
+        if (surplus) {
+          moves_.giveUp_.push_back(replica.id_);
+          --present;
+        }
+      }
+    }
+  }
+
+  /** Forms the copies that are missing, those that need the fewest loads and
+   * have the greatest share of work first. */
+  void formMissing()
+  {
+    for (const auto& [id, domain] : facts_.domains_) {
+      if (domain.settled_) {
+        free_[id] = domain.free_;
+      }
+    }
+    for (;;) {
+      std::optional<Lack> next = nextLack();
+      if (!next) {
+        return;
+      }
+      loadsLeft_ -= next->loads_;
+      take(next->domain_, next->members_);
+      ++formed_[{ next->domain_, next->model_->id_ }];
+      moves_.form_.push_back({ next->domain_,
+                               next->model_->id_,
+                               std::move(next->members_),
+                               next->loads_ });
+    }
+  }
+
+  /** @return The copy to form next, or nothing. */
+  std::optional<Lack> nextLack()
+  {
+    std::optional<Lack> best;
+    for (const auto& [id, free] : free_) {
+      for (std::size_t index = 0; index < facts_.models_.size(); ++index) {
+        const state::ModelSpec& model = facts_.models_[index];
+        const std::uint32_t have =
+          presentOf(facts_.domains_.at(id), model.id_) +
+          formed_[{ id, model.id_ }];
+        if (have >= layout_.at(id)[index]) {
+          continue;
+        }
+        std::optional<Lack> lack = membersFor(id, model);
+        if (lack && (!best || isBefore(*lack, *best))) {
+          best = std::move(lack);
+        }
+      }
+    }
+    return best;
+  }
+
+  /** @return Whether a copy is formed before another. */
+  bool isBefore(const Lack& aLeft, const Lack& aRight) const
+  {
+    if (aLeft.loads_ != aRight.loads_ &&
+        (aLeft.loads_ == 0 || aRight.loads_ == 0)) {
+      return aLeft.loads_ == 0;
+    }
+    return needOf(*aLeft.model_) > needOf(*aRight.model_);
+  }
+
+  /** @return Share of work of a model for each copy it has or gets. */
+  double needOf(const state::ModelSpec& aModel) const
+  {
+    std::uint32_t copies = 0;
+    for (const auto& [id, domain] : facts_.domains_) {
+      copies += presentOf(domain, aModel.id_);
+      const auto formed = formed_.find({ id, aModel.id_ });
+      copies += formed == formed_.end() ? 0 : formed->second;
+    }
+    return aModel.workShare_ / (copies + 1.0) / std::max(1U, aModel.size_);
+  }
+
+  /** @return The members that a new copy would have, when there are enough. */
+  std::optional<Lack> membersFor(const state::DomainId& aDomain,
+                                 const state::ModelSpec& aModel)
+  {
+    std::vector<FreeVm> free;
+    for (const FreeVm& vm : free_[aDomain]) {
+      if (!vm.busy_) {
+        free.push_back(vm);
+      }
+    }
+    if (free.size() < aModel.size_ || aModel.size_ == 0) {
+      return std::nullopt;
+    }
+    std::stable_sort(
+      free.begin(), free.end(), [&](const FreeVm& aLeft, const FreeVm& aRight) {
+        const Readiness left = readinessOf(aLeft, aModel.id_);
+        const Readiness right = readinessOf(aRight, aModel.id_);
+        return left != right ? left < right
+                             : aLeft.staged_.size() < aRight.staged_.size();
+      });
+    Lack lack{ aDomain, &aModel, 0, {} };
+    for (std::uint32_t rank = 0; rank < aModel.size_; ++rank) {
+      lack.loads_ += readinessOf(free[rank], aModel.id_) == Readiness::kCold;
+      lack.members_.push_back(free[rank].id_);
+    }
+    return lack.loads_ <= loadsLeft_ ? std::optional(std::move(lack))
+                                     : std::nullopt;
+  }
+
+  /** Takes VMs out of the free ones. */
+  void take(const state::DomainId& aDomain,
+            const std::vector<state::VmId>& aVms)
+  {
+    std::erase_if(free_[aDomain], [&](const FreeVm& aVm) {
+      return std::find(aVms.begin(), aVms.end(), aVm.id_) != aVms.end();
+    });
+  }
+
+  /** Puts the largest model onto the hosts of free VMs that have none. */
+  void stageFree()
+  {
+    const auto largest =
+      std::max_element(facts_.models_.begin(),
+                       facts_.models_.end(),
+                       [](const auto& aLeft, const auto& aRight) {
+                         return aLeft.size_ < aRight.size_;
+                       });
+    for (const auto& [id, free] : free_) {
+      for (const FreeVm& vm : free) {
+        const bool useful = !vm.busy_ && vm.staged_.empty() && loadsLeft_ > 0;
+        if (useful) {
+          --loadsLeft_;
+          moves_.stage_.push_back({ vm.id_, largest->id_ });
+        }
+      }
+    }
+  }
+
+  const ZoneFacts& facts_;  ///< State of the zone.
+  ZoneLayout layout_;       ///< Copies that each domain gets.
+  std::uint32_t loadsLeft_; ///< Loads that may still start.
+  ReplicaMoves moves_;      ///< Moves so far.
+  std::map<state::DomainId, std::vector<FreeVm>> free_; ///< VMs still free.
+  std::map<std::pair<state::DomainId, state::ModelId>, std::uint32_t>
+    formed_; ///< Copies formed by the moves so far.
+};
+
+} // namespace
+
+ReplicaMoves
+planReplicas(const ZoneFacts& aFacts)
+{
+  return aFacts.models_.empty() ? ReplicaMoves() : Planner(aFacts).plan();
+}
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/routing/pace_func.cpp
@@ -0,0 +1,70 @@
+// How fast a copy of a model works, from its service's figures.
+
+#include "coordination/routing/pace_func.h"
+
+#include <algorithm>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+constexpr double kMillion = 1e6;  ///< Pairs in the unit of their cost.
+constexpr double kThousand = 1e3; ///< Tokens in the unit of the context's cost.
+
+} // namespace
+
+state::FloatMs
+readTime(const state::EngineSpec& aEngine,
+         const state::ModelSpec& aModel,
+         std::uint32_t aTokens)
+{
+  const double tokens = aTokens;
+  const double pairs = tokens * tokens / 2;
+  const state::FloatMs plain(tokens / aEngine.promptTokensPerMs_);
+  return (plain + aEngine.perMillionPairs_ * (pairs / kMillion)) * aModel.pace_;
+}
+
+state::FloatMs
+stepTime(const state::EngineSpec& aEngine,
+         const state::ModelSpec& aModel,
+         std::uint32_t aRunning)
+{
+  const double context =
+    (aEngine.usualPrompt_ + aEngine.usualAnswer_ / 2.0) / kThousand;
+  const state::FloatMs perRequest =
+    aEngine.stepPerRequest_ + aEngine.stepPerThousandContext_ * context;
+  return (aEngine.step_ + perRequest * aRunning) * aModel.pace_;
+}
+
+state::FloatMs
+usualSlotTime(const state::EngineSpec& aEngine, const state::ModelSpec& aModel)
+{
+  const std::uint32_t slots = std::max(1U, aEngine.batchSlots_);
+  const state::FloatMs writing =
+    stepTime(aEngine, aModel, slots) * aEngine.usualAnswer_;
+  const state::FloatMs reading =
+    readTime(aEngine, aModel, aEngine.usualPrompt_);
+  // While a request holds its slot, each of the other slots reads one prompt.
+  return writing + reading * slots;
+}
+
+state::FloatMs
+firstEventTime(const state::EngineSpec& aEngine,
+               const state::ModelSpec& aModel,
+               const state::TargetLoad& aLoad,
+               std::uint32_t aPrompt)
+{
+  const std::uint32_t slots = std::max(1U, aEngine.batchSlots_);
+  const std::uint32_t ahead = aLoad.running_ + aLoad.waiting_;
+  const state::FloatMs slotTime = usualSlotTime(aEngine, aModel);
+  const std::uint32_t running = std::min(ahead, slots);
+  const std::uint32_t queued = ahead >= slots ? ahead - slots + 1 : 0;
+  const state::FloatMs wait = slotTime * queued / slots;
+  // Others' prompts arrive at the rate at which slots are taken.
+  const double others = std::min(
+    0.9, readTime(aEngine, aModel, aEngine.usualPrompt_) * running / slotTime);
+  return wait + readTime(aEngine, aModel, aPrompt) / (1 - others) +
+         stepTime(aEngine, aModel, running);
+}
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/routing/pace_func.h
@@ -0,0 +1,66 @@
+// How fast a copy of a model works, from its service's figures.
+#pragma once
+
+#include "state/instance_type.h"
+#include "state/routing_type.h"
+
+namespace auburnhaven::coordination {
+
+/** Tokens of a request. */
+struct RequestTokens
+{
+  std::uint32_t prompt_ = 0; ///< Tokens of the prompt.
+  std::uint32_t answer_ = 0; ///< Most tokens of the answer.
+  bool operator==(const RequestTokens&) const = default;
+};
+
+/**
+ * Time to read a prompt while nothing else runs. Pure.
+ * @param aEngine The service.
+ * @param aModel The model.
+ * @param aTokens Tokens of the prompt.
+ * @return The time.
+ */
+state::FloatMs
+readTime(const state::EngineSpec& aEngine,
+         const state::ModelSpec& aModel,
+         std::uint32_t aTokens);
+
+/**
+ * Time of one token step of a copy. Pure.
+ * @param aEngine The service.
+ * @param aModel The model.
+ * @param aRunning Requests that write.
+ * @return The time.
+ */
+state::FloatMs
+stepTime(const state::EngineSpec& aEngine,
+         const state::ModelSpec& aModel,
+         std::uint32_t aRunning);
+
+/**
+ * Time that a usual request holds a slot of a full copy, with its share of the
+ * other requests' prompts. Pure.
+ * @param aEngine The service.
+ * @param aModel The model.
+ * @return The time.
+ */
+state::FloatMs
+usualSlotTime(const state::EngineSpec& aEngine, const state::ModelSpec& aModel);
+
+/**
+ * Time until a new request's first event at a copy under load: the wait for a
+ * slot, then its prompt among the steps of the others. Pure.
+ * @param aEngine The service.
+ * @param aModel The model.
+ * @param aLoad Load of the copy without the request.
+ * @param aPrompt Tokens of the request's prompt.
+ * @return The time.
+ */
+state::FloatMs
+firstEventTime(const state::EngineSpec& aEngine,
+               const state::ModelSpec& aModel,
+               const state::TargetLoad& aLoad,
+               std::uint32_t aPrompt);
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/routing/store_follower.cpp
@@ -0,0 +1,287 @@
+// Follows the configuration and the registered instances in the store.
+
+#include "coordination/routing/store_follower.h"
+
+#include <set>
+#include <utility>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+constexpr std::string_view kPart = "store"; ///< Part of the program in logs.
+
+} // namespace
+
+StoreFollower::StoreFollower(const state::Clock& aClock,
+                             PrefixStore& aStore,
+                             const RoutingCodec& aCodec,
+                             state::EventLog& aLog,
+                             FollowerSettings aSettings)
+  : clock_(aClock)
+  , store_(aStore)
+  , codec_(aCodec)
+  , log_(aLog)
+  , settings_(std::move(aSettings))
+  , answeredAt_(aClock.now())
+{
+}
+
+void
+StoreFollower::tick()
+{
+  dropMissing();
+  if (!underWay_ && clock_.now() >= nextCall_) {
+    underWay_ = true;
+    if (mustList_) {
+      list();
+    } else {
+      watch();
+    }
+  }
+}
+
+bool
+StoreFollower::hasOutage() const
+{
+  const bool waits = underWay_ && !mustList_;
+  const state::Duration limit =
+    settings_.outageAfter_ +
+    (waits ? settings_.watchTimeout_ : state::Duration{});
+  return inOutage_ || clock_.now() - answeredAt_ > limit;
+}
+
+void
+StoreFollower::list()
+{
+  const std::weak_ptr<bool> alive = alive_;
+  store_.list("", [this, alive](const ListReply& aReply) {
+    if (!alive.expired()) {
+      takeList(aReply);
+    }
+  });
+}
+
+void
+StoreFollower::watch()
+{
+  const std::weak_ptr<bool> alive = alive_;
+  store_.watchPrefix(
+    "", at_, settings_.watchTimeout_, [this, alive](const WatchReply& aReply) {
+      if (!alive.expired()) {
+        takeChanges(aReply);
+      }
+    });
+}
+
+void
+StoreFollower::answered()
+{
+  const state::TimePoint now = clock_.now();
+  if (inOutage_) {
+    inOutage_ = false;
+    graceUntil_ = now + settings_.returnGrace_;
+    log_.write(state::LogWeight::kChange,
+               kPart,
+               "store answers again",
+               { state::logField(
+                 "silent_ms",
+                 std::chrono::duration<double, std::milli>(now - answeredAt_)
+                   .count()) });
+  }
+  answeredAt_ = now;
+}
+
+void
+StoreFollower::failed(std::string_view aCall)
+{
+  nextCall_ = clock_.now() + settings_.failurePause_;
+  if (!inOutage_) {
+    inOutage_ = true;
+    log_.write(state::LogWeight::kChange,
+               kPart,
+               "store does not answer",
+               { state::logField("call", aCall) });
+  }
+}
+
+void
+StoreFollower::takeList(const ListReply& aReply)
+{
+  underWay_ = false;
+  if (aReply.status_ != StoreStatus::kOk) {
+    failed("list");
+    return;
+  }
+  answered();
+  std::set<state::VmId> seen;
+  for (const StoreItem& item : aReply.items_) {
+    if (item.key_.starts_with(settings_.instancePrefix_)) {
+      seen.insert(
+        state::VmId(item.key_.substr(settings_.instancePrefix_.size())));
+    }
+    apply(item.key_, item.value_);
+  }
+  std::vector<state::VmId> gone;
+  for (const auto& [vm, instance] : present_) {
+    if (!seen.contains(vm)) {
+      gone.push_back(vm);
+    }
+  }
+  for (const state::VmId& vm : gone) {
+    removeInstance(vm);
+  }
+  at_ = aReply.at_;
+  listed_ = true;
+  mustList_ = false;
+  publish();
+}
+
+void
+StoreFollower::takeChanges(const WatchReply& aReply)
+{
+  underWay_ = false;
+  if (aReply.status_ == WatchStatus::kUnavailable) {
+    failed("watch");
+    return;
+  }
+  answered();
+  if (aReply.status_ == WatchStatus::kCompacted) {
+    mustList_ = true;
+    log_.write(
+      state::LogWeight::kChange, kPart, "history is gone, listing again", {});
+    return;
+  }
+  for (const StoreChange& change : aReply.changes_) {
+    apply(change.key_, change.value_);
+  }
+  at_ = std::max(at_, aReply.at_);
+  if (!aReply.changes_.empty()) {
+    nextCall_ = clock_.now() + settings_.pause_;
+  }
+  publish();
+}
+
+void
+StoreFollower::apply(const std::string& aKey,
+                     const std::optional<std::string>& aValue)
+{
+  if (aKey == settings_.configKey_) {
+    if (aValue) {
+      takeConfig(*aValue, "store");
+    }
+  } else if (aKey.starts_with(settings_.instancePrefix_)) {
+    const state::VmId vm(aKey.substr(settings_.instancePrefix_.size()));
+    if (aValue) {
+      putInstance(vm, *aValue);
+    } else {
+      removeInstance(vm);
+    }
+  } else if (aKey.starts_with(settings_.ownPrefix_) && keyHandler_) {
+    keyHandler_(aKey, aValue);
+  }
+}
+
+void
+StoreFollower::offerConfig(const std::string& aText)
+{
+  takeConfig(aText, "peer");
+}
+
+void
+StoreFollower::takeConfig(const std::string& aText, std::string_view aSource)
+{
+  if (aText == configText_) {
+    return;
+  }
+  std::optional<state::RoutingConfig> config = codec_.decodeConfig(aText);
+  if (!config) {
+    log_.write(state::LogWeight::kChange,
+               kPart,
+               "configuration cannot be read",
+               { state::logField("source", aSource),
+                 state::logField("bytes", aText.size()) });
+    return;
+  }
+  if (config_ && config->version_ <= config_->version_) {
+    return;
+  }
+  config_ = std::make_shared<const state::RoutingConfig>(std::move(*config));
+  configText_ = aText;
+  log_.write(state::LogWeight::kChange,
+             kPart,
+             "configuration in force",
+             { state::logField("version", config_->version_.value()),
+               state::logField("source", aSource),
+               state::logField("routes", config_->routes_.size()) });
+  if (configHandler_) {
+    configHandler_(config_);
+  }
+}
+
+void
+StoreFollower::putInstance(const state::VmId& aVm, const std::string& aText)
+{
+  std::optional<state::Instance> instance = codec_.decodeInstance(aVm, aText);
+  if (!instance) {
+    log_.write(state::LogWeight::kRoutine,
+               kPart,
+               "entry names no usable instance",
+               { state::logField("vm", std::string_view(aVm.value())) });
+    removeInstance(aVm);
+    return;
+  }
+  missing_.erase(aVm);
+  const auto found = present_.find(aVm);
+  if (found != present_.end() && found->second == *instance) {
+    return;
+  }
+  present_[aVm] = std::move(*instance);
+  changed_ = true;
+}
+
+void
+StoreFollower::removeInstance(const state::VmId& aVm)
+{
+  if (!present_.contains(aVm)) {
+    return;
+  }
+  if (clock_.now() < graceUntil_) {
+    missing_.emplace(aVm, graceUntil_);
+    return;
+  }
+  present_.erase(aVm);
+  missing_.erase(aVm);
+  changed_ = true;
+}
+
+void
+StoreFollower::dropMissing()
+{
+  const state::TimePoint now = clock_.now();
+  for (auto at = missing_.begin(); at != missing_.end();) {
+    if (at->second <= now && !inOutage_) {
+      present_.erase(at->first);
+      changed_ = true;
+      at = missing_.erase(at);
+    } else {
+      ++at;
+    }
+  }
+  publish();
+}
+
+void
+StoreFollower::publish()
+{
+  if (!changed_) {
+    return;
+  }
+  changed_ = false;
+  instances_ = std::make_shared<const state::InstanceMap>(present_);
+  if (instanceHandler_) {
+    instanceHandler_(instances_);
+  }
+}
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/routing/store_follower.h
@@ -0,0 +1,162 @@
+// Follows the configuration and the registered instances in the store.
+#pragma once
+
+#include "coordination/prefix_store_port.h"
+#include "state/event_log.h"
+#include "state/instance_type.h"
+#include "state/routing_type.h"
+#include "state/time_type.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace auburnhaven::coordination {
+
+/** Reads the values that others write into the store. Thread-safe. */
+class RoutingCodec
+{
+public:
+  virtual ~RoutingCodec() = default;
+  /**
+   * @param aText Value of the configuration's key.
+   * @return The configuration, or nothing when it cannot be read.
+   */
+  virtual std::optional<state::RoutingConfig> decodeConfig(
+    const std::string& aText) const = 0;
+  /**
+   * @param aVm The VM whose entry it is.
+   * @param aText Value of its key.
+   * @return The instance, or nothing when the entry names none to use.
+   */
+  virtual std::optional<state::Instance> decodeInstance(
+    const state::VmId& aVm,
+    const std::string& aText) const = 0;
+};
+
+/** Settings of the follower. */
+struct FollowerSettings
+{
+  std::string configKey_;      ///< Key of the configuration.
+  std::string instancePrefix_; ///< Prefix of the registered instances.
+  std::string ownPrefix_;      ///< Prefix of the daemons' own keys.
+  state::Duration watchTimeout_ =
+    std::chrono::seconds(10); ///< Longest wait of one watch.
+  state::Duration pause_ = std::chrono::milliseconds(
+    350); ///< From one answer to the next watch; changes gather meanwhile.
+  state::Duration failurePause_ =
+    std::chrono::milliseconds(250); ///< After a call that failed.
+  state::Duration outageAfter_ = std::chrono::milliseconds(
+    1000); ///< Silence of the store that counts as an outage.
+  state::Duration returnGrace_ = std::chrono::milliseconds(
+    2500); ///< After an outage: how long entries that are missing stay in use.
+  bool operator==(const FollowerSettings&) const = default;
+};
+
+/**
+ * Follows the store by one watch and keeps the newest configuration and the
+ * instances. Versions of the configuration never go back. Control thread only.
+ */
+class StoreFollower
+{
+public:
+  using ConfigHandler = std::function<void(
+    const state::RoutingConfigPtr&)>; ///< Takes a newer configuration.
+  using InstanceHandler = std::function<void(
+    const state::InstanceMapPtr&)>; ///< Takes changed instances.
+  using KeyHandler =
+    std::function<void(const std::string&, const std::optional<std::string>&)>;
+  ///< Takes a changed key of the daemons' own; no value when removed.
+
+  /**
+   * @param aClock Clock; outlives this object.
+   * @param aStore The store; outlives this object.
+   * @param aCodec Reads values; outlives this object.
+   * @param aLog Log; outlives this object.
+   * @param aSettings Settings.
+   */
+  StoreFollower(const state::Clock& aClock,
+                PrefixStore& aStore,
+                const RoutingCodec& aCodec,
+                state::EventLog& aLog,
+                FollowerSettings aSettings);
+  StoreFollower(const StoreFollower&) = delete;
+  StoreFollower& operator=(const StoreFollower&) = delete;
+
+  /** @param aHandler Called for each newer configuration. */
+  void onConfig(ConfigHandler aHandler)
+  {
+    configHandler_ = std::move(aHandler);
+  }
+  /** @param aHandler Called when instances have changed. */
+  void onInstances(InstanceHandler aHandler)
+  {
+    instanceHandler_ = std::move(aHandler);
+  }
+  /** @param aHandler Called for each change of the daemons' own keys. */
+  void onOwnKey(KeyHandler aHandler) { keyHandler_ = std::move(aHandler); }
+  /** Does what is due. Call each 50 ms or so. */
+  void tick();
+  /**
+   * Takes a configuration that a peer has sent.
+   * @param aText Value of the configuration's key.
+   */
+  void offerConfig(const std::string& aText);
+
+  /** @return The newest configuration, or null. */
+  const state::RoutingConfigPtr& config() const { return config_; }
+  /** @return Text of the newest configuration. */
+  const std::string& configText() const { return configText_; }
+  /** @return The instances; never null. */
+  const state::InstanceMapPtr& instances() const { return instances_; }
+  /** @return Whether the store has been silent for longer than an outage. */
+  bool hasOutage() const;
+  /** @return Whether the keys have been listed once. */
+  bool hasListed() const { return listed_; }
+
+private:
+  void list();
+  void watch();
+  void takeList(const ListReply& aReply);
+  void takeChanges(const WatchReply& aReply);
+  void answered();
+  void failed(std::string_view aCall);
+  void apply(const std::string& aKey, const std::optional<std::string>& aValue);
+  void takeConfig(const std::string& aText, std::string_view aSource);
+  void putInstance(const state::VmId& aVm, const std::string& aText);
+  void removeInstance(const state::VmId& aVm);
+  void dropMissing();
+  void publish();
+
+  const state::Clock& clock_;       ///< Clock.
+  PrefixStore& store_;              ///< The store.
+  const RoutingCodec& codec_;       ///< Reads values.
+  state::EventLog& log_;            ///< Log.
+  FollowerSettings settings_;       ///< Settings.
+  ConfigHandler configHandler_;     ///< Takes configurations.
+  InstanceHandler instanceHandler_; ///< Takes instances.
+  KeyHandler keyHandler_;           ///< Takes own keys.
+  state::RoutingConfigPtr config_;  ///< Newest configuration.
+  std::string configText_;          ///< Its text.
+  state::InstanceMap present_;      ///< Instances as applied so far.
+  state::InstanceMapPtr instances_ =
+    std::make_shared<state::InstanceMap>(); ///< Instances as published.
+  std::map<state::VmId, state::TimePoint>
+    missing_;             ///< Instances that vanished in an outage, and when
+                          ///< they are dropped.
+  bool changed_ = false;  ///< Whether instances differ from the published.
+  bool listed_ = false;   ///< Whether the keys were listed.
+  bool mustList_ = true;  ///< Whether the keys must be listed next.
+  bool underWay_ = false; ///< Whether a call is awaited.
+  bool inOutage_ = false; ///< Whether an outage was noticed.
+  state::Revision at_;    ///< Revision from which the watch goes on.
+  state::TimePoint nextCall_{};   ///< When to call next.
+  state::TimePoint answeredAt_{}; ///< Newest answer of the store.
+  state::TimePoint graceUntil_{}; ///< End of the grace after an outage.
+  std::shared_ptr<bool> alive_ =
+    std::make_shared<bool>(true); ///< Ends callbacks after destruction.
+};
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/routing/target_pool.h
@@ -0,0 +1,169 @@
+// Chooses the target of a request, or refuses it.
+#pragma once
+
+#include "coordination/routing/pace_func.h"
+#include "state/instance_type.h"
+#include "state/routing_type.h"
+#include "state/time_type.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace auburnhaven::coordination {
+
+/** What a request needs of a target. */
+struct TargetNeed
+{
+  state::ServiceId service_;          ///< Service.
+  state::ModelId model_;              ///< Model; empty for plain services.
+  RequestTokens tokens_;              ///< Its tokens.
+  state::Duration latencyTarget_{};   ///< Aim for the first event.
+  state::Duration timeLeft_{};        ///< Time until it is given up.
+  std::vector<state::VmId> excluded_; ///< Targets already tried.
+  bool operator==(const TargetNeed&) const = default;
+};
+
+/** Why there is no target. */
+enum class RefusalReason : std::uint8_t
+{
+  kNone,     ///< There is a target.
+  kNoTarget, ///< No target of the service and model is known to serve.
+  kFull,     ///< Each target is full.
+  kTooLate,  ///< No target can begin in time.
+};
+
+/** @return Name of a reason for logs. */
+constexpr std::string_view
+nameOf(RefusalReason aReason)
+{
+  constexpr std::string_view kNames[] = {
+    "none", "no_target", "full", "too_late"
+  };
+  return kNames[static_cast<std::size_t>(aReason)];
+}
+
+/** Target of a request, or the refusal. */
+struct TargetDecision
+{
+  RefusalReason reason_ = RefusalReason::kNoTarget; ///< kNone with a target.
+  state::VmId vm_;                                  ///< The target.
+  state::Endpoint endpoint_;                        ///< Where it listens.
+  state::TargetLoad load_;                          ///< Load that was assumed.
+  state::Duration loadAge_{};    ///< Age of the report that it rests on.
+  state::Duration expected_{};   ///< Expected time until the first event.
+  state::Duration retryAfter_{}; ///< For a refusal: when there will be room.
+  std::uint32_t candidates_ = 0; ///< Targets of the service and model.
+  bool operator==(const TargetDecision&) const = default;
+};
+
+/** How a send to a target ended, as far as later choices are concerned. */
+enum class SendResult : std::uint8_t
+{
+  kAnswered, ///< The target answered.
+  kRejected, ///< It said that it did not run the request.
+  kFailed,   ///< No usable answer.
+  kAborted,  ///< The caller went away, or the time was over.
+};
+
+/** Settings of the choice. */
+struct TargetPoolSettings
+{
+  std::uint32_t samples_ = 3; ///< Targets compared for each request.
+  state::Duration reportTrust_ =
+    std::chrono::seconds(3); ///< Age at which a reported load no longer counts.
+  state::Duration failurePause_ = std::chrono::milliseconds(
+    800); ///< How long a target rests after a failure.
+  state::Duration fullPause_ = std::chrono::milliseconds(
+    150);                 ///< How long a target rests after it was full.
+  double patience_ = 1.0; ///< Part of the latency target that the expected
+                          ///< first event may take.
+  bool operator==(const TargetPoolSettings&) const = default;
+};
+
+/**
+ * Chooses targets by the expected time until the first event, from the loads
+ * that targets report and the requests that this daemon has at them. A request
+ * enters only where it is expected to begin in time; else it is refused at
+ * once. Answers the load of many daemons before few targets, where each knows
+ * the others' requests only by lagging reports. Thread-safe.
+ */
+class TargetPool
+{
+public:
+  using RandomSource = std::function<std::uint64_t()>; ///< Random numbers.
+
+  /**
+   * @param aClock Clock; outlives this object.
+   * @param aSettings Settings.
+   * @param aRandom Source of random numbers.
+   */
+  TargetPool(const state::Clock& aClock,
+             TargetPoolSettings aSettings,
+             RandomSource aRandom);
+
+  /**
+   * Takes what is known of services and instances.
+   * @param aConfig Configuration in force; not null.
+   * @param aInstances Registered instances; not null.
+   */
+  void setView(state::RoutingConfigPtr aConfig,
+               const state::InstanceMapPtr& aInstances);
+  /**
+   * Chooses the target of a request. A chosen target counts the request until
+   * finish() is called.
+   * @param aNeed What the request needs.
+   * @return The decision.
+   */
+  TargetDecision choose(const TargetNeed& aNeed);
+  /**
+   * Ends a request that choose() has given to a target.
+   * @param aVm The target.
+   * @param aResult How it ended.
+   */
+  void finish(const state::VmId& aVm, SendResult aResult);
+  /**
+   * Notes a reported load.
+   * @param aVm The target.
+   * @param aLoad The load; includes this daemon's own requests.
+   */
+  void noteLoad(const state::VmId& aVm, const state::TargetLoad& aLoad);
+
+private:
+  /** What is known of a target. */
+  struct Target
+  {
+    state::ServiceId service_;      ///< Its service.
+    state::ModelId model_;          ///< Model it serves; empty when plain.
+    state::Endpoint endpoint_;      ///< Where it listens.
+    std::uint32_t slots_ = 1;       ///< Requests it runs at once.
+    bool usable_ = false;           ///< Whether it takes new requests.
+    std::uint32_t own_ = 0;         ///< This daemon's requests at it.
+    std::uint32_t others_ = 0;      ///< Requests of others, as last reported.
+    state::TimePoint reportedAt_{}; ///< When that was.
+    state::TimePoint restsUntil_{}; ///< Gets no request before.
+  };
+
+  bool fits(const Target& aTarget, const TargetNeed& aNeed) const;
+  state::TargetLoad loadOf(const Target& aTarget, state::TimePoint aNow) const;
+  state::Duration expectedTime(const Target& aTarget,
+                               const TargetNeed& aNeed,
+                               const state::TargetLoad& aLoad) const;
+  TargetDecision refuse(const std::vector<Target*>& aCandidates,
+                        const TargetNeed& aNeed,
+                        state::TimePoint aNow) const;
+
+  const state::Clock& clock_;             ///< Clock.
+  const TargetPoolSettings settings_;     ///< Settings.
+  RandomSource random_;                   ///< Random numbers.
+  mutable std::mutex mutex_;              ///< Guards the following members.
+  state::RoutingConfigPtr config_;        ///< Configuration in force.
+  std::map<state::VmId, Target> targets_; ///< Targets.
+};
+
+} // namespace auburnhaven::coordination
--- a/src/protocol/base64_func.cpp
+++ b/src/protocol/base64_func.cpp
@@ -29,16 +29,10 @@
 } // namespace
 
 std::string
-toText(std::string_view aValue)
+encodeBase64(std::string_view aValue)
 {
-  if (std::all_of(aValue.begin(), aValue.end(), isPlain) &&
-      !aValue.starts_with(kMark)) {
-    return std::string(aValue);
-  }
-  std::string text(kMark);
-  const std::size_t size = (aValue.size() + 2) / 3 * 4;
-  text.resize(kMark.size() + size + 1);
-  EVP_EncodeBlock(reinterpret_cast<unsigned char*>(&text[kMark.size()]),
+  std::string text((aValue.size() + 2) / 3 * 4 + 1, '\0');
+  EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
                   bytesOf(aValue),
                   static_cast<int>(aValue.size()));
   text.pop_back();
@@ -46,30 +40,45 @@
 }
 
 std::optional<std::string>
-fromText(std::string_view aText)
+decodeBase64(std::string_view aText)
 {
-  if (!aText.starts_with(kMark)) {
-    return std::string(aText);
-  }
-  const std::string_view body = aText.substr(kMark.size());
-  if (body.size() % 4 != 0) {
+  if (aText.size() % 4 != 0) {
     return std::nullopt;
   }
-  if (body.empty()) {
+  if (aText.empty()) {
     return std::string();
   }
-  std::string value(body.size() / 4 * 3, '\0');
+  std::string value(aText.size() / 4 * 3, '\0');
   const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(&value[0]),
-                                   bytesOf(body),
-                                   static_cast<int>(body.size()));
+                                   bytesOf(aText),
+                                   static_cast<int>(aText.size()));
   if (size < 0) {
     return std::nullopt;
   }
-  const std::size_t padding = body.ends_with("==")  ? 2
-                              : body.ends_with('=') ? 1
-                                                    : 0;
+  const std::size_t padding = aText.ends_with("==")  ? 2
+                              : aText.ends_with('=') ? 1
+                                                     : 0;
   value.resize(static_cast<std::size_t>(size) - padding);
   return value;
 }
 
+std::string
+toText(std::string_view aValue)
+{
+  if (std::all_of(aValue.begin(), aValue.end(), isPlain) &&
+      !aValue.starts_with(kMark)) {
+    return std::string(aValue);
+  }
+  return std::string(kMark) + encodeBase64(aValue);
+}
+
+std::optional<std::string>
+fromText(std::string_view aText)
+{
+  if (!aText.starts_with(kMark)) {
+    return std::string(aText);
+  }
+  return decodeBase64(aText.substr(kMark.size()));
+}
+
 } // namespace auburnhaven::protocol
--- a/src/protocol/base64_func.h
+++ b/src/protocol/base64_func.h
@@ -7,6 +7,20 @@
 
 namespace auburnhaven::protocol {
 
+/**
+ * @param aValue Any bytes.
+ * @return Their base64 form with padding. Thread-safe.
+ */
+std::string
+encodeBase64(std::string_view aValue);
+
+/**
+ * @param aText Base64 with padding.
+ * @return The bytes, or nothing when the text is not base64. Thread-safe.
+ */
+std::optional<std::string>
+decodeBase64(std::string_view aText);
+
 /**
  * Makes a value safe to put into a JSON string. Thread-safe.
  * @param aValue Any bytes.
--- /dev/null
+++ b/src/state/routing_func.cpp
@@ -0,0 +1,37 @@
+// Look-ups in the configuration of routed services.
+
+#include "state/routing_func.h"
+
+#include <algorithm>
+
+namespace auburnhaven::state {
+
+namespace {
+
+/** @return The item with an identifier, or null. */
+template<class Item, class Id>
+const Item*
+findById(const std::vector<Item>& aItems, const Id& aId)
+{
+  const auto found =
+    std::find_if(aItems.begin(), aItems.end(), [&](const Item& aItem) {
+      return aItem.id_ == aId;
+    });
+  return found == aItems.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+const ServiceSpec*
+findService(const RoutingConfig& aConfig, const ServiceId& aService)
+{
+  return findById(aConfig.services_, aService);
+}
+
+const ModelSpec*
+findModel(const EngineSpec& aEngine, const ModelId& aModel)
+{
+  return findById(aEngine.models_, aModel);
+}
+
+} // namespace auburnhaven::state
--- /dev/null
+++ b/src/state/routing_func.h
@@ -0,0 +1,24 @@
+// Look-ups in the configuration of routed services.
+#pragma once
+
+#include "state/routing_type.h"
+
+namespace auburnhaven::state {
+
+/**
+ * @param aConfig A configuration.
+ * @param aService A service.
+ * @return The service's entry, or null. Thread-safe.
+ */
+const ServiceSpec*
+findService(const RoutingConfig& aConfig, const ServiceId& aService);
+
+/**
+ * @param aEngine An engine service.
+ * @param aModel A model.
+ * @return The model's entry, or null. Thread-safe.
+ */
+const ModelSpec*
+findModel(const EngineSpec& aEngine, const ModelId& aModel);
+
+} // namespace auburnhaven::state
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -156,6 +156,12 @@
   return connection_ ? connection_->header(aName) : std::string_view();
 }
 
+std::vector<HttpField>
+HttpCall::headers() const
+{
+  return connection_ ? connection_->headers() : std::vector<HttpField>();
+}
+
 HttpPiece
 HttpCall::readChunk(const asio::yield_context& aYield)
 {
@@ -237,7 +243,8 @@
   if (aborter.aborted()) {
     return HttpCall({ HttpFailureKind::kAborted, false, "aborted" });
   }
-  while (auto kept = pool_->take(aEndpoint)) {
+  while (auto kept =
+           aRequest.freshConnection_ ? nullptr : pool_->take(aEndpoint)) {
     aborter.bind(kept);
     HttpFailure failure = kept->exchange(aRequest, aTimeouts.response_, aYield);
     if (failure.kind_ == HttpFailureKind::kNone) {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -53,6 +53,13 @@
    * @return Its value, or empty; valid as long as this call.
    */
   std::string_view header(std::string_view aName) const;
+  /** @return All headers of the response in order. */
+  std::vector<HttpField> headers() const;
+  /** @param aTimeout Longest wait for the next pieces of the body. */
+  void setIdleTimeout(std::chrono::milliseconds aTimeout)
+  {
+    idleTimeout_ = aTimeout;
+  }
   /**
    * Waits for the next piece of the body as it arrives.
    * @param aYield The coroutine.
--- a/src/transport/http_client_type.h
+++ b/src/transport/http_client_type.h
@@ -25,6 +25,8 @@
   std::string path_;               ///< Path with the query.
   std::vector<HttpField> headers_; ///< Further header lines.
   std::string body_;               ///< Body; its length is sent along.
+  bool freshConnection_ =
+    false; ///< Whether it must not share a connection with earlier requests.
   bool operator==(const HttpClientRequest&) const = default;
 };
 
@@ -44,6 +46,9 @@
   std::size_t idlePerEndpoint_ = 64;               ///< Kept connections.
   std::chrono::milliseconds idleTimeout_{ 30000 }; ///< Longest time unused.
   std::uint32_t maxHeaderBytes_ = 16 * 1024;       ///< Largest response header.
+  std::chrono::seconds probeAfter_{
+    0
+  }; ///< Silence after which TCP probes the peer each second; 0 for never.
   std::size_t maxLineBytes_ =
     std::size_t{ 1024 } * 1024; ///< Longest line of a body.
   bool operator==(const HttpClientLimits&) const = default;
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <utility>
 
 namespace auburnhaven::transport {
@@ -30,8 +33,15 @@
   request.set(http::field::host,
               (isV6 ? '[' + aEndpoint.address_ + ']' : aEndpoint.address_) +
                 ':' + std::to_string(aEndpoint.port_));
+  bool hasHost = false;
   for (const HttpField& field : aRequest.headers_) {
-    request.set(field.name_, field.value_);
+    const bool isHost = beast::iequals(field.name_, "Host");
+    if (isHost && !hasHost) {
+      request.set(http::field::host, field.value_);
+      hasHost = true;
+    } else if (!isHost) {
+      request.insert(field.name_, field.value_);
+    }
   }
   request.body() = aRequest.body_;
   request.prepare_payload();
@@ -73,6 +83,9 @@
   if (!error) {
     stream_.socket().set_option(asio::ip::tcp::no_delay(true), error);
   }
+  if (!error && limits_.probeAfter_.count() > 0) {
+    probeSilence();
+  }
   if (!error) {
     return {};
   }
@@ -81,6 +94,22 @@
            error.message() };
 }
 
+void
+HttpConnection::probeSilence()
+{
+  constexpr int kProbePeriod = 1; // seconds
+  constexpr int kProbes = 2;      // without answer, then the connection is lost
+  const int after = static_cast<int>(limits_.probeAfter_.count());
+  const int socket = stream_.socket().native_handle();
+  error_code error;
+  stream_.socket().set_option(asio::socket_base::keep_alive(true), error);
+  // A platform that lacks an option leaves only the timeouts of the calls.
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &after, sizeof after);
+  setsockopt(
+    socket, IPPROTO_TCP, TCP_KEEPINTVL, &kProbePeriod, sizeof kProbePeriod);
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof kProbes);
+}
+
 HttpFailure
 HttpConnection::exchange(const HttpClientRequest& aRequest,
                          std::chrono::milliseconds aTimeout,
@@ -247,6 +276,17 @@
   return { found->value().data(), found->value().size() };
 }
 
+std::vector<HttpField>
+HttpConnection::headers() const
+{
+  std::vector<HttpField> headers;
+  for (const auto& field : parser_->get()) {
+    headers.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  return headers;
+}
+
 void
 HttpConnection::markIdle()
 {
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -66,6 +66,8 @@
   std::uint32_t status() const;
   /** @return Value of a response header, or empty. */
   std::string_view header(std::string_view aName) const;
+  /** @return All response headers in order. */
+  std::vector<HttpField> headers() const;
   /** @return The target. */
   const state::Endpoint& endpoint() const { return endpoint_; }
   /** @return When it became unused. */
@@ -82,6 +84,7 @@
   static constexpr std::size_t kPieceBytes =
     std::size_t{ 16 } * 1024; ///< Most body bytes of one read.
 
+  void probeSilence();
   HttpPiece finish(const boost::system::error_code& aError);
   HttpPiece takeLine(std::size_t aEnd);
   HttpFailure failure(const boost::system::error_code& aError,
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -114,6 +114,9 @@
    * @return Empty, or why it could not listen.
    */
   std::string start();
+  /** Goes on accepting, but ends each session after its present request. Safe
+   * from any thread. */
+  void closeAfterResponses() { state_->draining_ = true; }
   /** Stops accepting; sessions end after their present request. Safe from any
    * thread. */
   void drain();
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -324,9 +324,11 @@
       keepAlive_ = false;
     }
     aMessage.set(http::field::server, "auburnhaven");
-    aMessage.set(http::field::content_type, view(aResponse.contentType_));
+    if (!aResponse.contentType_.empty()) {
+      aMessage.set(http::field::content_type, view(aResponse.contentType_));
+    }
     for (const HttpHeader& header : aResponse.headers_) {
-      aMessage.set(view(header.name_), view(header.value_));
+      aMessage.insert(view(header.name_), view(header.value_));
     }
     aMessage.keep_alive(keepAlive_);
   }
--- a/src/transport/http_type.h
+++ b/src/transport/http_type.h
@@ -42,10 +42,11 @@
 /** A response that is sent whole. */
 struct HttpResponse
 {
-  std::uint32_t status_ = 200;                   ///< Status code.
-  std::vector<HttpHeader> headers_;              ///< Further header lines.
-  std::string contentType_ = "application/json"; ///< Type of the body.
-  std::string body_;                             ///< Body.
+  std::uint32_t status_ = 200;      ///< Status code.
+  std::vector<HttpHeader> headers_; ///< Further header lines.
+  std::string contentType_ =
+    "application/json"; ///< Type of the body; empty when a header states it.
+  std::string body_;    ///< Body.
 };
 
 /** Limits of the HTTP server. */
--- /dev/null
+++ b/src/transport/relay/event_splitter.cpp
@@ -0,0 +1,108 @@
+// Splits a stream of server-sent events into whole events.
+
+#include "transport/relay/event_splitter.h"
+
+#include <charconv>
+
+namespace auburnhaven::transport {
+
+namespace {
+
+constexpr std::string_view kIdField = "id:"; ///< Field with the identifier.
+
+/** @return Value of an event's identifier field, or nothing. */
+std::optional<std::string_view>
+idOf(std::string_view aEvent)
+{
+  std::size_t start = 0;
+  while (start < aEvent.size()) {
+    const std::size_t end = aEvent.find('\n', start);
+    std::string_view line = aEvent.substr(start, end - start);
+    if (line.starts_with(kIdField)) {
+      line.remove_prefix(kIdField.size());
+      const std::size_t first = line.find_first_not_of(' ');
+      const std::size_t last = line.find_last_not_of("\r ");
+      return first == std::string_view::npos
+               ? std::string_view()
+               : line.substr(first, last + 1 - first);
+    }
+    if (end == std::string_view::npos) {
+      break;
+    }
+    start = end + 1;
+  }
+  return std::nullopt;
+}
+
+/** @return A text as a number, or nothing. */
+std::optional<std::uint64_t>
+numberOf(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, number);
+  const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
+  return whole ? std::optional(number) : std::nullopt;
+}
+
+} // namespace
+
+std::size_t
+EventSplitter::endOfEvent(std::size_t aFrom) const
+{
+  std::size_t at = pending_.find('\n', aFrom);
+  while (at != std::string::npos) {
+    std::size_t next = at + 1;
+    if (next < pending_.size() && pending_[next] == '\r') {
+      ++next;
+    }
+    if (next < pending_.size() && pending_[next] == '\n') {
+      return next + 1;
+    }
+    at = pending_.find('\n', at + 1);
+  }
+  return std::string::npos;
+}
+
+bool
+EventSplitter::isNew(std::string_view aEvent)
+{
+  const std::optional<std::string_view> id = idOf(aEvent);
+  if (!id) {
+    return true;
+  }
+  const std::optional<std::uint64_t> number = numberOf(*id);
+  if (number && lastNumber_ && *number <= *lastNumber_) {
+    return false;
+  }
+  lastId_ = std::string(*id);
+  lastNumber_ = number;
+  return true;
+}
+
+std::string_view
+EventSplitter::next()
+{
+  pending_.erase(0, taken_);
+  taken_ = 0;
+  for (;;) {
+    const std::size_t end = endOfEvent(0);
+    if (end == std::string::npos) {
+      return {};
+    }
+    if (isNew(std::string_view(pending_).substr(0, end))) {
+      taken_ = end;
+      return std::string_view(pending_).substr(0, end);
+    }
+    pending_.erase(0, end);
+  }
+}
+
+void
+EventSplitter::dropPart()
+{
+  pending_.clear();
+  taken_ = 0;
+}
+
+} // namespace auburnhaven::transport
--- /dev/null
+++ b/src/transport/relay/relay_dialect.h
@@ -0,0 +1,82 @@
+// How requests, sends and answers state what a relay must know of them.
+#pragma once
+
+#include "coordination/routing/pace_func.h"
+#include "state/instance_type.h"
+#include "transport/http_client.h"
+#include "transport/http_type.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburnhaven::transport {
+
+/** What a caller's request states. */
+struct RelayRequest
+{
+  std::string id_;   ///< Identifier of this attempt of the caller.
+  std::string host_; ///< Host.
+  std::string key_;  ///< Bearer key; empty for none.
+  std::optional<std::chrono::milliseconds>
+    patience_;                         ///< How long the caller waits.
+  state::ModelId model_;               ///< Model; empty for plain services.
+  coordination::RequestTokens tokens_; ///< Its tokens.
+  std::string lastEventId_; ///< Event after which a stream goes on; empty for
+                            ///< its start.
+  bool operator==(const RelayRequest&) const = default;
+};
+
+/** What a relay adds to a request that it sends on. */
+struct RelaySend
+{
+  state::VmId target_;                   ///< Target that must run it.
+  state::AccountId account_;             ///< Account; empty for none.
+  std::chrono::milliseconds timeLeft_{}; ///< Time until it is given up.
+  std::string lastEventId_;              ///< As for RelayRequest.
+  bool operator==(const RelaySend&) const = default;
+};
+
+/** What a target's answer states. */
+struct RelayAnswer
+{
+  bool notRun_ = false;  ///< Whether the target says that it did not run it.
+  bool belongs_ = false; ///< Whether it answers this request.
+  bool signed_ = false;  ///< Whether it carries the target's signature.
+  std::optional<state::TargetLoad> load_; ///< Load of the target.
+  bool operator==(const RelayAnswer&) const = default;
+};
+
+/** Reads and writes the headers of relayed requests. Thread-safe. */
+class RelayDialect
+{
+public:
+  virtual ~RelayDialect() = default;
+  /** @param aRequest A request. @return What it states. */
+  virtual RelayRequest read(const HttpRequest& aRequest) const = 0;
+  /**
+   * @param aRequest The caller's request.
+   * @param aSend What to add.
+   * @return Headers to send; none that concern only one connection.
+   */
+  virtual std::vector<HttpField> headersFor(const HttpRequest& aRequest,
+                                            const RelaySend& aSend) const = 0;
+  /**
+   * @param aRequest What the request states.
+   * @param aCall A call with a response.
+   * @return What the answer states.
+   */
+  virtual RelayAnswer judge(const RelayRequest& aRequest,
+                            const HttpCall& aCall) const = 0;
+};
+
+/**
+ * @param aName Name of a header.
+ * @return Whether it concerns only one connection or the framing of a body.
+ * Thread-safe.
+ */
+bool
+isConnectionHeader(std::string_view aName);
+
+} // namespace auburnhaven::transport
--- a/src/transport/system_clock.h
+++ b/src/transport/system_clock.h
@@ -3,6 +3,8 @@
 
 #include "state/time_type.h"
 
+#include <ctime>
+
 namespace auburnhaven::transport {
 
 /** The operating system's clocks. Thread-safe. */
@@ -11,7 +13,11 @@
 public:
   state::TimePoint now() const override
   {
-    return std::chrono::steady_clock::now();
+    // Goes on while the VM is suspended, unlike the steady clock.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return state::TimePoint(std::chrono::seconds(time.tv_sec) +
+                            std::chrono::nanoseconds(time.tv_nsec));
   }
   state::WallTime wallNow() const override
   {
