--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -308,12 +308,15 @@
   exchange_.tick();
   const bool mayTry =
     !stopping_ && follower_.hasListed() && !follower_.hasOutage();
+  bool urgent = !follower_.config();
   for (auto& [zone, duty] : duties_) {
     if (relay_.requests() > 0) {
       duty->coordinator().noteTraffic();
     }
     duty->tick(mayTry);
+    urgent = urgent || duty->coordinator().isChanging();
   }
+  follower_.setUrgent(urgent);
 }
 
 void
--- a/src/coordination/replica/engine_watch.cpp
+++ b/src/coordination/replica/engine_watch.cpp
@@ -36,18 +36,19 @@
     WatchedEngine& engine = engines_[instance.id_];
     const bool moved = engine.instance_.endpoint_ != instance.endpoint_;
     engine.instance_ = instance;
+    engine.listed_ = true;
     if (moved) {
       engine.report_.reset();
       engine.misses_ = 0;
       questions_[instance.id_].nextAt_ = clock_.now();
     }
   }
-  std::erase_if(engines_, [&](const auto& aEntry) {
-    return !present.contains(aEntry.first);
-  });
-  std::erase_if(questions_, [&](const auto& aEntry) {
-    return !present.contains(aEntry.first);
-  });
+  for (auto& [vm, engine] : engines_) {
+    if (engine.listed_ && !present.contains(vm)) {
+      engine.listed_ = false;
+      engine.unlistedAt_ = clock_.now();
+    }
+  }
 }
 
 void
@@ -66,6 +67,13 @@
 EngineWatch::tick()
 {
   const state::TimePoint now = clock_.now();
+  std::erase_if(engines_, [&](const auto& aEntry) {
+    const WatchedEngine& engine = aEntry.second;
+    return !engine.listed_ && now - engine.unlistedAt_ > limits_.unlistedTime_;
+  });
+  std::erase_if(questions_, [&](const auto& aEntry) {
+    return !engines_.contains(aEntry.first);
+  });
   for (auto& [vm, question] : questions_) {
     if (!question.underWay_ && question.nextAt_ <= now) {
       question.underWay_ = true;
@@ -93,24 +101,36 @@
 }
 
 bool
-EngineWatch::isAlive(const state::VmId& aVm) const
+EngineWatch::answers(const state::VmId& aVm) const
 {
   const WatchedEngine* engine = find(aVm);
   return engine != nullptr && engine->report_ && engine->misses_ == 0;
 }
 
 bool
-EngineWatch::isLost(const state::VmId& aVm) const
+EngineWatch::isSilent(const state::VmId& aVm) const
 {
   const WatchedEngine* engine = find(aVm);
   return engine == nullptr || engine->misses_ >= limits_.missesOfLost_;
 }
 
+bool
+EngineWatch::isAlive(const state::VmId& aVm) const
+{
+  return answers(aVm) && find(aVm)->listed_;
+}
+
+bool
+EngineWatch::isLost(const state::VmId& aVm) const
+{
+  return isSilent(aVm) || !find(aVm)->listed_;
+}
+
 bool
 EngineWatch::isComplete() const
 {
   return std::all_of(engines_.begin(), engines_.end(), [&](const auto& aEntry) {
-    return aEntry.second.report_.has_value() || isLost(aEntry.first);
+    return aEntry.second.report_.has_value() || isSilent(aEntry.first);
   });
 }
 
--- a/src/coordination/replica/engine_watch.h
+++ b/src/coordination/replica/engine_watch.h
@@ -26,9 +26,11 @@
 {
   state::Instance instance_; ///< As it registered itself.
   std::optional<state::EngineReport>
-    report_;                   ///< Newest report; absent before the first one.
-  std::uint32_t misses_ = 0;   ///< Reports in a row without answer.
-  state::TimePoint heardAt_{}; ///< When the newest answer arrived.
+    report_;           ///< Newest report; absent before the first one.
+  bool listed_ = true; ///< Whether it is still registered.
+  state::TimePoint unlistedAt_{}; ///< Since when it is not.
+  std::uint32_t misses_ = 0;      ///< Reports in a row without answer.
+  state::TimePoint heardAt_{};    ///< When the newest answer arrived.
   bool operator==(const WatchedEngine&) const = default;
 };
 
@@ -52,8 +54,9 @@
   EngineWatch& operator=(const EngineWatch&) = delete;
 
   /**
-   * Takes the engines to ask from now on. Knowledge of engines that stay is
-   * kept.
+   * Takes the registered engines. Knowledge of engines that stay is kept; those
+   * that are not registered any more are still asked for a while, since they
+   * may go on to serve.
    * @param aInstances The engines.
    */
   void setInstances(const std::vector<state::Instance>& aInstances);
@@ -78,6 +81,16 @@
    * @return The engine, or null when it is not registered.
    */
   const WatchedEngine* find(const state::VmId& aVm) const;
+  /**
+   * @param aVm A VM.
+   * @return Whether it answers, registered or not.
+   */
+  bool answers(const state::VmId& aVm) const;
+  /**
+   * @param aVm A VM.
+   * @return Whether it has stopped answering.
+   */
+  bool isSilent(const state::VmId& aVm) const;
   /**
    * @param aVm A VM.
    * @return Whether it is registered and answers.
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <sstream>
 #include <utility>
 
 namespace auburnhaven::coordination {
@@ -17,29 +18,54 @@
   1ULL << 20U; ///< Epochs that one authority can give.
 constexpr double kLoadRateShare =
   0.9; ///< Part of the weight store's rate that is used.
+constexpr std::uint32_t kWholeDomain =
+  1000;                          ///< Reserve of a domain while loads are quick.
 constexpr double kLoadBurst = 2; ///< Loads of a zone that may start at once.
+constexpr std::chrono::seconds kStageMargin{
+  3
+}; ///< Added to a model's load time before it is staged again.
 constexpr std::chrono::milliseconds kSettleTime{
   250
 }; ///< How long the VMs of a domain must stay before copies are formed.
-constexpr char kHeadMark = '.'; ///< Stands before the head in a copy's name.
+constexpr char kNameMark = '.'; ///< Between the parts of a copy's name.
 constexpr std::string_view kPart = "replica"; ///< Part of the program in logs.
 
-/** @return Name of a copy; tells the head. */
+/** @return Name of a copy; tells head and model to a successor. */
 state::ReplicaId
-nameFor(state::Epoch aEpoch, const state::VmId& aHead)
+nameFor(state::Epoch aEpoch,
+        const state::VmId& aHead,
+        const state::ModelId& aModel)
 {
-  return state::ReplicaId("r" + std::to_string(aEpoch.value()) + kHeadMark +
-                          aHead.value());
+  return state::ReplicaId("r" + std::to_string(aEpoch.value()) + kNameMark +
+                          aHead.value() + kNameMark + aModel.value());
+}
+
+/** @return A part of a copy's name, or an empty text. */
+std::string
+namePart(const state::ReplicaId& aReplica, std::size_t aIndex)
+{
+  std::istringstream name(aReplica.value());
+  std::string part;
+  for (std::size_t index = 0; index <= aIndex; ++index) {
+    if (!std::getline(name, part, kNameMark)) {
+      return {};
+    }
+  }
+  return part;
 }
 
 /** @return Head that a copy's name tells, or an empty identifier. */
 state::VmId
 headOf(const state::ReplicaId& aReplica)
 {
-  const std::size_t mark = aReplica.value().find(kHeadMark);
-  return mark == std::string::npos
-           ? state::VmId()
-           : state::VmId(aReplica.value().substr(mark + 1));
+  return state::VmId(namePart(aReplica, 1));
+}
+
+/** @return Model that a copy's name tells, or an empty identifier. */
+state::ModelId
+modelOf(const state::ReplicaId& aReplica)
+{
+  return state::ModelId(namePart(aReplica, 2));
 }
 
 } // namespace
@@ -92,6 +118,7 @@
     return;
   }
   noteModels();
+  sweep();
   adoptUnknown();
   adopted_ = true;
   static constexpr std::array<Step, 6> kSteps = {
@@ -103,13 +130,31 @@
     Replica& replica = (at++)->second;
     (this->*kSteps[static_cast<std::size_t>(replica.phase_)])(replica);
   }
-  std::erase_if(replicas_, [&](const auto& aEntry) {
-    return dissolved_.contains(aEntry.first);
-  });
+  sweep();
   plan();
   setPaces();
 }
 
+void
+ReplicaCoordinator::sweep()
+{
+  std::erase_if(replicas_, [&](const auto& aEntry) {
+    return dissolved_.contains(aEntry.first) ||
+           forgotten_.contains(aEntry.first);
+  });
+  forgotten_.clear();
+}
+
+bool
+ReplicaCoordinator::isChanging() const
+{
+  return std::any_of(
+    replicas_.begin(), replicas_.end(), [](const auto& aEntry) {
+      const ReplicaPhase phase = aEntry.second.phase_;
+      return phase == ReplicaPhase::kJoining || phase == ReplicaPhase::kOpening;
+    });
+}
+
 void
 ReplicaCoordinator::startAuthority()
 {
@@ -140,7 +185,7 @@
 ReplicaCoordinator::adoptUnknown()
 {
   for (const auto& [vm, engine] : watch_.engines()) {
-    if (!watch_.isAlive(vm)) {
+    if (!watch_.answers(vm)) {
       continue;
     }
     const auto& place = engine.report_->state_.place_;
@@ -156,11 +201,12 @@
   Replica replica;
   replica.id_ = aPlace.replica_;
   replica.epoch_ = aPlace.epoch_;
+  replica.model_ = modelOf(aPlace.replica_);
   replica.maybeOpened_ = true;
   replica.since_ = clock_.now();
   std::size_t present = 0;
   for (const auto& [vm, engine] : watch_.engines()) {
-    const bool alive = watch_.isAlive(vm);
+    const bool alive = watch_.answers(vm);
     const auto& place = engine.report_ ? engine.report_->state_.place_
                                        : std::optional<state::MemberPlace>();
     const bool here = alive && place && place->replica_ == replica.id_ &&
@@ -174,9 +220,6 @@
     ++present;
     replica.members_[place->rank_] = { vm, engine.report_->state_.bornAtMs_ };
     replica.domain_ = engine.report_->state_.domain_;
-    if (replica.model_.empty()) {
-      replica.model_ = engine.report_->state_.model_;
-    }
   }
   ReplicaMember& head = replica.members_.front();
   const bool headPresent = !head.vm_.empty();
@@ -247,6 +290,13 @@
   aReplica.freeAt_ = {};
 }
 
+void
+ReplicaCoordinator::shut(Replica& aReplica, std::string_view aWhy)
+{
+  setPhase(aReplica, ReplicaPhase::kShutting, aWhy);
+  stepShutting(aReplica);
+}
+
 void
 ReplicaCoordinator::dissolve(Replica& aReplica, std::string_view aWhy)
 {
@@ -275,20 +325,47 @@
   return here ? &place : nullptr;
 }
 
+std::optional<state::MemberState>
+ReplicaCoordinator::progressOf(const Replica& aReplica,
+                               const ReplicaMember& aMember) const
+{
+  std::optional<state::MemberState> progress;
+  const WatchedEngine* engine = watch_.find(aMember.vm_);
+  if (engine == nullptr) {
+    return progress;
+  }
+  if (const state::MemberPlace* place = placeIn(aReplica, aMember.vm_)) {
+    progress = place->state_;
+  }
+  // The registration is younger than the report right after a change.
+  const auto& registered = engine->instance_.engine_;
+  const bool sameLife = registered && registered->place_ &&
+                        registered->bornAtMs_ == aMember.bornAtMs_ &&
+                        registered->place_->replica_ == aReplica.id_ &&
+                        registered->place_->epoch_ == aReplica.epoch_;
+  if (sameLife && registered->place_->state_ <= state::MemberState::kOpen &&
+      (!progress || registered->place_->state_ > *progress)) {
+    progress = registered->place_->state_;
+  }
+  return progress;
+}
+
 bool
 ReplicaCoordinator::isReported(const Replica& aReplica,
                                const state::VmId& aVm) const
 {
   const WatchedEngine* engine = watch_.find(aVm);
+  // Reports lag: only one that was asked for later than that shows the present.
+  const state::Duration lag = engine_->reportLag_ * 2;
   return engine != nullptr && engine->report_ &&
-         engine->report_->askedAt_ > aReplica.since_;
+         engine->report_->askedAt_ > aReplica.since_ + lag;
 }
 
 bool
 ReplicaCoordinator::hasLeft(const Replica& aReplica,
                             const ReplicaMember& aMember) const
 {
-  return watch_.isAlive(aMember.vm_) && isReported(aReplica, aMember.vm_) &&
+  return watch_.answers(aMember.vm_) && isReported(aReplica, aMember.vm_) &&
          placeIn(aReplica, aMember.vm_) == nullptr;
 }
 
@@ -335,7 +412,7 @@
   if (!fault.empty()) {
     // Without an order to open, its head cannot take requests.
     if (aReplica.maybeOpened_) {
-      setPhase(aReplica, ReplicaPhase::kShutting, fault);
+      shut(aReplica, fault);
     } else {
       dissolve(aReplica, fault);
     }
@@ -343,12 +420,12 @@
   }
   std::size_t ready = 0;
   for (const ReplicaMember& member : aReplica.members_) {
-    const state::MemberPlace* place = placeIn(aReplica, member.vm_);
-    if (place == nullptr) {
+    const std::optional<state::MemberState> progress =
+      progressOf(aReplica, member);
+    if (!progress) {
       sendJoin(aReplica, member.vm_);
-    } else if (place->state_ == state::MemberState::kReady) {
-      ++ready;
-    } else if (place->state_ == state::MemberState::kOpen) {
+    } else if (*progress == state::MemberState::kReady ||
+               *progress == state::MemberState::kOpen) {
       ++ready;
     }
   }
@@ -369,8 +446,8 @@
     return;
   }
   const state::VmId& head = aReplica.members_.front().vm_;
-  const state::MemberPlace* place = placeIn(aReplica, head);
-  if (place != nullptr && place->state_ == state::MemberState::kOpen) {
+  if (progressOf(aReplica, aReplica.members_.front()) ==
+      state::MemberState::kOpen) {
     setPhase(aReplica, ReplicaPhase::kOpen, "the head takes requests");
     return;
   }
@@ -383,7 +460,7 @@
 {
   const std::string_view fault = faultOf(aReplica, true);
   if (!fault.empty()) {
-    setPhase(aReplica, ReplicaPhase::kShutting, fault);
+    shut(aReplica, fault);
     return;
   }
   if (hasLeavingMember(aReplica)) {
@@ -408,7 +485,7 @@
 {
   const std::string_view fault = faultOf(aReplica, true);
   if (!fault.empty()) {
-    setPhase(aReplica, ReplicaPhase::kShutting, fault);
+    shut(aReplica, fault);
     return;
   }
   const WatchedEngine* head = watch_.find(aReplica.members_.front().vm_);
@@ -436,7 +513,7 @@
     dissolve(aReplica, "the head started anew");
   } else if (hasLeft(aReplica, head)) {
     dissolve(aReplica, "the head has left");
-  } else if (watch_.isLost(head.vm_)) {
+  } else if (watch_.isSilent(head.vm_)) {
     setPhase(aReplica, ReplicaPhase::kParked, "the head cannot be reached");
   } else if (placeIn(aReplica, head.vm_) != nullptr) {
     send(head.vm_, orderOf(aReplica, ReplicaOrderKind::kLeave));
@@ -447,7 +524,7 @@
 ReplicaCoordinator::stepParked(Replica& aReplica)
 {
   const state::TimePoint now = clock_.now();
-  if (watch_.isAlive(aReplica.members_.front().vm_)) {
+  if (watch_.answers(aReplica.members_.front().vm_)) {
     setPhase(aReplica, ReplicaPhase::kShutting, "the head answers again");
     return;
   }
@@ -455,7 +532,7 @@
   bool anyLeft = false;
   for (std::size_t rank = 1; rank < aReplica.members_.size(); ++rank) {
     const ReplicaMember& member = aReplica.members_[rank];
-    if (member.vm_.empty() || !watch_.isAlive(member.vm_)) {
+    if (member.vm_.empty() || !watch_.answers(member.vm_)) {
       continue;
     }
     anyAlive = true;
@@ -465,7 +542,8 @@
     }
   }
   if (!anyAlive) {
-    dissolve(aReplica, "no member can be reached");
+    // Its members may come back as they were: they are adopted again then.
+    forgotten_.insert(aReplica.id_);
     return;
   }
   if (anyLeft && aReplica.freeAt_ == state::TimePoint{}) {
@@ -537,13 +615,20 @@
 ReplicaCoordinator::isSettled(const state::DomainId& aDomain,
                               const DomainFacts& aFacts)
 {
-  std::vector<state::VmId> vms;
+  std::set<state::VmId> vms;
   for (const FreeVm& vm : aFacts.free_) {
-    vms.push_back(vm.id_);
+    vms.insert(vm.id_);
+  }
+  for (const PresentReplica& replica : aFacts.present_) {
+    for (const FreeVm& vm : replica.members_) {
+      vms.insert(vm.id_);
+    }
   }
   auto& [known, since] = settledSince_[aDomain];
-  if (known != vms) {
-    known = std::move(vms);
+  const bool grown =
+    !std::includes(known.begin(), known.end(), vms.begin(), vms.end());
+  known = std::move(vms);
+  if (grown) {
     since = clock_.now();
   }
   const bool shutting =
@@ -560,6 +645,9 @@
   ZoneFacts facts;
   facts.models_ = engine_->models_;
   facts.loads_ = loadsNow();
+  if (loadsAreQuick()) {
+    facts.reserve_ = kWholeDomain;
+  }
   for (const auto& [vm, engine] : watch_.engines()) {
     if (isFree(engine)) {
       facts.domains_[engine.report_->state_.domain_].free_.push_back(
@@ -573,7 +661,9 @@
     if (!stays) {
       continue;
     }
-    PresentReplica present{ id, replica.model_, {} };
+    PresentReplica present{
+      id, replica.model_, replica.phase_ == ReplicaPhase::kOpen, {}
+    };
     for (const ReplicaMember& member : replica.members_) {
       const WatchedEngine* engine = watch_.find(member.vm_);
       if (engine != nullptr && engine->report_) {
@@ -647,12 +737,25 @@
     form(move);
   }
   for (const StageMove& move : moves.stage_) {
-    if (loadsAreQuick() || loadLimiter_.take()) {
-      ReplicaOrder order;
-      order.kind_ = ReplicaOrderKind::kStage;
-      order.model_ = move.model_;
-      send(move.vm_, order);
-    }
+    stage(move);
+  }
+}
+
+void
+ReplicaCoordinator::stage(const StageMove& aMove)
+{
+  const auto started = staging_.find(aMove.vm_);
+  const bool underWay =
+    started != staging_.end() && clock_.now() < started->second;
+  if (underWay || (!loadsAreQuick() && !loadLimiter_.take())) {
+    return;
+  }
+  ReplicaOrder order;
+  order.kind_ = ReplicaOrderKind::kStage;
+  order.model_ = aMove.model_;
+  if (send(aMove.vm_, order)) {
+    const state::ModelSpec* model = state::findModel(*engine_, aMove.model_);
+    staging_[aMove.vm_] = clock_.now() + model->loadTime_ + kStageMargin;
   }
 }
 
@@ -662,7 +765,7 @@
   assert(epochs_ + 1 < kEpochsPerAuthority);
   Replica replica;
   replica.epoch_ = state::Epoch(authority_ * kEpochsPerAuthority + ++epochs_);
-  replica.id_ = nameFor(replica.epoch_, aMove.members_.front());
+  replica.id_ = nameFor(replica.epoch_, aMove.members_.front(), aMove.model_);
   replica.model_ = aMove.model_;
   replica.domain_ = aMove.domain_;
   replica.since_ = clock_.now();
@@ -754,6 +857,26 @@
   return true;
 }
 
+void
+ReplicaCoordinator::noteLeft(const state::VmId& aVm,
+                             const ReplicaOrder& aOrder,
+                             ReplicaOrderStatus aStatus)
+{
+  const bool left = aStatus == ReplicaOrderStatus::kBegun ||
+                    aStatus == ReplicaOrderStatus::kHolds;
+  const auto found = replicas_.find(aOrder.replica_);
+  if (!left || found == replicas_.end()) {
+    return;
+  }
+  Replica& replica = found->second;
+  if (replica.members_.front().vm_ == aVm) {
+    dissolve(replica, "the head has left");
+  } else if (replica.phase_ == ReplicaPhase::kParked &&
+             replica.freeAt_ == state::TimePoint{}) {
+    replica.freeAt_ = clock_.now() + limits_.stallLimit_ + limits_.stallMargin_;
+  }
+}
+
 void
 ReplicaCoordinator::takeAnswer(const state::VmId& aVm,
                                const ReplicaOrder& aOrder,
@@ -762,12 +885,19 @@
   OrderState& state = orders_[aVm];
   state.underWay_ = false;
   state.notBefore_ = clock_.now() + limits_.orderRetry_;
-  if (aStatus == ReplicaOrderStatus::kBegun) {
+  // Leaving takes effect at once and is answered as done.
+  const bool begun = aStatus == ReplicaOrderStatus::kBegun ||
+                     (aStatus == ReplicaOrderStatus::kHolds &&
+                      aOrder.kind_ == ReplicaOrderKind::kLeave);
+  if (begun) {
     state.begun_ = aOrder.expectedOrders_ + 1;
   } else if (aStatus == ReplicaOrderStatus::kRefused) {
     state.begun_ = 0;
   }
   watch_.setPace(aVm, ReportPace::kJoining);
+  if (aOrder.kind_ == ReplicaOrderKind::kLeave) {
+    noteLeft(aVm, aOrder, aStatus);
+  }
   log_.write(
     state::LogWeight::kChange,
     kPart,
--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -73,6 +73,9 @@
   {
     return replicas_;
   }
+  /** @return Whether a copy is being formed, so that news of its members are
+   * urgent. */
+  bool isChanging() const;
   /** @return What is known of the engines. */
   const EngineWatch& watch() const { return watch_; }
 
@@ -88,6 +91,7 @@
   using Step = void (ReplicaCoordinator::*)(Replica&); ///< Work of one phase.
 
   void startAuthority();
+  void sweep();
   void adoptUnknown();
   void adopt(const state::MemberPlace& aPlace);
   bool isKnown(const state::MemberPlace& aPlace) const;
@@ -99,11 +103,15 @@
   void stepShutting(Replica& aReplica);
   void stepParked(Replica& aReplica);
   void setPhase(Replica& aReplica, ReplicaPhase aPhase, std::string_view aWhy);
+  void shut(Replica& aReplica, std::string_view aWhy);
   void dissolve(Replica& aReplica, std::string_view aWhy);
   std::string_view faultOf(const Replica& aReplica, bool aPlaced) const;
   bool hasLeavingMember(const Replica& aReplica) const;
   const state::MemberPlace* placeIn(const Replica& aReplica,
                                     const state::VmId& aVm) const;
+  std::optional<state::MemberState> progressOf(
+    const Replica& aReplica,
+    const ReplicaMember& aMember) const;
   bool isReported(const Replica& aReplica, const state::VmId& aVm) const;
   bool hasLeft(const Replica& aReplica, const ReplicaMember& aMember) const;
   void setPaces();
@@ -116,6 +124,7 @@
   std::uint32_t loadsNow() const;
   bool loadsAreQuick() const;
   void form(const FormMove& aMove);
+  void stage(const StageMove& aMove);
   bool needsLoad(const WatchedEngine& aEngine,
                  const state::ModelId& aModel) const;
   bool sendJoin(const Replica& aReplica, const state::VmId& aVm);
@@ -123,6 +132,9 @@
   void takeAnswer(const state::VmId& aVm,
                   const ReplicaOrder& aOrder,
                   ReplicaOrderStatus aStatus);
+  void noteLeft(const state::VmId& aVm,
+                const ReplicaOrder& aOrder,
+                ReplicaOrderStatus aStatus);
   ReplicaOrder orderOf(const Replica& aReplica, ReplicaOrderKind aKind) const;
 
   const state::Clock& clock_;   ///< Clock.
@@ -135,13 +147,18 @@
   LoadLimiter loadLimiter_;     ///< Rate of loads from the weight store.
   std::optional<state::EngineSpec> engine_;      ///< Engine service in force.
   std::map<state::ReplicaId, Replica> replicas_; ///< Copies known.
-  std::set<state::ReplicaId> dissolved_;     ///< Copies whose members are free.
+  std::set<state::ReplicaId> dissolved_; ///< Copies whose members are free.
+  std::set<state::ReplicaId>
+    forgotten_; ///< Copies to forget, since no member answers.
   std::map<state::VmId, OrderState> orders_; ///< Latest orders.
   std::map<state::VmId, std::pair<std::uint64_t, state::ModelId>>
     lastModels_; ///< Life and model of each VM's latest copy.
-  std::map<state::DomainId,
-           std::pair<std::vector<state::VmId>, state::TimePoint>>
-    settledSince_;              ///< Since when the VMs of a domain stay.
+  std::map<state::DomainId, std::pair<std::set<state::VmId>, state::TimePoint>>
+    settledSince_; ///< VMs of a domain, and since when there has
+                   ///< been no new one.
+  std::map<state::VmId, state::TimePoint>
+    staging_; ///< VMs that were told to stage a model, and until when that may
+              ///< take.
   std::uint64_t authority_ = 0; ///< Number of the present authority.
   std::uint64_t epochs_ = 0;    ///< Copies formed under it.
   bool adopted_ = false;        ///< Whether the reports were taken over.
--- a/src/coordination/replica/replica_layout_func.cpp
+++ b/src/coordination/replica/replica_layout_func.cpp
@@ -3,18 +3,24 @@
 #include "coordination/replica/replica_layout_func.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace auburnhaven::coordination {
 
 namespace {
 
-constexpr double kCountOffset =
-  0.25; ///< Added to a count of copies, so that none has a finite value.
+constexpr double kNoCopyCount =
+  1.0 / 3; ///< Count that stands for no copy at all.
 constexpr double kGiveUpPenalty =
-  0.12; ///< Value that giving one copy up must at least bring.
+  0.06; ///< Value that giving one copy up must at least bring.
 constexpr double kLoadPenalty =
-  0.01; ///< Value that one load from the weight store must at least bring.
+  0.02; ///< Value that one load from the weight store must at least bring.
+constexpr std::array kReserveValues = {
+  0.075,
+  0.05
+}; ///< Value of the first and the second VM of a domain that can replace a
+   ///< member of the largest model's copies.
 constexpr std::size_t kMaxCombinations =
   20000; ///< Combinations of domains that are tried; more are chosen one by
          ///< one.
@@ -23,9 +29,21 @@
 struct Option
 {
   ReplicaCounts counts_; ///< Copies of each model.
-  double penalty_ = 0;   ///< What the change to it costs.
+  double penalty_ = 0;   ///< What the change to it costs, less what its reserve
+                         ///< is worth.
 };
 
+/** @return What a reserve of so many VMs is worth to a domain. */
+double
+reserveValue(std::uint32_t aVms)
+{
+  double value = 0;
+  for (std::uint32_t index = 0; index < kReserveValues.size(); ++index) {
+    value += index < aVms ? kReserveValues[index] : 0;
+  }
+  return value;
+}
+
 /** @return Copies of each model that a domain has. */
 ReplicaCounts
 presentCounts(const DomainFacts& aDomain,
@@ -82,8 +100,7 @@
   {
   }
 
-  /** @return All options into which no further copy fits, and the present one.
-   */
+  /** @return All options of a domain that has settled, else the present one. */
   std::vector<Option> find()
   {
     ReplicaCounts counts(models_.size(), 0);
@@ -101,13 +118,8 @@
   void extend(ReplicaCounts& aCounts, std::size_t aModel, std::uint32_t aLeft)
   {
     if (aModel == models_.size()) {
-      const bool full = std::all_of(
-        models_.begin(), models_.end(), [&](const state::ModelSpec& aSpec) {
-          return aSpec.size_ > aLeft;
-        });
-      if (full) {
-        options_.push_back({ aCounts, penaltyOf(aCounts) });
-      }
+      options_.push_back(
+        { aCounts, penaltyOf(aCounts) - reserveValue(reserveOf(aCounts)) });
       return;
     }
     const std::uint32_t size = std::max(1U, models_[aModel].size_);
@@ -118,6 +130,22 @@
     aCounts[aModel] = 0;
   }
 
+  /** @return VMs beside the copies of the largest model; none without such a
+   * copy. */
+  std::uint32_t reserveOf(const ReplicaCounts& aCounts) const
+  {
+    const auto largest =
+      std::max_element(models_.begin(),
+                       models_.end(),
+                       [](const auto& aLeft, const auto& aRight) {
+                         return aLeft.size_ < aRight.size_;
+                       });
+    const auto index =
+      static_cast<std::size_t>(std::distance(models_.begin(), largest));
+    const std::uint32_t used = aCounts[index] * largest->size_;
+    return used == 0 ? 0 : vmCount(domain_) - used;
+  }
+
   /** @return What the change to the counts costs. */
   double penaltyOf(const ReplicaCounts& aCounts) const
   {
@@ -176,13 +204,14 @@
   }
 
 private:
-  /** @return Value of the present totals. */
+  /** @return Value of the present totals: each further copy of a model brings
+   * less than the one before. */
   double value() const
   {
     double value = 0;
     for (std::size_t index = 0; index < models_.size(); ++index) {
-      value +=
-        models_[index].workShare_ * std::log(totals_[index] + kCountOffset);
+      const double count = std::max<double>(totals_[index], kNoCopyCount);
+      value -= models_[index].workShare_ / count;
     }
     return value;
   }
--- a/src/coordination/replica/replica_limits_type.h
+++ b/src/coordination/replica/replica_limits_type.h
@@ -30,11 +30,13 @@
   state::Duration stallLimit_ = std::chrono::seconds(
     6); ///< After which a head without one of its members is broken.
   state::Duration stallMargin_ = std::chrono::milliseconds(
-    500); ///< Added to the stall limit before members are used again.
+    200); ///< Added to the stall limit before members are used again.
   state::Duration emptyingLimit_ = std::chrono::milliseconds(
     1800); ///< Longest time that a copy with a leaving member finishes work.
   state::Duration joinTimeout_ =
     std::chrono::seconds(60); ///< After which an unfinished copy is given up.
+  state::Duration unlistedTime_ = std::chrono::seconds(
+    30); ///< How long a VM that is not registered any more is still asked.
   state::Duration zoneSilence_ = std::chrono::milliseconds(
     900); ///< Silence of all VMs after which the daemon doubts itself.
   bool operator==(const ReplicaLimits&) const = default;
--- a/src/coordination/replica/replica_plan_func.cpp
+++ b/src/coordination/replica/replica_plan_func.cpp
@@ -35,6 +35,11 @@
   explicit Planner(const ZoneFacts& aFacts)
     : facts_(aFacts)
     , layout_(chooseLayout(aFacts))
+    , largest_(*std::max_element(aFacts.models_.begin(),
+                                 aFacts.models_.end(),
+                                 [](const auto& aLeft, const auto& aRight) {
+                                   return aLeft.size_ < aRight.size_;
+                                 }))
     , loadsLeft_(aFacts.loads_)
   {
   }
@@ -47,7 +52,7 @@
       }
     }
     formMissing();
-    stageFree();
+    stageReserves();
     return std::move(moves_);
   }
 
@@ -73,23 +78,46 @@
                     }));
   }
 
-  /** Gives up the copies that a domain has too many. */
+  /** Gives up copies that a domain has too many, when another model lacks one
+   * there; first those whose members have the largest model on their hosts. */
   void giveUpSurplus(const state::DomainId& aId, const DomainFacts& aDomain)
   {
     const ReplicaCounts& wanted = layout_.at(aId);
+    bool lacks = false;
     for (std::size_t index = 0; index < facts_.models_.size(); ++index) {
-      std::uint32_t present = presentOf(aDomain, facts_.models_[index].id_);
+      lacks =
+        lacks || presentOf(aDomain, facts_.models_[index].id_) < wanted[index];
+    }
+    for (std::size_t index = 0; lacks && index < wanted.size(); ++index) {
+      const state::ModelId& model = facts_.models_[index].id_;
+      std::vector<const PresentReplica*> present;
       for (const PresentReplica& replica : aDomain.present_) {
-        const bool surplus = replica.model_ == facts_.models_[index].id_ &&
-                             present > wanted[index];
-        if (surplus) {
-          moves_.giveUp_.push_back(replica.id_);
-          --present;
+        if (replica.model_ == model) {
+          present.push_back(&replica);
         }
       }
+      std::stable_sort(
+        present.begin(), present.end(), [&](auto* aLeft, auto* aRight) {
+          return readyMembers(*aLeft) > readyMembers(*aRight);
+        });
+      for (std::size_t at = 0; at + wanted[index] < present.size(); ++at) {
+        moves_.giveUp_.push_back(present[at]->id_);
+      }
     }
   }
 
+  /** @return Members of a copy that could join one of the largest model
+   * without a load. */
+  std::size_t readyMembers(const PresentReplica& aReplica) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(aReplica.members_.begin(),
+                    aReplica.members_.end(),
+                    [&](const FreeVm& aVm) {
+                      return readinessOf(aVm, largest_.id_) != Readiness::kCold;
+                    }));
+  }
+
   /** Forms the copies that are missing, those that need the fewest loads and
    * have the greatest share of work first. */
   void formMissing()
@@ -196,30 +224,46 @@
     });
   }
 
-  /** Puts the largest model onto the hosts of free VMs that have none. */
-  void stageFree()
+  /** Stages the largest model on hosts beside its copies, until each domain
+   * has its reserve: on spares first, then on members of open copies. */
+  void stageReserves()
   {
-    const auto largest =
-      std::max_element(facts_.models_.begin(),
-                       facts_.models_.end(),
-                       [](const auto& aLeft, const auto& aRight) {
-                         return aLeft.size_ < aRight.size_;
-                       });
-    for (const auto& [id, free] : free_) {
-      for (const FreeVm& vm : free) {
-        const bool useful = !vm.busy_ && vm.staged_.empty() && loadsLeft_ > 0;
-        if (useful) {
-          --loadsLeft_;
-          moves_.stage_.push_back({ vm.id_, largest->id_ });
+    for (const auto& [id, domain] : facts_.domains_) {
+      std::vector<FreeVm> hosts = free_[id];
+      for (const PresentReplica& replica : domain.present_) {
+        if (replica.model_ != largest_.id_ && replica.open_) {
+          hosts.insert(
+            hosts.end(), replica.members_.begin(), replica.members_.end());
         }
       }
+      stageAmong(hosts);
+    }
+  }
+
+  /** Stages the largest model on some of the hosts of one domain. */
+  void stageAmong(const std::vector<FreeVm>& aHosts)
+  {
+    std::uint32_t ready = 0;
+    for (const FreeVm& vm : aHosts) {
+      ready += readinessOf(vm, largest_.id_) != Readiness::kCold ? 1 : 0;
+    }
+    for (const FreeVm& vm : aHosts) {
+      const bool useful = readinessOf(vm, largest_.id_) == Readiness::kCold &&
+                          !vm.busy_ && loadsLeft_ > 0 &&
+                          ready < facts_.reserve_;
+      if (useful) {
+        ++ready;
+        --loadsLeft_;
+        moves_.stage_.push_back({ vm.id_, largest_.id_ });
+      }
     }
   }
 
-  const ZoneFacts& facts_;  ///< State of the zone.
-  ZoneLayout layout_;       ///< Copies that each domain gets.
-  std::uint32_t loadsLeft_; ///< Loads that may still start.
-  ReplicaMoves moves_;      ///< Moves so far.
+  const ZoneFacts& facts_;          ///< State of the zone.
+  ZoneLayout layout_;               ///< Copies that each domain gets.
+  const state::ModelSpec& largest_; ///< The largest model.
+  std::uint32_t loadsLeft_;         ///< Loads that may still start.
+  ReplicaMoves moves_;              ///< Moves so far.
   std::map<state::DomainId, std::vector<FreeVm>> free_; ///< VMs still free.
   std::map<std::pair<state::DomainId, state::ModelId>, std::uint32_t>
     formed_; ///< Copies formed by the moves so far.
--- a/src/coordination/replica/replica_plan_func.h
+++ b/src/coordination/replica/replica_plan_func.h
@@ -18,7 +18,7 @@
   std::set<state::ModelId> staged_; ///< Models on its host.
   state::ModelId lastModel_; ///< Model of its latest copy in this life; it
                              ///< joins a copy of that model at once.
-  bool busy_ = false; ///< Whether it carries out an order.
+  bool busy_ = false;        ///< Whether it carries out an order.
   bool operator==(const FreeVm&) const = default;
 };
 
@@ -27,7 +27,8 @@
 {
   state::ReplicaId id_;         ///< The copy.
   state::ModelId model_;        ///< Its model.
-  std::vector<FreeVm> members_; ///< Its members, as they were free.
+  bool open_ = false;           ///< Whether it takes requests.
+  std::vector<FreeVm> members_; ///< Its members, as if they were free.
   bool operator==(const PresentReplica&) const = default;
 };
 
@@ -47,6 +48,8 @@
   std::map<state::DomainId, DomainFacts> domains_; ///< Its fabric domains.
   std::vector<state::ModelSpec> models_;           ///< Models to serve.
   std::uint32_t loads_ = 0; ///< Loads from the weight store that may start now.
+  std::uint32_t reserve_ = 2; ///< VMs of a domain beside the copies of the
+                              ///< largest model that have it on their hosts.
   bool operator==(const ZoneFacts&) const = default;
 };
 
@@ -79,10 +82,11 @@
 
 /**
  * Plans the copies of a zone for a load that is shared among the models by
- * their work shares, on VMs that may be lost at any time. Each domain gets the
- * counts of copies that together come nearest to proportional shares; present
- * copies are given up only for a clear gain. Pure and deterministic;
- * thread-safe.
+ * their work shares, on VMs that may be lost at any time. Copies of smaller
+ * models double as the reserve of the largest one: its weights are staged on
+ * their hosts, and they are given up when a copy of it has lost a member.
+ * Present copies are given up only when another model needs their VMs. Pure and
+ * deterministic; thread-safe.
  * @param aFacts State of the zone.
  * @return What to change.
  */
--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -66,12 +66,15 @@
 StoreFollower::watch()
 {
   const std::weak_ptr<bool> alive = alive_;
-  store_.watchPrefix(
-    "", at_, settings_.watchTimeout_, [this, alive](const WatchReply& aReply) {
-      if (!alive.expired()) {
-        takeChanges(aReply);
-      }
-    });
+  store_.watchPrefix("",
+                     at_,
+                     inOutage_ ? settings_.outageWatchTimeout_
+                               : settings_.watchTimeout_,
+                     [this, alive](const WatchReply& aReply) {
+                       if (!alive.expired()) {
+                         takeChanges(aReply);
+                       }
+                     });
 }
 
 void
@@ -157,7 +160,8 @@
   }
   at_ = std::max(at_, aReply.at_);
   if (!aReply.changes_.empty()) {
-    nextCall_ = clock_.now() + settings_.pause_;
+    nextCall_ =
+      clock_.now() + (urgent_ ? settings_.urgentPause_ : settings_.pause_);
   }
   publish();
 }
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -43,9 +43,13 @@
   std::string instancePrefix_; ///< Prefix of the registered instances.
   std::string ownPrefix_;      ///< Prefix of the daemons' own keys.
   state::Duration watchTimeout_ =
-    std::chrono::seconds(10); ///< Longest wait of one watch.
+    std::chrono::milliseconds(1500); ///< Longest wait of one watch.
+  state::Duration outageWatchTimeout_ = std::chrono::milliseconds(
+    100); ///< The same while the store does not answer.
   state::Duration pause_ = std::chrono::milliseconds(
-    350); ///< From one answer to the next watch; changes gather meanwhile.
+    500); ///< From one answer to the next watch; changes gather meanwhile.
+  state::Duration urgentPause_ =
+    std::chrono::milliseconds(120); ///< The same while changes are urgent.
   state::Duration failurePause_ =
     std::chrono::milliseconds(250); ///< After a call that failed.
   state::Duration outageAfter_ = std::chrono::milliseconds(
@@ -97,6 +101,9 @@
   }
   /** @param aHandler Called for each change of the daemons' own keys. */
   void onOwnKey(KeyHandler aHandler) { keyHandler_ = std::move(aHandler); }
+  /** @param aUrgent Whether changes are wanted sooner, at the price of more
+   * calls. */
+  void setUrgent(bool aUrgent) { urgent_ = aUrgent; }
   /** Does what is due. Call each 50 ms or so. */
   void tick();
   /**
@@ -150,6 +157,7 @@
   bool listed_ = false;   ///< Whether the keys were listed.
   bool mustList_ = true;  ///< Whether the keys must be listed next.
   bool underWay_ = false; ///< Whether a call is awaited.
+  bool urgent_ = false;   ///< Whether changes are wanted sooner.
   bool inOutage_ = false; ///< Whether an outage was noticed.
   state::Revision at_;    ///< Revision from which the watch goes on.
   state::TimePoint nextCall_{};   ///< When to call next.
--- a/src/state/routing_type.h
+++ b/src/state/routing_type.h
@@ -80,6 +80,7 @@
   FloatMs perMillionPairs_{ 0 };  ///< Added for a million pairs of tokens.
   std::uint32_t usualPrompt_ = 0; ///< Mean prompt, in tokens.
   std::uint32_t usualAnswer_ = 0; ///< Mean answer, in tokens.
+  Milliseconds reportLag_{ 0 };   ///< How old what a report states may be.
   Milliseconds openTime_{ 0 };    ///< From the order to open to serving.
   double loadsPerSecond_ = 1;     ///< Loads that may start in a second.
   std::uint32_t loadsAtOnce_ = 1; ///< Loads that run at full speed at once.
