--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -415,6 +415,8 @@
     }
   });
   std::this_thread::sleep_for(settings_.balancerLag_);
+  // Late requests on kept connections could not be finished in time.
+  relay_.refuseAll();
   callers_->drain();
   milliseconds left =
     settings_.stopLimit_ - settings_.balancerLag_ - kStopMargin;
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -127,6 +127,12 @@
   responder_.onCallerGone(nullptr);
 }
 
+void
+RelayExchange::refuseAsStopping()
+{
+  answer(kUnavailable, "the daemon stops", state::Duration{});
+}
+
 bool
 RelayExchange::findRoute()
 {
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -56,8 +56,10 @@
   RelayExchange(const RelayExchange&) = delete;
   RelayExchange& operator=(const RelayExchange&) = delete;
 
-  /** Answers the request. Call once. */
+  /** Answers the request. Call this or refuseAsStopping(), once. */
   void run();
+  /** Refuses the request as not run; another daemon can take it at once. */
+  void refuseAsStopping();
 
 private:
   bool findRoute();
--- a/src/transport/relay/relay_handler.cpp
+++ b/src/transport/relay/relay_handler.cpp
@@ -23,7 +23,11 @@
   ++requests_;
   RelayExchange exchange(
     parts_, settings_, *parts_.clients_[aThread], aRequest, aResponder, aYield);
-  exchange.run();
+  if (refusing_) {
+    exchange.refuseAsStopping();
+  } else {
+    exchange.run();
+  }
 }
 
 } // namespace auburnhaven::transport
--- a/src/transport/relay/relay_handler.h
+++ b/src/transport/relay/relay_handler.h
@@ -70,12 +70,16 @@
               const HttpRequest& aRequest,
               HttpResponder& aResponder,
               const boost::asio::yield_context& aYield) override;
+  /** From now on refuses requests as not run, because the daemon is about to
+   * end. Thread-safe. */
+  void refuseAll() { refusing_ = true; }
   /** @return Requests taken since the start. Thread-safe. */
   std::uint64_t requests() const { return requests_; }
 
 private:
   RelayParts parts_;                         ///< What requests need.
   RelaySettings settings_;                   ///< Times.
+  std::atomic<bool> refusing_{ false };      ///< Whether requests are refused.
   std::atomic<std::uint64_t> requests_{ 0 }; ///< Requests taken.
 };
 
