Tell all daemons each zone's open copies and loads

Cause: each of 20 daemons knew the others' load at a copy only from its own answers, seconds old, and about opened and lost copies only from the store. Coordinators now send digests as datagrams every 0.3 s; targets are chosen at random in proportion to their room; daemons register under a lease and share the budget by their number.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -3,8 +3,8 @@
 #include "app/relay_daemon.h"
 
 #include "app/command_line.h"
-#include "protocol/base64_func.h"
-#include "state/routing_func.h"
+#include "protocol/zone_digest_codec.h"
+#include "state/endpoint_func.h"
 
 #include <algorithm>
 #include <csignal>
@@ -32,18 +32,16 @@
                                           ///< the store's lease.
 constexpr milliseconds kLeaseRetry(150);  ///< After a renewal that failed.
 constexpr std::chrono::seconds kProbeAfter(1); ///< Silence before TCP probes.
-constexpr std::uint32_t kPermille = 1000;      ///< Thousandths.
-constexpr char kOwnPrefix[] = "auburnhaven/";  ///< Of the daemons' keys.
+constexpr milliseconds kRegistrationTimeToLive(6000); ///< Of a daemon's entry.
+constexpr milliseconds kRegistrationRenewal(2000);    ///< Between two renewals.
+constexpr milliseconds kDigestPeriod(300); ///< Between two digests of a zone.
+constexpr double kUsedBudget = 0.8; ///< Part of the limit of repeated sends.
+constexpr std::uint32_t kPermille = 1000;     ///< Thousandths.
+constexpr char kOwnPrefix[] = "auburnhaven/"; ///< Of the daemons' keys.
 constexpr char kDutyPrefix[] = "auburnhaven/coordinator/"; ///< Of the duties.
+constexpr char kDaemonPrefix[] = "auburnhaven/daemon/"; ///< Of registrations.
 constexpr std::string_view kPart = "daemon"; ///< Part of the program in logs.
 
-/** @return Text form of an endpoint. */
-std::string
-textOf(const state::Endpoint& aEndpoint)
-{
-  return aEndpoint.address_ + ':' + std::to_string(aEndpoint.port_);
-}
-
 /** @return Times of a zone's lease. */
 coordination::LeaseLimits
 dutyLimits()
@@ -121,22 +119,30 @@
   return signals;
 }
 
-/** @return The daemon's part of the budget of repeated sends. */
+/** @return Budget of repeated sends, before the other daemons are known. */
 coordination::RetryBudgetSettings
 budgetSettings(const RelayRetryLimits& aLimits)
 {
-  constexpr double kUsedShare = 0.8; // Part of the ratio that is used.
-  // With the limit's extra sends divided by this many daemons, all together
-  // stay below it also when some have more requests than others.
-  constexpr std::uint32_t kDaemons = 30;
   coordination::RetryBudgetSettings budget;
   budget.ratioPermille_ =
-    static_cast<std::uint32_t>(aLimits.ratio_ * kUsedShare * kPermille);
-  budget.reserve_ = std::max(4U, aLimits.extra_ / kDaemons);
-  budget.maximum_ = budget.reserve_;
+    static_cast<std::uint32_t>(aLimits.ratio_ * kUsedBudget * kPermille);
+  budget.reserve_ = 1;
+  budget.maximum_ = 1;
   return budget;
 }
 
+/** @return Times of a daemon's registration. */
+coordination::LeaseLimits
+registrationLimits()
+{
+  coordination::LeaseLimits limits;
+  limits.timeToLive_ = kRegistrationTimeToLive;
+  limits.renewal_ = kRegistrationRenewal;
+  limits.margin_ = kLeaseMargin;
+  limits.retryPause_ = kLeaseRetry;
+  return limits;
+}
+
 } // namespace
 
 ZoneDuty::ZoneDuty(const RelayDaemonSettings& aSettings,
@@ -147,7 +153,7 @@
                    const state::ZoneId& aZone)
   : clock_(aClock)
   , key_(kDutyPrefix + aZone.value())
-  , self_(textOf(aSettings.listeners_.peers_) + ' ' +
+  , self_(state::textOf(aSettings.listeners_.peers_) + ' ' +
           std::to_string(aClock.wallNow().time_since_epoch().count()))
   , vacantSince_(aClock.now())
   , lease_(aClock, aStore, key_, self_, dutyLimits())
@@ -202,6 +208,13 @@
   , store_(caller_, { settings_.store_ })
   , engines_(caller_, clock_)
   , follower_(clock_, store_, codec_, log_, followerSettings())
+  , registry_(kDaemonPrefix)
+  , registration_(clock_,
+                  store_,
+                  registry_.keyOf(settings_.daemon_.value()),
+                  state::textOf(settings_.listeners_.peers_),
+                  registrationLimits())
+  , digests_(control_.context())
   , links_(control_.context(), linkSettings(settings_, seed_))
   , exchange_(clock_, links_, follower_, settings_.listeners_.peers_, seed_)
   , traffic_(1)
@@ -283,6 +296,16 @@
   if (!fault.empty()) {
     return "cannot listen for status: " + fault;
   }
+  fault = digests_.start(
+    settings_.listeners_.digests_, [this](const std::string& aDatagram) {
+      const auto digest = protocol::decodeZoneDigest(aDatagram, clock_.now());
+      if (digest) {
+        targets_.setDigest(*digest);
+      }
+    });
+  if (!fault.empty()) {
+    return "cannot listen for digests: " + fault;
+  }
   fault = links_.start();
   return fault.empty() ? fault : "cannot listen for peers: " + fault;
 }
@@ -317,6 +340,34 @@
     urgent = urgent || duty->coordinator().isChanging();
   }
   follower_.setUrgent(urgent);
+  registration_.tick(mayTry ? std::optional<state::Duration>(kTryPeriod)
+                            : std::nullopt);
+  if (clock_.now() >= digestAt_) {
+    digestAt_ = clock_.now() + kDigestPeriod;
+    sendDigests();
+  }
+}
+
+void
+RelayDaemon::sendDigests()
+{
+  for (auto& [zone, duty] : duties_) {
+    std::optional<coordination::ZoneDigest> digest =
+      duty->coordinator().digest();
+    if (!digest) {
+      continue;
+    }
+    digest->count_ = ++digestCount_;
+    targets_.setDigest(*digest);
+    const std::string datagram =
+      protocol::encodeZoneDigest(*digest, clock_.now());
+    for (state::Endpoint daemon : registry_.endpoints()) {
+      if (daemon != settings_.listeners_.peers_) {
+        daemon.port_ = settings_.listeners_.digests_.port_;
+        digests_.send(daemon, datagram);
+      }
+    }
+  }
 }
 
 void
@@ -324,15 +375,13 @@
 {
   const state::RoutingConfigPtr& config = follower_.config();
   routes_.set(std::make_shared<const coordination::RouteTable>(config));
-  std::optional<state::EngineSpec> engine;
   for (const state::ServiceSpec& service : config->services_) {
-    if (service.engine_) {
-      engine = service.engine_;
+    for (auto& [zone, duty] : duties_) {
+      if (service.engine_) {
+        duty->coordinator().setService(service);
+      }
     }
   }
-  for (auto& [zone, duty] : duties_) {
-    duty->coordinator().setEngine(engine);
-  }
   updateView();
   if (!stopping_) {
     status_.setReady(true);
@@ -358,12 +407,18 @@
 RelayDaemon::takeOwnKey(const std::string& aKey,
                         const std::optional<std::string>& aValue)
 {
+  registry_.take(aKey, aValue);
   for (auto& [zone, duty] : duties_) {
     if (duty->key() == aKey) {
       duty->setHolder(aValue);
-      updatePeers();
     }
   }
+  updatePeers();
+  const double daemons = std::max<double>(1, registry_.size());
+  budget_.setMaximum(
+    std::max(1U,
+             static_cast<std::uint32_t>(settings_.retries_.extra_ *
+                                        kUsedBudget / daemons)));
 }
 
 void
@@ -377,11 +432,13 @@
 void
 RelayDaemon::updatePeers()
 {
-  std::vector<state::Endpoint> peers = settings_.seedPeers_;
+  std::vector<state::Endpoint> peers = registry_.endpoints();
+  peers.insert(
+    peers.end(), settings_.seedPeers_.begin(), settings_.seedPeers_.end());
   for (const auto& [zone, duty] : duties_) {
     const std::string holder = duty->holder().value_or("");
     if (const auto endpoint =
-          platform::decodeEndpoint(holder.substr(0, holder.find(' ')))) {
+          state::endpointFrom(holder.substr(0, holder.find(' ')))) {
       peers.push_back(*endpoint);
     }
   }
@@ -413,6 +470,9 @@
     for (auto& [zone, duty] : duties_) {
       duty->handBack();
     }
+    if (registration_.holds()) {
+      registration_.release([] {});
+    }
   });
   std::this_thread::sleep_for(settings_.balancerLag_);
   // Late requests on kept connections could not be finished in time.
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -5,6 +5,7 @@
 #include "coordination/authority_lease.h"
 #include "coordination/replica/replica_coordinator.h"
 #include "coordination/request/retry_budget.h"
+#include "coordination/routing/daemon_registry.h"
 #include "coordination/routing/store_follower.h"
 #include "coordination/routing/target_pool.h"
 #include "platform/engine_orders.h"
@@ -13,6 +14,7 @@
 #include "platform/routing_codec.h"
 #include "protocol/config_exchange.h"
 #include "transport/control_loop.h"
+#include "transport/datagram_socket.h"
 #include "transport/event_log_writer.h"
 #include "transport/http_client.h"
 #include "transport/peer_links.h"
@@ -100,6 +102,7 @@
   std::string startServers();
   void connectParts();
   void tick();
+  void sendDigests();
   void takeConfig();
   void takeInstances();
   void takeOwnKey(const std::string& aKey,
@@ -109,20 +112,25 @@
   void noteSignals();
   void stop();
 
-  const RelayDaemonSettings settings_;   ///< Settings.
-  transport::SystemClock clock_;         ///< Clock.
-  const std::uint64_t seed_;             ///< Seed of random numbers.
-  transport::EventLogWriter log_;        ///< Log.
-  transport::Metrics metrics_;           ///< Metrics.
-  transport::ControlLoop control_;       ///< Event loop of the control thread.
-  transport::HttpClient client_;         ///< HTTP of the control thread.
-  transport::ServiceCaller caller_;      ///< Short calls.
-  platform::KvStore store_;              ///< The store.
-  platform::EngineOrders engines_;       ///< The engines.
-  platform::PlatformRoutingCodec codec_; ///< Reads values of the store.
-  coordination::StoreFollower follower_; ///< Follows the store.
-  transport::PeerLinks links_;           ///< Links to other daemons.
-  protocol::ConfigExchange exchange_;    ///< Configuration from peers.
+  const RelayDaemonSettings settings_;    ///< Settings.
+  transport::SystemClock clock_;          ///< Clock.
+  const std::uint64_t seed_;              ///< Seed of random numbers.
+  transport::EventLogWriter log_;         ///< Log.
+  transport::Metrics metrics_;            ///< Metrics.
+  transport::ControlLoop control_;        ///< Event loop of the control thread.
+  transport::HttpClient client_;          ///< HTTP of the control thread.
+  transport::ServiceCaller caller_;       ///< Short calls.
+  platform::KvStore store_;               ///< The store.
+  platform::EngineOrders engines_;        ///< The engines.
+  platform::PlatformRoutingCodec codec_;  ///< Reads values of the store.
+  coordination::StoreFollower follower_;  ///< Follows the store.
+  coordination::DaemonRegistry registry_; ///< Daemons of the system.
+  coordination::AuthorityLease registration_; ///< Own entry among them.
+  transport::DatagramSocket digests_;         ///< Digests of the zones.
+  state::TimePoint digestAt_{};               ///< When to send digests.
+  std::uint64_t digestCount_ = 0;             ///< Digests sent.
+  transport::PeerLinks links_;                ///< Links to other daemons.
+  protocol::ConfigExchange exchange_;         ///< Configuration from peers.
   std::map<state::ZoneId, std::unique_ptr<ZoneDuty>>
     duties_;                       ///< Coordination of each zone.
   transport::TrafficPool traffic_; ///< Traffic thread.
--- a/src/app/relay_settings_file.cpp
+++ b/src/app/relay_settings_file.cpp
@@ -33,6 +33,11 @@
                                  kRequired,
                                  kNonEmpty,
                                  "streams of other daemons"),
+  field<&RelayListeners::digests_>("digests",
+                                   kRequired,
+                                   kNonEmpty,
+                                   "datagrams of coordinators; the same port "
+                                   "on all VMs"),
 };
 
 constexpr std::array kRetryFields = {
--- a/src/app/relay_settings_type.h
+++ b/src/app/relay_settings_type.h
@@ -17,6 +17,8 @@
   state::Endpoint callers_; ///< HTTP for callers.
   state::Endpoint status_;  ///< HTTP for readiness and metrics.
   state::Endpoint peers_;   ///< Streams of other daemons.
+  state::Endpoint digests_; ///< Datagrams of coordinators; the same port on all
+                            ///< VMs.
   bool operator==(const RelayListeners&) const = default;
 };
 
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -89,9 +89,10 @@
 }
 
 void
-ReplicaCoordinator::setEngine(const std::optional<state::EngineSpec>& aEngine)
+ReplicaCoordinator::setService(const state::ServiceSpec& aService)
 {
-  engine_ = aEngine;
+  service_ = aService.id_;
+  engine_ = aService.engine_;
   if (engine_) {
     loadLimiter_.setRate(
       engine_->loadsPerSecond_ * kLoadRateShare / zone_.zones_, kLoadBurst);
@@ -145,6 +146,40 @@
   forgotten_.clear();
 }
 
+std::optional<ZoneDigest>
+ReplicaCoordinator::digest() const
+{
+  if (!lease_.holds() || !engine_ || !adopted_ || watch_.doubtsItself()) {
+    return std::nullopt;
+  }
+  ZoneDigest digest{ zone_.zone_, service_, authority_, 0, {} };
+  for (const auto& [id, replica] : replicas_) {
+    const WatchedEngine* head = watch_.find(replica.members_.front().vm_);
+    const bool opens = replica.phase_ == ReplicaPhase::kOpening &&
+                       progressOf(replica, replica.members_.front()) ==
+                         state::MemberState::kOpen;
+    const bool open = replica.phase_ == ReplicaPhase::kOpen || opens;
+    if (!open || dissolved_.contains(id) || head == nullptr || !head->report_) {
+      continue;
+    }
+    double slowness = 1;
+    for (const ReplicaMember& member : replica.members_) {
+      const WatchedEngine* engine = watch_.find(member.vm_);
+      const bool reported = engine != nullptr && engine->report_;
+      slowness =
+        std::max(slowness, reported ? engine->report_->slowness_ : 1.0);
+    }
+    digest.copies_.push_back({ head->instance_.id_,
+                               head->instance_.endpoint_,
+                               replica.model_,
+                               head->report_->load_.running_,
+                               head->report_->load_.waiting_,
+                               slowness,
+                               head->report_->askedAt_ - engine_->reportLag_ });
+  }
+  return digest;
+}
+
 bool
 ReplicaCoordinator::isChanging() const
 {
--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -6,6 +6,7 @@
 #include "coordination/replica/load_limiter.h"
 #include "coordination/replica/replica_plan_func.h"
 #include "coordination/replica/replica_type.h"
+#include "coordination/routing/zone_digest_type.h"
 #include "state/event_log.h"
 
 #include <cstdint>
@@ -59,8 +60,8 @@
   ReplicaCoordinator(const ReplicaCoordinator&) = delete;
   ReplicaCoordinator& operator=(const ReplicaCoordinator&) = delete;
 
-  /** @param aEngine The engine service in force; absent when there is none. */
-  void setEngine(const std::optional<state::EngineSpec>& aEngine);
+  /** @param aService The service whose engines form copies. */
+  void setService(const state::ServiceSpec& aService);
   /** @param aInstances Engines of the zone. */
   void setInstances(const std::vector<state::Instance>& aInstances);
   /** Notes that callers have come, after which loads take their full time. */
@@ -73,6 +74,8 @@
   {
     return replicas_;
   }
+  /** @return The open copies with their loads; nothing without authority. */
+  std::optional<ZoneDigest> digest() const;
   /** @return Whether a copy is being formed, so that news of its members are
    * urgent. */
   bool isChanging() const;
@@ -145,6 +148,7 @@
   ReplicaLimits limits_;        ///< Limits.
   EngineWatch watch_;           ///< Reports of the engines.
   LoadLimiter loadLimiter_;     ///< Rate of loads from the weight store.
+  state::ServiceId service_;    ///< Service of the engines.
   std::optional<state::EngineSpec> engine_;      ///< Engine service in force.
   std::map<state::ReplicaId, Replica> replicas_; ///< Copies known.
   std::set<state::ReplicaId> dissolved_; ///< Copies whose members are free.
--- a/src/coordination/request/retry_budget.cpp
+++ b/src/coordination/request/retry_budget.cpp
@@ -26,6 +26,14 @@
                        settings_.maximum_ * kPermille);
 }
 
+void
+RetryBudget::setMaximum(std::uint32_t aMaximum)
+{
+  const std::lock_guard lock(mutex_);
+  settings_.maximum_ = aMaximum;
+  permille_ = std::min(permille_, aMaximum * kPermille);
+}
+
 bool
 RetryBudget::tryRetry()
 {
--- a/src/coordination/request/retry_budget.h
+++ b/src/coordination/request/retry_budget.h
@@ -28,13 +28,15 @@
    * @return Whether the retry may be made.
    */
   bool tryRetry();
+  /** @param aMaximum Most retries that can be saved up from now on. */
+  void setMaximum(std::uint32_t aMaximum);
   /** @return Whole retries at hand. */
   std::uint32_t available() const;
 
 private:
-  const RetryBudgetSettings settings_; ///< Limits.
-  mutable std::mutex mutex_;           ///< Guards the following member.
-  std::uint64_t permille_;             ///< Thousandths of a retry at hand.
+  mutable std::mutex mutex_;     ///< Guards the following members.
+  RetryBudgetSettings settings_; ///< Limits.
+  std::uint64_t permille_;       ///< Thousandths of a retry at hand.
 };
 
 } // namespace auburnhaven::coordination
--- a/src/coordination/routing/target_pool.cpp
+++ b/src/coordination/routing/target_pool.cpp
@@ -66,43 +66,112 @@
   const std::lock_guard lock(mutex_);
   config_ = std::move(aConfig);
   for (auto& [vm, target] : targets_) {
-    target.usable_ = false;
+    target.registered_ = false;
+    target.leaving_ = false;
   }
   for (const auto& [vm, instance] : *aInstances) {
     const bool takes =
       takesRequests(instance) && !losesMember(instance, *aInstances);
-    if (!takes && !targets_.contains(vm)) {
+    const auto known = targets_.find(vm);
+    if (!takes && known == targets_.end()) {
       continue;
     }
     Target& target = targets_[vm];
     target.service_ = instance.service_;
+    target.zone_ = instance.zone_;
     target.endpoint_ = instance.endpoint_;
     target.slots_ = std::max(1U, instance.slots_);
-    target.usable_ = takes;
-    if (instance.engine_ && target.model_ != instance.engine_->model_) {
+    target.registered_ = takes;
+    target.leaving_ = instance.leaving_;
+    if (takes && instance.engine_) {
       target.model_ = instance.engine_->model_;
-      target.others_ = 0;
     }
   }
-  std::erase_if(targets_, [](const auto& aEntry) {
-    return !aEntry.second.usable_ && aEntry.second.own_ == 0;
+  const state::TimePoint now = clock_.now();
+  std::erase_if(targets_, [&](const auto& aEntry) {
+    return !isUsable(aEntry.second, now) && aEntry.second.own_ == 0;
   });
 }
 
+void
+TargetPool::setDigest(const ZoneDigest& aDigest)
+{
+  const std::lock_guard lock(mutex_);
+  DigestState& state = digests_[aDigest.zone_];
+  const bool newer = std::pair(aDigest.authority_, aDigest.count_) >
+                     std::pair(state.authority_, state.count_);
+  if (!newer || !config_) {
+    return;
+  }
+  state = {
+    aDigest.authority_, aDigest.count_, state.number_ + 1, clock_.now()
+  };
+  const state::ServiceSpec* service =
+    state::findService(*config_, aDigest.service_);
+  const std::uint32_t slots =
+    service != nullptr && service->engine_ ? service->engine_->batchSlots_ : 1;
+  for (const CopyLoad& copy : aDigest.copies_) {
+    Target& target = targets_[copy.head_];
+    target.service_ = aDigest.service_;
+    target.zone_ = aDigest.zone_;
+    target.model_ = copy.model_;
+    target.endpoint_ = copy.endpoint_;
+    target.slots_ = std::max(1U, slots);
+    target.digest_ = state.number_;
+    target.slowness_ = copy.slowness_;
+    if (copy.asOf_ > target.reportedAt_) {
+      target.reported_ = copy.running_ + copy.waiting_;
+      target.reportedAt_ = copy.asOf_;
+    }
+  }
+}
+
 bool
-TargetPool::fits(const Target& aTarget, const TargetNeed& aNeed) const
+TargetPool::isUsable(const Target& aTarget, state::TimePoint aNow) const
+{
+  if (aTarget.leaving_) {
+    return false;
+  }
+  const auto digest = digests_.find(aTarget.zone_);
+  const bool young = digest != digests_.end() &&
+                     aNow - digest->second.takenAt_ < settings_.digestTrust_;
+  const bool engine = !aTarget.model_.empty();
+  return engine && young ? aTarget.digest_ == digest->second.number_
+                         : aTarget.registered_;
+}
+
+bool
+TargetPool::fits(const Target& aTarget,
+                 const TargetNeed& aNeed,
+                 state::TimePoint aNow) const
+{
+  return aTarget.service_ == aNeed.service_ && aTarget.model_ == aNeed.model_ &&
+         isUsable(aTarget, aNow);
+}
+
+void
+TargetPool::noteChange(Target& aTarget, state::TimePoint aNow, int aChange)
 {
-  return aTarget.usable_ && aTarget.service_ == aNeed.service_ &&
-         aTarget.model_ == aNeed.model_;
+  std::erase_if(aTarget.changes_, [&](const auto& aEntry) {
+    return aEntry.first < aTarget.reportedAt_;
+  });
+  aTarget.changes_.emplace_back(aNow, aChange);
 }
 
 state::TargetLoad
 TargetPool::loadOf(const Target& aTarget, state::TimePoint aNow) const
 {
-  const bool trusted = aNow - aTarget.reportedAt_ < settings_.reportTrust_;
-  const std::uint32_t total = aTarget.own_ + (trusted ? aTarget.others_ : 0);
-  const std::uint32_t running = std::min(total, aTarget.slots_);
-  return { running, total - running, aTarget.slots_ };
+  std::int64_t total = aTarget.own_;
+  if (aNow - aTarget.reportedAt_ < settings_.reportTrust_) {
+    total = aTarget.reported_;
+    for (const auto& [at, change] : aTarget.changes_) {
+      total += at > aTarget.reportedAt_ ? change : 0;
+    }
+    total = std::max<std::int64_t>(total, aTarget.own_);
+  }
+  const auto count = static_cast<std::uint32_t>(total);
+  const std::uint32_t running = std::min(count, aTarget.slots_);
+  return { running, count - running, aTarget.slots_ };
 }
 
 state::Duration
@@ -118,7 +187,8 @@
       : nullptr;
   if (model != nullptr) {
     return std::chrono::duration_cast<state::Duration>(
-      firstEventTime(*service->engine_, *model, aLoad, aNeed.tokens_.prompt_));
+      firstEventTime(*service->engine_, *model, aLoad, aNeed.tokens_.prompt_) *
+      aTarget.slowness_);
   }
   // Plain services state no pace: an equal part of the aim for each request.
   return aNeed.latencyTarget_ * (aLoad.running_ + aLoad.waiting_ + 1) /
@@ -130,58 +200,73 @@
 {
   const std::lock_guard lock(mutex_);
   const state::TimePoint now = clock_.now();
-  std::vector<Target*> candidates;
-  std::vector<std::pair<const state::VmId*, Target*>> open;
+  const auto limit =
+    std::min(aNeed.timeLeft_,
+             std::chrono::duration_cast<state::Duration>(
+               std::chrono::duration<double, std::nano>(aNeed.latencyTarget_) *
+               settings_.patience_));
+  std::vector<Candidate> all;
+  std::vector<Candidate> open;
   for (auto& [vm, target] : targets_) {
-    if (!fits(target, aNeed)) {
+    if (!fits(target, aNeed, now)) {
       continue;
     }
-    candidates.push_back(&target);
+    Candidate candidate{ &vm, &target, loadOf(target, now), {}, 0 };
+    candidate.expected_ = expectedTime(target, aNeed, candidate.load_);
+    all.push_back(candidate);
     const bool tried =
       std::find(aNeed.excluded_.begin(), aNeed.excluded_.end(), vm) !=
       aNeed.excluded_.end();
-    if (!tried && target.restsUntil_ <= now) {
-      open.emplace_back(&vm, &target);
+    if (!tried && target.restsUntil_ <= now && candidate.expected_ <= limit) {
+      const double room =
+        static_cast<double>(target.slots_ + settings_.queueRoom_) -
+        candidate.load_.running_ - candidate.load_.waiting_;
+      candidate.weight_ = std::max(room, 0.0) * std::max(room, 0.0) /
+                          (target.slowness_ * target.slowness_);
+      open.push_back(candidate);
     }
   }
-  const auto limit =
-    std::min(aNeed.timeLeft_,
-             std::chrono::duration_cast<state::Duration>(
-               std::chrono::duration<double, std::nano>(aNeed.latencyTarget_) *
-               settings_.patience_));
-  TargetDecision best;
-  for (std::size_t sampled = 0; !open.empty(); ++sampled) {
-    const bool found = best.reason_ == RefusalReason::kNone;
-    if (sampled >= settings_.samples_ && found) {
-      break;
-    }
-    const std::size_t index = random_() % open.size();
-    const auto [vm, target] = open[index];
-    open.erase(open.begin() + static_cast<std::ptrdiff_t>(index));
-    const state::TargetLoad load = loadOf(*target, now);
-    const state::Duration expected = expectedTime(*target, aNeed, load);
-    if (expected <= limit && (!found || expected < best.expected_)) {
-      best = { RefusalReason::kNone,
-               *vm,
-               target->endpoint_,
-               load,
-               now - target->reportedAt_,
-               expected,
-               {},
-               static_cast<std::uint32_t>(candidates.size()) };
-    }
+  if (open.empty()) {
+    return refuse(all, aNeed);
+  }
+  const Candidate& chosen = pick(open);
+  ++chosen.target_->own_;
+  noteChange(*chosen.target_, now, 1);
+  return { RefusalReason::kNone,
+           *chosen.vm_,
+           chosen.target_->endpoint_,
+           chosen.load_,
+           now - chosen.target_->reportedAt_,
+           chosen.expected_,
+           {},
+           static_cast<std::uint32_t>(all.size()) };
+}
+
+const TargetPool::Candidate&
+TargetPool::pick(const std::vector<Candidate>& aCandidates)
+{
+  double sum = 0;
+  for (const Candidate& candidate : aCandidates) {
+    sum += candidate.weight_;
   }
-  if (best.reason_ != RefusalReason::kNone) {
-    return refuse(candidates, aNeed, now);
+  constexpr double kRandomRange = 1ULL << 53U;
+  double at = static_cast<double>(random_() >> 11U) / kRandomRange * sum;
+  for (const Candidate& candidate : aCandidates) {
+    at -= candidate.weight_;
+    if (at < 0) {
+      return candidate;
+    }
   }
-  ++targets_.at(best.vm_).own_;
-  return best;
+  return *std::min_element(aCandidates.begin(),
+                           aCandidates.end(),
+                           [](const Candidate& aLeft, const Candidate& aRight) {
+                             return aLeft.expected_ < aRight.expected_;
+                           });
 }
 
 TargetDecision
-TargetPool::refuse(const std::vector<Target*>& aCandidates,
-                   const TargetNeed& aNeed,
-                   state::TimePoint aNow) const
+TargetPool::refuse(const std::vector<Candidate>& aCandidates,
+                   const TargetNeed& aNeed) const
 {
   TargetDecision decision;
   decision.candidates_ = static_cast<std::uint32_t>(aCandidates.size());
@@ -191,12 +276,10 @@
   }
   decision.reason_ = RefusalReason::kFull;
   decision.expected_ = state::Duration::max();
-  for (const Target* target : aCandidates) {
-    const state::TargetLoad load = loadOf(*target, aNow);
-    const state::Duration expected = expectedTime(*target, aNeed, load);
-    if (expected < decision.expected_) {
-      decision.expected_ = expected;
-      decision.load_ = load;
+  for (const Candidate& candidate : aCandidates) {
+    if (candidate.expected_ < decision.expected_) {
+      decision.expected_ = candidate.expected_;
+      decision.load_ = candidate.load_;
     }
   }
   const state::Duration over = decision.expected_ - aNeed.latencyTarget_;
@@ -212,12 +295,14 @@
   if (found == targets_.end()) {
     return;
   }
+  const state::TimePoint now = clock_.now();
   Target& target = found->second;
   target.own_ -= std::min(target.own_, 1U);
+  noteChange(target, now, -1);
   if (aResult == SendResult::kFailed) {
-    target.restsUntil_ = clock_.now() + settings_.failurePause_;
+    target.restsUntil_ = now + settings_.failurePause_;
   } else if (aResult == SendResult::kRejected) {
-    target.restsUntil_ = clock_.now() + settings_.fullPause_;
+    target.restsUntil_ = now + settings_.fullPause_;
   }
 }
 
@@ -229,8 +314,7 @@
   if (found == targets_.end()) {
     return;
   }
-  const std::uint32_t total = aLoad.running_ + aLoad.waiting_;
-  found->second.others_ = total - std::min(total, found->second.own_);
+  found->second.reported_ = aLoad.running_ + aLoad.waiting_;
   found->second.reportedAt_ = clock_.now();
 }
 
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/routing/pace_func.h"
+#include "coordination/routing/zone_digest_type.h"
 #include "state/instance_type.h"
 #include "state/routing_type.h"
 #include "state/time_type.h"
@@ -74,24 +75,28 @@
 /** Settings of the choice. */
 struct TargetPoolSettings
 {
-  std::uint32_t samples_ = 3; ///< Targets compared for each request.
   state::Duration reportTrust_ =
     std::chrono::seconds(3); ///< Age at which a reported load no longer counts.
+  state::Duration digestTrust_ = std::chrono::milliseconds(
+    1500); ///< Age at which a zone's digest no longer counts.
   state::Duration failurePause_ = std::chrono::milliseconds(
     800); ///< How long a target rests after a failure.
   state::Duration fullPause_ = std::chrono::milliseconds(
     150);                 ///< How long a target rests after it was full.
   double patience_ = 1.0; ///< Part of the latency target that the expected
                           ///< first event may take.
+  std::uint32_t queueRoom_ =
+    3; ///< Requests beyond a target's slots that count as room in the choice.
   bool operator==(const TargetPoolSettings&) const = default;
 };
 
 /**
- * Chooses targets by the expected time until the first event, from the loads
- * that targets report and the requests that this daemon has at them. A request
- * enters only where it is expected to begin in time; else it is refused at
- * once. Answers the load of many daemons before few targets, where each knows
- * the others' requests only by lagging reports. Thread-safe.
+ * Chooses targets at random in proportion to the room that they have, from the
+ * loads that zones' coordinators and targets report and from what this daemon
+ * sent since. A request enters only where it is expected to begin in time; else
+ * it is refused at once. Answers the load of many daemons before few targets,
+ * where each knows the others' requests only by reports that lag: the least
+ * loaded target would draw the requests of all daemons at once. Thread-safe.
  */
 class TargetPool
 {
@@ -114,6 +119,12 @@
    */
   void setView(state::RoutingConfigPtr aConfig,
                const state::InstanceMapPtr& aInstances);
+  /**
+   * Takes the open copies of a zone from its coordinator. While they are young,
+   * they stand in for what the instances of the zone registered.
+   * @param aDigest The copies.
+   */
+  void setDigest(const ZoneDigest& aDigest);
   /**
    * Chooses the target of a request. A chosen target counts the request until
    * finish() is called.
@@ -138,25 +149,52 @@
   /** What is known of a target. */
   struct Target
   {
-    state::ServiceId service_;      ///< Its service.
-    state::ModelId model_;          ///< Model it serves; empty when plain.
-    state::Endpoint endpoint_;      ///< Where it listens.
-    std::uint32_t slots_ = 1;       ///< Requests it runs at once.
-    bool usable_ = false;           ///< Whether it takes new requests.
-    std::uint32_t own_ = 0;         ///< This daemon's requests at it.
-    std::uint32_t others_ = 0;      ///< Requests of others, as last reported.
-    state::TimePoint reportedAt_{}; ///< When that was.
+    state::ServiceId service_;   ///< Its service.
+    state::ZoneId zone_;         ///< Its availability zone.
+    state::ModelId model_;       ///< Model it serves; empty when plain.
+    state::Endpoint endpoint_;   ///< Where it listens.
+    std::uint32_t slots_ = 1;    ///< Requests it runs at once.
+    bool registered_ = false;    ///< Whether its registration takes requests.
+    bool leaving_ = false;       ///< Whether it is registered as leaving.
+    std::uint64_t digest_ = 0;   ///< Newest digest of its zone that has it.
+    double slowness_ = 1;        ///< Factor on its times.
+    std::uint32_t own_ = 0;      ///< This daemon's requests at it.
+    std::uint32_t reported_ = 0; ///< Requests at it, as last reported.
+    state::TimePoint reportedAt_{}; ///< For when that holds.
+    std::vector<std::pair<state::TimePoint, int>>
+      changes_; ///< This daemon's sends (+1) and their ends (-1) of late.
     state::TimePoint restsUntil_{}; ///< Gets no request before.
   };
+  /** Newest digest of a zone. */
+  struct DigestState
+  {
+    std::uint64_t authority_ = 0; ///< Its authority.
+    std::uint64_t count_ = 0;     ///< Its count.
+    std::uint64_t number_ = 0;    ///< Digests taken of the zone.
+    state::TimePoint takenAt_{};  ///< When it was taken.
+  };
+  /** A target that may take a request. */
+  struct Candidate
+  {
+    const state::VmId* vm_;      ///< The target.
+    Target* target_;             ///< What is known of it.
+    state::TargetLoad load_;     ///< Load that is assumed.
+    state::Duration expected_{}; ///< Expected time until the first event.
+    double weight_ = 0;          ///< Weight in the choice.
+  };
 
-  bool fits(const Target& aTarget, const TargetNeed& aNeed) const;
+  bool isUsable(const Target& aTarget, state::TimePoint aNow) const;
+  bool fits(const Target& aTarget,
+            const TargetNeed& aNeed,
+            state::TimePoint aNow) const;
+  static void noteChange(Target& aTarget, state::TimePoint aNow, int aChange);
   state::TargetLoad loadOf(const Target& aTarget, state::TimePoint aNow) const;
   state::Duration expectedTime(const Target& aTarget,
                                const TargetNeed& aNeed,
                                const state::TargetLoad& aLoad) const;
-  TargetDecision refuse(const std::vector<Target*>& aCandidates,
-                        const TargetNeed& aNeed,
-                        state::TimePoint aNow) const;
+  const Candidate& pick(const std::vector<Candidate>& aCandidates);
+  TargetDecision refuse(const std::vector<Candidate>& aCandidates,
+                        const TargetNeed& aNeed) const;
 
   const state::Clock& clock_;             ///< Clock.
   const TargetPoolSettings settings_;     ///< Settings.
@@ -164,6 +202,7 @@
   mutable std::mutex mutex_;              ///< Guards the following members.
   state::RoutingConfigPtr config_;        ///< Configuration in force.
   std::map<state::VmId, Target> targets_; ///< Targets.
+  std::map<state::ZoneId, DigestState> digests_; ///< Newest digests.
 };
 
 } // namespace auburnhaven::coordination
