Announce news of the store by digests; end sends to lost copies at once

Now coordinators announce the revision of news that all must read, a copy's value is its model's need, and a send ends when the digest drops its copy.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -34,6 +34,9 @@
 constexpr std::chrono::seconds kProbeAfter(1); ///< Silence before TCP probes.
 constexpr milliseconds kRegistrationTimeToLive(6000); ///< Of a daemon's entry.
 constexpr milliseconds kRegistrationRenewal(2000);    ///< Between two renewals.
+constexpr milliseconds kCoordinatorSilence(
+  1000); ///< Silence of the own zone's coordinator after which a daemon follows
+         ///< the store by itself.
 constexpr milliseconds kDigestPeriod(300); ///< Between two digests of a zone.
 constexpr double kUsedBudget = 0.8; ///< Part of the limit of repeated sends.
 constexpr std::uint32_t kPermille = 1000;     ///< Thousandths.
@@ -300,7 +303,7 @@
     settings_.listeners_.digests_, [this](const std::string& aDatagram) {
       const auto digest = protocol::decodeZoneDigest(aDatagram, clock_.now());
       if (digest) {
-        targets_.setDigest(*digest);
+        takeDigest(*digest);
       }
     });
   if (!fault.empty()) {
@@ -340,6 +343,12 @@
     urgent = urgent || duty->coordinator().isChanging();
   }
   follower_.setUrgent(urgent);
+  const bool coordinates =
+    std::any_of(duties_.begin(), duties_.end(), [](const auto& aEntry) {
+      return aEntry.second->isHeld();
+    });
+  follower_.setOthers(
+    !coordinates && clock_.now() - heardAt_ < kCoordinatorSilence, newsAt_);
   registration_.tick(mayTry ? std::optional<state::Duration>(kTryPeriod)
                             : std::nullopt);
   if (clock_.now() >= digestAt_) {
@@ -348,6 +357,16 @@
   }
 }
 
+void
+RelayDaemon::takeDigest(const coordination::ZoneDigest& aDigest)
+{
+  targets_.setDigest(aDigest);
+  newsAt_ = std::max(newsAt_, aDigest.newsAt_);
+  if (aDigest.zone_ == settings_.zone_) {
+    heardAt_ = clock_.now();
+  }
+}
+
 void
 RelayDaemon::sendDigests()
 {
@@ -358,6 +377,7 @@
       continue;
     }
     digest->count_ = ++digestCount_;
+    digest->newsAt_ = follower_.newsAt();
     targets_.setDigest(*digest);
     const std::string datagram =
       protocol::encodeZoneDigest(*digest, clock_.now());
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -68,6 +68,8 @@
   void tick(bool aMayTry);
   /** @return The coordinator of the zone. */
   coordination::ReplicaCoordinator& coordinator() { return coordinator_; }
+  /** @return Whether this daemon has the duty. */
+  bool isHeld() const { return lease_.holds(); }
   /** Gives the lease back, when it is held. */
   void handBack();
 
@@ -102,6 +104,7 @@
   std::string startServers();
   void connectParts();
   void tick();
+  void takeDigest(const coordination::ZoneDigest& aDigest);
   void sendDigests();
   void takeConfig();
   void takeInstances();
@@ -129,8 +132,10 @@
   transport::DatagramSocket digests_;         ///< Digests of the zones.
   state::TimePoint digestAt_{};               ///< When to send digests.
   std::uint64_t digestCount_ = 0;             ///< Digests sent.
-  transport::PeerLinks links_;                ///< Links to other daemons.
-  protocol::ConfigExchange exchange_;         ///< Configuration from peers.
+  state::Revision newsAt_;     ///< Newest change of the store announced.
+  state::TimePoint heardAt_{}; ///< When the own zone's coordinator was heard.
+  transport::PeerLinks links_; ///< Links to other daemons.
+  protocol::ConfigExchange exchange_; ///< Configuration from peers.
   std::map<state::ZoneId, std::unique_ptr<ZoneDuty>>
     duties_;                       ///< Coordination of each zone.
   transport::TrafficPool traffic_; ///< Traffic thread.
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -152,13 +152,15 @@
   if (!lease_.holds() || !engine_ || !adopted_ || watch_.doubtsItself()) {
     return std::nullopt;
   }
-  ZoneDigest digest{ zone_.zone_, service_, authority_, 0, {} };
+  ZoneDigest digest{ zone_.zone_, service_, authority_, 0, {}, {} };
   for (const auto& [id, replica] : replicas_) {
     const WatchedEngine* head = watch_.find(replica.members_.front().vm_);
     const bool opens = replica.phase_ == ReplicaPhase::kOpening &&
                        progressOf(replica, replica.members_.front()) ==
                          state::MemberState::kOpen;
-    const bool open = replica.phase_ == ReplicaPhase::kOpen || opens;
+    const bool finishing = replica.phase_ == ReplicaPhase::kEmptying;
+    const bool open =
+      replica.phase_ == ReplicaPhase::kOpen || opens || finishing;
     if (!open || dissolved_.contains(id) || head == nullptr || !head->report_) {
       continue;
     }
@@ -174,6 +176,7 @@
                                replica.model_,
                                head->report_->load_.running_,
                                head->report_->load_.waiting_,
+                               finishing,
                                slowness,
                                head->report_->askedAt_ - engine_->reportLag_ });
   }
--- a/src/coordination/replica/replica_layout_func.cpp
+++ b/src/coordination/replica/replica_layout_func.cpp
@@ -12,6 +12,9 @@
 
 constexpr double kNoCopyCount =
   1.0 / 3; ///< Count that stands for no copy at all.
+constexpr double kNeededShare =
+  0.5; ///< Part of the VMs that the load is assumed to need.
+constexpr double kLoadWeight = 0.75; ///< Weight of the copies' load.
 constexpr double kGiveUpPenalty =
   0.06; ///< Value that giving one copy up must at least bring.
 constexpr double kLoadPenalty =
@@ -177,6 +180,7 @@
   {
     for (const auto& [id, domain] : aFacts.domains_) {
       domains_.push_back(id);
+      vms_ += vmCount(domain);
       options_.push_back(OptionFinder(domain, models_).find());
     }
   }
@@ -204,14 +208,16 @@
   }
 
 private:
-  /** @return Value of the present totals: each further copy of a model brings
-   * less than the one before. */
+  /** @return Value of the present totals: the load of each model's copies, as
+   * if half of the zone's VMs were needed, weighed by its share of work. */
   double value() const
   {
     double value = 0;
     for (std::size_t index = 0; index < models_.size(); ++index) {
+      const double share = models_[index].workShare_;
+      const double needed = kNeededShare * vms_ * share / models_[index].size_;
       const double count = std::max<double>(totals_[index], kNoCopyCount);
-      value -= models_[index].workShare_ / count;
+      value -= kLoadWeight * share * needed / count;
     }
     return value;
   }
@@ -264,6 +270,7 @@
   const std::vector<state::ModelSpec>& models_; ///< Models to serve.
   std::vector<state::DomainId> domains_;        ///< Domains in order.
   std::vector<std::vector<Option>> options_;    ///< Options of each domain.
+  std::uint32_t vms_ = 0;                       ///< VMs of the zone.
   std::vector<int> totals_;                     ///< Copies of each model.
   std::vector<std::size_t> chosen_;             ///< Option of each domain.
   std::vector<std::size_t> best_;               ///< Best options so far.
--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -31,7 +31,7 @@
 StoreFollower::tick()
 {
   dropMissing();
-  if (!underWay_ && clock_.now() >= nextCall_) {
+  if (!underWay_ && clock_.now() >= nextCall_ && (mustList_ || mustCall())) {
     underWay_ = true;
     if (mustList_) {
       list();
@@ -42,13 +42,30 @@
 }
 
 bool
-StoreFollower::hasOutage() const
+StoreFollower::mustCall() const
 {
-  const bool waits = underWay_ && !mustList_;
-  const state::Duration limit =
-    settings_.outageAfter_ +
-    (waits ? settings_.watchTimeout_ : state::Duration{});
-  return inOutage_ || clock_.now() - answeredAt_ > limit;
+  const bool fed = othersHeard_ && !inOutage_ && at_ >= othersNewsAt_;
+  return !fed || clock_.now() - answeredAt_ >= settings_.refreshPeriod_;
+}
+
+bool
+StoreFollower::isNews(const std::string& aKey,
+                      const std::optional<std::string>& aValue) const
+{
+  if (aKey == settings_.configKey_) {
+    return true;
+  }
+  if (!aKey.starts_with(settings_.instancePrefix_)) {
+    return false;
+  }
+  // Changes of model engines reach the daemons by their coordinator.
+  const state::VmId vm(aKey.substr(settings_.instancePrefix_.size()));
+  if (aValue) {
+    const auto instance = codec_.decodeInstance(vm, *aValue);
+    return instance && !instance->engine_;
+  }
+  const auto known = present_.find(vm);
+  return known != present_.end() && !known->second.engine_;
 }
 
 void
@@ -68,8 +85,8 @@
   const std::weak_ptr<bool> alive = alive_;
   store_.watchPrefix("",
                      at_,
-                     inOutage_ ? settings_.outageWatchTimeout_
-                               : settings_.watchTimeout_,
+                     inOutage_ || othersHeard_ ? settings_.outageWatchTimeout_
+                                               : settings_.watchTimeout_,
                      [this, alive](const WatchReply& aReply) {
                        if (!alive.expired()) {
                          takeChanges(aReply);
@@ -123,7 +140,7 @@
       seen.insert(
         state::VmId(item.key_.substr(settings_.instancePrefix_.size())));
     }
-    apply(item.key_, item.value_);
+    apply(item.key_, item.value_, item.revision_);
   }
   std::vector<state::VmId> gone;
   for (const auto& [vm, instance] : present_) {
@@ -156,7 +173,7 @@
     return;
   }
   for (const StoreChange& change : aReply.changes_) {
-    apply(change.key_, change.value_);
+    apply(change.key_, change.value_, change.revision_);
   }
   at_ = std::max(at_, aReply.at_);
   if (!aReply.changes_.empty()) {
@@ -168,8 +185,12 @@
 
 void
 StoreFollower::apply(const std::string& aKey,
-                     const std::optional<std::string>& aValue)
+                     const std::optional<std::string>& aValue,
+                     state::Revision aRevision)
 {
+  if (isNews(aKey, aValue)) {
+    newsAt_ = std::max(newsAt_, aRevision);
+  }
   if (aKey == settings_.configKey_) {
     if (aValue) {
       takeConfig(*aValue, "store");
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -45,15 +45,16 @@
   state::Duration watchTimeout_ =
     std::chrono::milliseconds(1500); ///< Longest wait of one watch.
   state::Duration outageWatchTimeout_ = std::chrono::milliseconds(
-    100); ///< The same while the store does not answer.
+    100); ///< The same while the store does not answer, or others are heard.
   state::Duration pause_ = std::chrono::milliseconds(
     500); ///< From one answer to the next watch; changes gather meanwhile.
   state::Duration urgentPause_ =
     std::chrono::milliseconds(120); ///< The same while changes are urgent.
   state::Duration failurePause_ =
     std::chrono::milliseconds(250); ///< After a call that failed.
-  state::Duration outageAfter_ = std::chrono::milliseconds(
-    1000); ///< Silence of the store that counts as an outage.
+  state::Duration refreshPeriod_ =
+    std::chrono::seconds(8); ///< While others are heard: between two readings
+                             ///< of all changes.
   state::Duration returnGrace_ = std::chrono::milliseconds(
     2500); ///< After an outage: how long entries that are missing stay in use.
   bool operator==(const FollowerSettings&) const = default;
@@ -101,6 +102,21 @@
   }
   /** @param aHandler Called for each change of the daemons' own keys. */
   void onOwnKey(KeyHandler aHandler) { keyHandler_ = std::move(aHandler); }
+  /**
+   * Tells what others that follow the store know of it. While they are heard,
+   * this follower reads only the news that they announce, and all changes from
+   * time to time.
+   * @param aHeard Whether others are heard.
+   * @param aNewsAt Revision of the newest change that they announce.
+   */
+  void setOthers(bool aHeard, state::Revision aNewsAt)
+  {
+    othersHeard_ = aHeard;
+    othersNewsAt_ = std::max(othersNewsAt_, aNewsAt);
+  }
+  /** @return Revision of the newest change that all daemons must read: of the
+   * configuration or of a plain instance. */
+  state::Revision newsAt() const { return newsAt_; }
   /** @param aUrgent Whether changes are wanted sooner, at the price of more
    * calls. */
   void setUrgent(bool aUrgent) { urgent_ = aUrgent; }
@@ -118,8 +134,8 @@
   const std::string& configText() const { return configText_; }
   /** @return The instances; never null. */
   const state::InstanceMapPtr& instances() const { return instances_; }
-  /** @return Whether the store has been silent for longer than an outage. */
-  bool hasOutage() const;
+  /** @return Whether the newest call to the store failed. */
+  bool hasOutage() const { return inOutage_; }
   /** @return Whether the keys have been listed once. */
   bool hasListed() const { return listed_; }
 
@@ -130,7 +146,12 @@
   void takeChanges(const WatchReply& aReply);
   void answered();
   void failed(std::string_view aCall);
-  void apply(const std::string& aKey, const std::optional<std::string>& aValue);
+  bool mustCall() const;
+  bool isNews(const std::string& aKey,
+              const std::optional<std::string>& aValue) const;
+  void apply(const std::string& aKey,
+             const std::optional<std::string>& aValue,
+             state::Revision aRevision);
   void takeConfig(const std::string& aText, std::string_view aSource);
   void putInstance(const state::VmId& aVm, const std::string& aText);
   void removeInstance(const state::VmId& aVm);
@@ -151,15 +172,18 @@
   state::InstanceMapPtr instances_ =
     std::make_shared<state::InstanceMap>(); ///< Instances as published.
   std::map<state::VmId, state::TimePoint>
-    missing_;             ///< Instances that vanished in an outage, and when
-                          ///< they are dropped.
-  bool changed_ = false;  ///< Whether instances differ from the published.
-  bool listed_ = false;   ///< Whether the keys were listed.
-  bool mustList_ = true;  ///< Whether the keys must be listed next.
-  bool underWay_ = false; ///< Whether a call is awaited.
-  bool urgent_ = false;   ///< Whether changes are wanted sooner.
-  bool inOutage_ = false; ///< Whether an outage was noticed.
-  state::Revision at_;    ///< Revision from which the watch goes on.
+    missing_;                ///< Instances that vanished in an outage, and when
+                             ///< they are dropped.
+  bool changed_ = false;     ///< Whether instances differ from the published.
+  bool listed_ = false;      ///< Whether the keys were listed.
+  bool mustList_ = true;     ///< Whether the keys must be listed next.
+  bool underWay_ = false;    ///< Whether a call is awaited.
+  bool urgent_ = false;      ///< Whether changes are wanted sooner.
+  bool inOutage_ = false;    ///< Whether an outage was noticed.
+  bool othersHeard_ = false; ///< Whether others that follow are heard.
+  state::Revision othersNewsAt_;  ///< Newest change that they announce.
+  state::Revision newsAt_;        ///< Newest change that all must read.
+  state::Revision at_;            ///< Revision from which the watch goes on.
   state::TimePoint nextCall_{};   ///< When to call next.
   state::TimePoint answeredAt_{}; ///< Newest answer of the store.
   state::TimePoint graceUntil_{}; ///< End of the grace after an outage.
--- a/src/coordination/routing/target_pool.cpp
+++ b/src/coordination/routing/target_pool.cpp
@@ -118,6 +118,7 @@
     target.endpoint_ = copy.endpoint_;
     target.slots_ = std::max(1U, slots);
     target.digest_ = state.number_;
+    target.finishing_ = copy.finishing_;
     target.slowness_ = copy.slowness_;
     if (copy.asOf_ > target.reportedAt_) {
       target.reported_ = copy.running_ + copy.waiting_;
@@ -126,18 +127,35 @@
   }
 }
 
+std::optional<bool>
+TargetPool::isListed(const Target& aTarget, state::TimePoint aNow) const
+{
+  const auto digest = digests_.find(aTarget.zone_);
+  const bool young = digest != digests_.end() &&
+                     aNow - digest->second.takenAt_ < settings_.digestTrust_;
+  if (aTarget.model_.empty() || !young) {
+    return std::nullopt;
+  }
+  return aTarget.digest_ == digest->second.number_;
+}
+
 bool
 TargetPool::isUsable(const Target& aTarget, state::TimePoint aNow) const
 {
   if (aTarget.leaving_) {
     return false;
   }
-  const auto digest = digests_.find(aTarget.zone_);
-  const bool young = digest != digests_.end() &&
-                     aNow - digest->second.takenAt_ < settings_.digestTrust_;
-  const bool engine = !aTarget.model_.empty();
-  return engine && young ? aTarget.digest_ == digest->second.number_
-                         : aTarget.registered_;
+  const std::optional<bool> listed = isListed(aTarget, aNow);
+  return listed ? *listed && !aTarget.finishing_ : aTarget.registered_;
+}
+
+bool
+TargetPool::isGone(const state::VmId& aVm) const
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = targets_.find(aVm);
+  return found != targets_.end() &&
+         !isListed(found->second, clock_.now()).value_or(true);
 }
 
 bool
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -138,6 +138,12 @@
    * @param aResult How it ended.
    */
   void finish(const state::VmId& aVm, SendResult aResult);
+  /**
+   * @param aVm A target that has a request of this daemon.
+   * @return Whether its coordinator says that it serves no more, so that the
+   * request must go elsewhere.
+   */
+  bool isGone(const state::VmId& aVm) const;
   /**
    * Notes a reported load.
    * @param aVm The target.
@@ -157,6 +163,8 @@
     bool registered_ = false;    ///< Whether its registration takes requests.
     bool leaving_ = false;       ///< Whether it is registered as leaving.
     std::uint64_t digest_ = 0;   ///< Newest digest of its zone that has it.
+    bool finishing_ = false;     ///< Whether that digest says that it takes no
+                                 ///< new requests.
     double slowness_ = 1;        ///< Factor on its times.
     std::uint32_t own_ = 0;      ///< This daemon's requests at it.
     std::uint32_t reported_ = 0; ///< Requests at it, as last reported.
@@ -183,6 +191,8 @@
     double weight_ = 0;          ///< Weight in the choice.
   };
 
+  std::optional<bool> isListed(const Target& aTarget,
+                               state::TimePoint aNow) const;
   bool isUsable(const Target& aTarget, state::TimePoint aNow) const;
   bool fits(const Target& aTarget,
             const TargetNeed& aNeed,
--- a/src/protocol/zone_digest_codec.cpp
+++ b/src/protocol/zone_digest_codec.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t kBytesPerCopy = 100; ///< Bound of an encoded copy.
 constexpr std::size_t kHeadBytes = 120; ///< Bound of what stands before them.
-constexpr std::size_t kCopyFields = 8;  ///< Fields of an encoded copy.
+constexpr std::size_t kCopyFields = 9;  ///< Fields of an encoded copy.
 
 std::int64_t
 ageMs(state::Duration aAge)
@@ -31,6 +31,7 @@
   copy.running_ = aCopy.at(4).get<std::uint32_t>();
   copy.waiting_ = aCopy.at(5).get<std::uint32_t>();
   copy.slowness_ = aCopy.at(6).get<double>();
+  copy.finishing_ = aCopy.at(7).get<bool>();
   copy.asOf_ = aNow - std::chrono::milliseconds(
                         aCopy.at(kCopyFields - 1).get<std::int64_t>());
   return copy;
@@ -55,13 +56,12 @@
                        copy.running_,
                        copy.waiting_,
                        copy.slowness_,
+                       copy.finishing_,
                        ageMs(aNow - copy.asOf_) });
   }
-  const Json digest = { aDigest.zone_.value(),
-                        aDigest.service_.value(),
-                        aDigest.authority_,
-                        aDigest.count_,
-                        std::move(copies) };
+  const Json digest = { aDigest.zone_.value(),   aDigest.service_.value(),
+                        aDigest.authority_,      aDigest.count_,
+                        aDigest.newsAt_.value(), std::move(copies) };
   const std::vector<std::uint8_t> bytes = Json::to_cbor(digest);
   return { bytes.begin(), bytes.end() };
 }
@@ -79,7 +79,8 @@
     result.service_ = state::ServiceId(digest.at(1).get<std::string>());
     result.authority_ = digest.at(2).get<std::uint64_t>();
     result.count_ = digest.at(3).get<std::uint64_t>();
-    for (const Json& copy : digest.at(4)) {
+    result.newsAt_ = state::Revision(digest.at(4).get<std::uint64_t>());
+    for (const Json& copy : digest.at(5)) {
       result.copies_.push_back(decodeCopy(copy, aNow));
     }
     return result;
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -254,6 +254,62 @@
   return { std::min(settings_.connectTimeout_, left), response, response };
 }
 
+/** Ends a send when the target's coordinator says that it serves no more. */
+class RelayExchange::TargetMonitor
+{
+public:
+  TargetMonitor(const boost::asio::any_io_executor& aExecutor,
+                const coordination::TargetPool& aTargets,
+                const state::VmId& aTarget,
+                HttpAborter& aAborter,
+                const RelaySettings& aSettings)
+    : watch_(
+        std::make_shared<Watch>(Watch{ aTargets,
+                                       aTarget,
+                                       &aAborter,
+                                       aSettings.monitorPeriod_,
+                                       boost::asio::steady_timer(aExecutor) }))
+  {
+    wait(watch_);
+  }
+  ~TargetMonitor()
+  {
+    watch_->aborter_ = nullptr;
+    watch_->timer_.cancel();
+  }
+  TargetMonitor(const TargetMonitor&) = delete;
+  TargetMonitor& operator=(const TargetMonitor&) = delete;
+
+private:
+  /** Shared with the timer's handler, which may run after the monitor's end. */
+  struct Watch
+  {
+    const coordination::TargetPool& targets_; ///< Knows the targets.
+    state::VmId target_;                      ///< The target.
+    HttpAborter* aborter_;            ///< Ends the send; null when over.
+    milliseconds period_;             ///< Between two looks.
+    boost::asio::steady_timer timer_; ///< Wakes the next look.
+  };
+
+  static void wait(const std::shared_ptr<Watch>& aWatch)
+  {
+    aWatch->timer_.expires_after(aWatch->period_);
+    aWatch->timer_.async_wait(
+      [watch = aWatch](const boost::system::error_code& aError) {
+        if (aError || watch->aborter_ == nullptr) {
+          return;
+        }
+        if (watch->targets_.isGone(watch->target_)) {
+          watch->aborter_->abort();
+        } else {
+          wait(watch);
+        }
+      });
+  }
+
+  std::shared_ptr<Watch> watch_; ///< Shared with the timer's handler.
+};
+
 SendEnd
 RelayExchange::attempt(const TargetDecision& aTarget)
 {
@@ -271,6 +327,8 @@
   request.freshConnection_ = !mayRunTwice();
   HttpAborter aborter;
   aborter_ = &aborter;
+  const TargetMonitor monitor(
+    yield_.get_executor(), parts_.targets_, aTarget.vm_, aborter, settings_);
   HttpCall call = client_.open(
     aTarget.endpoint_, request, timeouts(aTarget), yield_, &aborter);
   SendEnd end = SendEnd::kUnknown;
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -62,6 +62,8 @@
   void refuseAsStopping();
 
 private:
+  class TargetMonitor;
+
   bool findRoute();
   void serve();
   bool sendOnce();
--- a/src/transport/relay/relay_handler.h
+++ b/src/transport/relay/relay_handler.h
@@ -26,8 +26,11 @@
 struct RelaySettings
 {
   std::chrono::milliseconds connectTimeout_{ 400 }; ///< For a new connection.
+  std::chrono::milliseconds monitorPeriod_{
+    200
+  }; ///< Between two looks whether a target still serves.
   std::chrono::milliseconds firstEventLimit_{
-    1300
+    3000
   }; ///< Silence before the first event after which a stream that may be
      ///< resumed goes to another target.
   std::chrono::milliseconds eventGapLimit_{
