Stage models by role; value loads as they cost

Cause: at the start the large model was staged on VMs that were to form the small one's copies, so 12 of 18 were formed on the grown site; all hosts of small copies lost their own model, so that a domain that came back needed 12 s loads. Now nothing is staged where a copy is lacking, two hosts a domain hold the large model, spares the small one, and quick loads cost the layout nothing.

--- a/src/coordination/replica/engine_watch.cpp
+++ b/src/coordination/replica/engine_watch.cpp
@@ -194,7 +194,7 @@
   ++engine.misses_;
   // A lost VM is asked at the slow pace, a doubtful one at once.
   const bool lost = engine.misses_ >= limits_.missesOfLost_;
-  question->second.nextAt_ = lost ? now + limits_.idleReportPeriod_ : now;
+  question->second.nextAt_ = lost ? now + limits_.lostReportPeriod_ : now;
 }
 
 } // namespace auburnhaven::coordination
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -18,14 +18,13 @@
   1ULL << 20U; ///< Epochs that one authority can give.
 constexpr double kLoadRateShare =
   0.9; ///< Part of the weight store's rate that is used.
-constexpr std::uint32_t kWholeDomain =
-  1000;                          ///< Reserve of a domain while loads are quick.
+
 constexpr double kLoadBurst = 2; ///< Loads of a zone that may start at once.
 constexpr std::chrono::seconds kStageMargin{
   3
 }; ///< Added to a model's load time before it is staged again.
 constexpr std::chrono::milliseconds kSettleTime{
-  250
+  500
 }; ///< How long the VMs of a domain must stay before copies are formed.
 constexpr char kNameMark = '.'; ///< Between the parts of a copy's name.
 constexpr std::string_view kPart = "replica"; ///< Part of the program in logs.
@@ -683,9 +682,7 @@
   ZoneFacts facts;
   facts.models_ = engine_->models_;
   facts.loads_ = loadsNow();
-  if (loadsAreQuick()) {
-    facts.reserve_ = kWholeDomain;
-  }
+  facts.quickLoads_ = loadsAreQuick();
   for (const auto& [vm, engine] : watch_.engines()) {
     if (isFree(engine)) {
       facts.domains_[engine.report_->state_.domain_].free_.push_back(
--- a/src/coordination/replica/replica_layout_func.cpp
+++ b/src/coordination/replica/replica_layout_func.cpp
@@ -96,9 +96,11 @@
 {
 public:
   OptionFinder(const DomainFacts& aDomain,
-               const std::vector<state::ModelSpec>& aModels)
+               const std::vector<state::ModelSpec>& aModels,
+               bool aQuickLoads)
     : domain_(aDomain)
     , models_(aModels)
+    , loadPenalty_(aQuickLoads ? 0 : kLoadPenalty)
     , present_(presentCounts(aDomain, aModels))
   {
   }
@@ -159,13 +161,14 @@
       penalty += kGiveUpPenalty * (before > after ? before - after : 0);
       const std::uint32_t wanted = after * models_[index].size_;
       const std::uint32_t warm = warmCount(domain_, models_[index].id_);
-      penalty += kLoadPenalty * (wanted > warm ? wanted - warm : 0);
+      penalty += loadPenalty_ * (wanted > warm ? wanted - warm : 0);
     }
     return penalty;
   }
 
   const DomainFacts& domain_;                   ///< The domain.
   const std::vector<state::ModelSpec>& models_; ///< Models to serve.
+  double loadPenalty_;                          ///< What one load costs.
   ReplicaCounts present_;                       ///< Present counts.
   std::vector<Option> options_;                 ///< Options found.
 };
@@ -181,7 +184,8 @@
     for (const auto& [id, domain] : aFacts.domains_) {
       domains_.push_back(id);
       vms_ += vmCount(domain);
-      options_.push_back(OptionFinder(domain, models_).find());
+      options_.push_back(
+        OptionFinder(domain, models_, aFacts.quickLoads_).find());
     }
   }
 
--- a/src/coordination/replica/replica_limits_type.h
+++ b/src/coordination/replica/replica_limits_type.h
@@ -19,6 +19,8 @@
     150); ///< Between two reports of a VM that is about to change.
   state::Duration idleReportPeriod_ =
     std::chrono::milliseconds(1000); ///< Between two reports of a free VM.
+  state::Duration lostReportPeriod_ =
+    std::chrono::milliseconds(400); ///< Between two questions to a lost VM.
   state::Duration reportTimeout_ =
     std::chrono::milliseconds(300); ///< Longest wait for a report.
   std::uint32_t missesOfLost_ =
--- a/src/coordination/replica/replica_plan_func.cpp
+++ b/src/coordination/replica/replica_plan_func.cpp
@@ -224,39 +224,95 @@
     });
   }
 
-  /** Stages the largest model on hosts beside its copies, until each domain
-   * has its reserve: on spares first, then on members of open copies. */
+  /** Stages models on hosts of domains that lack no copy: on the first spare
+   * the largest model and on the others the next one; and the largest model on
+   * members of open smaller copies, until the domain has its reserve. */
   void stageReserves()
   {
     for (const auto& [id, domain] : facts_.domains_) {
-      std::vector<FreeVm> hosts = free_[id];
+      if (!domain.settled_ || lacksCopy(id, domain)) {
+        continue;
+      }
+      std::uint32_t ready = stageSpares(free_[id]);
       for (const PresentReplica& replica : domain.present_) {
         if (replica.model_ != largest_.id_ && replica.open_) {
-          hosts.insert(
-            hosts.end(), replica.members_.begin(), replica.members_.end());
+          ready = stageMembers(replica, ready);
         }
       }
-      stageAmong(hosts);
     }
   }
 
-  /** Stages the largest model on some of the hosts of one domain. */
-  void stageAmong(const std::vector<FreeVm>& aHosts)
+  /** @return Whether a domain is to get a copy that it does not have yet. */
+  bool lacksCopy(const state::DomainId& aId, const DomainFacts& aDomain) const
+  {
+    const ReplicaCounts& wanted = layout_.at(aId);
+    for (std::size_t index = 0; index < wanted.size(); ++index) {
+      const state::ModelId& model = facts_.models_[index].id_;
+      const auto formed = formed_.find({ aId, model });
+      const std::uint32_t have = presentOf(aDomain, model) +
+                                 (formed == formed_.end() ? 0 : formed->second);
+      if (have < wanted[index]) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Stages models on spares. @return Spares ready for the largest model. */
+  std::uint32_t stageSpares(const std::vector<FreeVm>& aSpares)
   {
     std::uint32_t ready = 0;
-    for (const FreeVm& vm : aHosts) {
+    for (const FreeVm& vm : aSpares) {
       ready += readinessOf(vm, largest_.id_) != Readiness::kCold ? 1 : 0;
     }
-    for (const FreeVm& vm : aHosts) {
-      const bool useful = readinessOf(vm, largest_.id_) == Readiness::kCold &&
-                          !vm.busy_ && loadsLeft_ > 0 &&
-                          ready < facts_.reserve_;
-      if (useful) {
+    for (const FreeVm& vm : aSpares) {
+      if (!vm.staged_.empty() || !vm.lastModel_.empty()) {
+        continue;
+      }
+      const state::ModelId& model = ready == 0 ? largest_.id_ : smaller().id_;
+      if (stageOn(vm, model) && model == largest_.id_) {
         ++ready;
-        --loadsLeft_;
-        moves_.stage_.push_back({ vm.id_, largest_.id_ });
       }
     }
+    return ready;
+  }
+
+  /** Stages the largest model on members of a smaller copy.
+   * @return Hosts ready for it. */
+  std::uint32_t stageMembers(const PresentReplica& aReplica,
+                             std::uint32_t aReady)
+  {
+    aReady += static_cast<std::uint32_t>(readyMembers(aReplica));
+    for (const FreeVm& vm : aReplica.members_) {
+      const bool cold = readinessOf(vm, largest_.id_) == Readiness::kCold;
+      if (cold && aReady < facts_.reserve_ && stageOn(vm, largest_.id_)) {
+        ++aReady;
+      }
+    }
+    return aReady;
+  }
+
+  /** Stages a model on one host. @return Whether it may. */
+  bool stageOn(const FreeVm& aVm, const state::ModelId& aModel)
+  {
+    if (aVm.busy_ || loadsLeft_ == 0) {
+      return false;
+    }
+    --loadsLeft_;
+    moves_.stage_.push_back({ aVm.id_, aModel });
+    return true;
+  }
+
+  /** @return The largest model but one, or the only one. */
+  const state::ModelSpec& smaller() const
+  {
+    const state::ModelSpec* found = &largest_;
+    for (const state::ModelSpec& model : facts_.models_) {
+      const bool better = model.id_ != largest_.id_ &&
+                          (found == &largest_ || model.size_ > found->size_);
+      found = better ? &model : found;
+    }
+    return *found;
   }
 
   const ZoneFacts& facts_;          ///< State of the zone.
--- a/src/coordination/replica/replica_plan_func.h
+++ b/src/coordination/replica/replica_plan_func.h
@@ -48,6 +48,7 @@
   std::map<state::DomainId, DomainFacts> domains_; ///< Its fabric domains.
   std::vector<state::ModelSpec> models_;           ///< Models to serve.
   std::uint32_t loads_ = 0; ///< Loads from the weight store that may start now.
+  bool quickLoads_ = false; ///< Whether loads take little time.
   std::uint32_t reserve_ = 2; ///< VMs of a domain beside the copies of the
                               ///< largest model that have it on their hosts.
   bool operator==(const ZoneFacts&) const = default;
