--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -20,6 +20,8 @@
   target_include_directories(${NAME}_tests PRIVATE ${PROJECT_SOURCE_DIR}/tests)
   target_link_libraries(${NAME}_tests PRIVATE ${ARGN} auburnhaven_fakes rapidcheck cppunit)
   add_test(NAME ${NAME} COMMAND ${NAME}_tests)
+  # A fixed seed and a bounded count; longer runs set RC_PARAMS themselves.
+  set_tests_properties(${NAME} PROPERTIES ENVIRONMENT "RC_PARAMS=max_success=25 seed=20261204")
 endfunction()
 
 # Adds one executable for each source in bench/ that carries the given prefix.
@@ -102,6 +104,7 @@
   endif()
 
   auburnhaven_tests(transport auburnhaven_transport)
+  auburnhaven_tests(platform auburnhaven_platform)
   auburnhaven_tests(app auburnhaven_app)
   auburnhaven_benchmarks(load auburnhaven_transport)
 endif()
--- a/src/coordination/replica/engine_watch.cpp
+++ b/src/coordination/replica/engine_watch.cpp
@@ -111,7 +111,8 @@
 EngineWatch::isSilent(const state::VmId& aVm) const
 {
   const WatchedEngine* engine = find(aVm);
-  return engine == nullptr || engine->misses_ >= limits_.missesOfLost_;
+  return engine == nullptr || (engine->misses_ >= limits_.missesOfLost_ &&
+                               heardAt_ > engine->missedAt_);
 }
 
 bool
@@ -191,6 +192,7 @@
     question->second.nextAt_ = now + periodOf(question->second.pace_);
     return;
   }
+  engine.missedAt_ = engine.misses_ == 0 ? now : engine.missedAt_;
   ++engine.misses_;
   // A lost VM is asked at the slow pace, a doubtful one at once.
   const bool lost = engine.misses_ >= limits_.missesOfLost_;
--- a/src/coordination/replica/engine_watch.h
+++ b/src/coordination/replica/engine_watch.h
@@ -31,13 +31,14 @@
   state::TimePoint unlistedAt_{}; ///< Since when it is not.
   std::uint32_t misses_ = 0;      ///< Reports in a row without answer.
   state::TimePoint heardAt_{};    ///< When the newest answer arrived.
+  state::TimePoint missedAt_{}; ///< When the first of these misses was noticed.
   bool operator==(const WatchedEngine&) const = default;
 };
 
 /**
- * Asks the engines of one zone for their reports. A VM is lost when several
- * questions in a row get no answer while other VMs do answer. Control thread
- * only.
+ * Asks the engines of one zone for their reports. A VM is silent when several
+ * questions in a row got no answer and another VM has answered since. Control
+ * thread only.
  */
 class EngineWatch
 {
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -649,16 +649,12 @@
 }
 
 bool
-ReplicaCoordinator::isSettled(const state::DomainId& aDomain,
-                              const DomainFacts& aFacts)
+ReplicaCoordinator::isSettled(const state::DomainId& aDomain)
 {
   std::set<state::VmId> vms;
-  for (const FreeVm& vm : aFacts.free_) {
-    vms.insert(vm.id_);
-  }
-  for (const PresentReplica& replica : aFacts.present_) {
-    for (const FreeVm& vm : replica.members_) {
-      vms.insert(vm.id_);
+  for (const auto& [vm, engine] : watch_.engines()) {
+    if (watch_.isAlive(vm) && engine.report_->state_.domain_ == aDomain) {
+      vms.insert(vm);
     }
   }
   auto& [known, since] = settledSince_[aDomain];
@@ -708,7 +704,7 @@
     facts.domains_[replica.domain_].present_.push_back(std::move(present));
   }
   for (auto& [domain, state] : facts.domains_) {
-    state.settled_ = isSettled(domain, state);
+    state.settled_ = isSettled(domain);
   }
   return facts;
 }
--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -122,7 +122,7 @@
   ZoneFacts makeFacts();
   FreeVm describe(const WatchedEngine& aEngine) const;
   bool isFree(const WatchedEngine& aEngine) const;
-  bool isSettled(const state::DomainId& aDomain, const DomainFacts& aFacts);
+  bool isSettled(const state::DomainId& aDomain);
   std::uint32_t loadsInProgress() const;
   std::uint32_t loadsNow() const;
   bool loadsAreQuick() const;
--- /dev/null
+++ b/tests/coordination/replica_coordinator_test.cpp
@@ -0,0 +1,343 @@
+// Tests of the coordination of copies under faults.
+
+#include "coordination/replica_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace auburnhaven;
+using namespace std::chrono_literals;
+using fakes::ReplicaWorld;
+
+namespace {
+
+/** @return The first head of an open copy of a model. */
+state::VmId
+headOf(const ReplicaWorld& aWorld, const std::string& aModel)
+{
+  for (const auto& [vm, engine] : aWorld.fleet_.engines_) {
+    const auto& place = engine.state_.place_;
+    if (place && place->rank_ == 0 && engine.state_.model_.value() == aModel &&
+        place->state_ == state::MemberState::kOpen) {
+      return vm;
+    }
+  }
+  return {};
+}
+
+/** @return The member of rank 1 of a head's copy. */
+state::VmId
+memberOf(const ReplicaWorld& aWorld, const state::VmId& aHead)
+{
+  return aWorld.fleet_.engines_.at(aHead).members_.at(1);
+}
+
+/** Fails the test when an invariant was broken. */
+void
+checkInvariants(const ReplicaWorld& aWorld)
+{
+  for (const std::string& violation : aWorld.fleet_.violations_) {
+    CPPUNIT_FAIL(violation);
+  }
+}
+
+} // namespace
+
+class ReplicaCoordinatorTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ReplicaCoordinatorTest);
+  CPPUNIT_TEST(copiesOfBothModelsAreFormed);
+  CPPUNIT_TEST(lostMemberIsReplacedFromReserve);
+  CPPUNIT_TEST(membersOfLostHeadWaitUntilItIsBroken);
+  CPPUNIT_TEST(copyThatVanishedWholeIsNotFreeOnReturn);
+  CPPUNIT_TEST(unlistedHeadThatAnswersIsShutAtOnce);
+  CPPUNIT_TEST(successorAdoptsOpenCopies);
+  CPPUNIT_TEST(successorAdoptsCopiesThatAreForming);
+  CPPUNIT_TEST(pausedCoordinatorSendsNothingWithoutLease);
+  CPPUNIT_TEST(lateOrdersDoNoHarm);
+  CPPUNIT_TEST(lostAnswersAreSettled);
+  CPPUNIT_TEST(leavingMemberEndsCopyGracefully);
+  CPPUNIT_TEST(silentZoneIsNotGivenUp);
+  CPPUNIT_TEST(restartedMemberIsNoMember);
+  CPPUNIT_TEST(randomFaultsKeepInvariants);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void copiesOfBothModelsAreFormed()
+  {
+    ReplicaWorld world(1, 2);
+    world.run(60s);
+    CPPUNIT_ASSERT(world.fleet_.openCopies("large") >= 2);
+    CPPUNIT_ASSERT(world.fleet_.openCopies("small") >= 2);
+    checkInvariants(world);
+  }
+
+  void lostMemberIsReplacedFromReserve()
+  {
+    ReplicaWorld world(1, 1);
+    world.run(80s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.fleet_.openCopies("large"));
+    world.fleet_.kill(memberOf(world, headOf(world, "large")));
+    world.run(4s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.fleet_.openCopies("large"));
+    CPPUNIT_ASSERT(world.fleet_.openCopies("small") >= 1);
+    checkInvariants(world);
+  }
+
+  void membersOfLostHeadWaitUntilItIsBroken()
+  {
+    ReplicaWorld world(1, 1);
+    world.run(80s);
+    const state::VmId head = headOf(world, "large");
+    const state::VmId member = memberOf(world, head);
+    // The head goes on to serve, but no daemon reaches it.
+    world.fleet_.engines_.at(head).reachable_ = false;
+    world.run(5s);
+    const auto& place = world.fleet_.engines_.at(member).state_.place_;
+    CPPUNIT_ASSERT(!place || place->state_ == state::MemberState::kReady);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, world.fleet_.openCopies("large"));
+    world.run(6s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.fleet_.openCopies("large"));
+    checkInvariants(world);
+  }
+
+  void copyThatVanishedWholeIsNotFreeOnReturn()
+  {
+    ReplicaWorld world(1, 1);
+    world.run(80s);
+    const state::VmId head = headOf(world, "small");
+    const std::vector<state::VmId> members =
+      world.fleet_.engines_.at(head).members_;
+    for (const state::VmId& vm : members) {
+      world.fleet_.engines_.at(vm).reachable_ = false;
+      world.fleet_.setRegistered(vm, false);
+    }
+    world.run(3s);
+    for (const state::VmId& vm : members) {
+      world.fleet_.engines_.at(vm).reachable_ = true;
+      world.fleet_.setRegistered(vm, true);
+    }
+    world.run(20s);
+    checkInvariants(world);
+    CPPUNIT_ASSERT(world.fleet_.openCopies("small") >= 2);
+  }
+
+  void unlistedHeadThatAnswersIsShutAtOnce()
+  {
+    ReplicaWorld world(1, 1);
+    world.run(80s);
+    const state::VmId head = headOf(world, "large");
+    world.fleet_.setRegistered(head, false);
+    world.run(1s);
+    CPPUNIT_ASSERT(!world.fleet_.engines_.at(head).state_.place_);
+    world.run(4s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.fleet_.openCopies("large"));
+    checkInvariants(world);
+  }
+
+  void successorAdoptsOpenCopies()
+  {
+    ReplicaWorld world(2, 1);
+    world.run(80s);
+    const std::uint64_t epochsBefore = newestEpoch(world);
+    world.coordinator()->paused_ = true;
+    world.run(5s);
+    CPPUNIT_ASSERT_EQUAL(epochsBefore, newestEpoch(world));
+    world.fleet_.kill(memberOf(world, headOf(world, "large")));
+    world.run(5s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.fleet_.openCopies("large"));
+    CPPUNIT_ASSERT(newestEpoch(world) > epochsBefore);
+    checkInvariants(world);
+  }
+
+  void successorAdoptsCopiesThatAreForming()
+  {
+    ReplicaWorld world(2, 1);
+    world.run(5s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, world.fleet_.openCopies("large"));
+    world.coordinator()->paused_ = true;
+    world.run(14s);
+    // The loads that the first one began were not thrown away.
+    CPPUNIT_ASSERT(
+      world.fleet_.openCopies("large") + world.fleet_.openCopies("small") >= 1);
+    checkInvariants(world);
+  }
+
+  void pausedCoordinatorSendsNothingWithoutLease()
+  {
+    ReplicaWorld world(2, 1);
+    world.run(80s);
+    fakes::ReplicaDaemon* first = world.coordinator();
+    first->paused_ = true;
+    world.run(5s);
+    const std::uint64_t orders = first->engines_.orders_;
+    world.fleet_.kill(memberOf(world, headOf(world, "large")));
+    first->paused_ = false;
+    world.run(5s);
+    CPPUNIT_ASSERT(world.coordinator() != first);
+    CPPUNIT_ASSERT_EQUAL(orders, first->engines_.orders_);
+    checkInvariants(world);
+  }
+
+  void lateOrdersDoNoHarm()
+  {
+    ReplicaWorld world(1, 2);
+    world.daemons_.front()->engines_.faults_.late_ = 6;
+    world.run(40s);
+    world.daemons_.front()->engines_.faults_.late_ = 6;
+    world.fleet_.kill(memberOf(world, headOf(world, "large")));
+    world.run(40s);
+    checkInvariants(world);
+    CPPUNIT_ASSERT(world.fleet_.openCopies("large") >= 2);
+  }
+
+  void lostAnswersAreSettled()
+  {
+    ReplicaWorld world(1, 1);
+    world.daemons_.front()->engines_.faults_.lost_ = 10;
+    world.run(80s);
+    checkInvariants(world);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.fleet_.openCopies("large"));
+  }
+
+  void leavingMemberEndsCopyGracefully()
+  {
+    ReplicaWorld world(1, 1);
+    world.run(80s);
+    const state::VmId head = headOf(world, "large");
+    const state::VmId member = memberOf(world, head);
+    world.fleet_.engines_.at(member).instance_.leaving_ = true;
+    world.run(60ms);
+    const auto digest = world.coordinator()->coordinator_.digest();
+    CPPUNIT_ASSERT(digest.has_value());
+    const auto& copies = digest->copies_;
+    const auto found =
+      std::find_if(copies.begin(), copies.end(), [&](const auto& aCopy) {
+        return aCopy.head_ == head;
+      });
+    CPPUNIT_ASSERT(found != copies.end() && found->finishing_);
+    world.run(6s);
+    const auto& place = world.fleet_.engines_.at(member).state_.place_;
+    const auto& other = world.fleet_.engines_.at(head).state_.place_;
+    CPPUNIT_ASSERT(!place || !other || place->replica_ != other->replica_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.fleet_.openCopies("large"));
+    checkInvariants(world);
+  }
+
+  void silentZoneIsNotGivenUp()
+  {
+    ReplicaWorld world(1, 1);
+    world.run(80s);
+    const std::uint64_t epochs = newestEpoch(world);
+    for (auto& [vm, engine] : world.fleet_.engines_) {
+      engine.reachable_ = false;
+    }
+    world.run(4s);
+    for (auto& [vm, engine] : world.fleet_.engines_) {
+      engine.reachable_ = true;
+    }
+    world.run(3s);
+    CPPUNIT_ASSERT_EQUAL(epochs, newestEpoch(world));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.fleet_.openCopies("large"));
+  }
+
+  void restartedMemberIsNoMember()
+  {
+    ReplicaWorld world(1, 1);
+    world.run(80s);
+    const state::VmId member = memberOf(world, headOf(world, "large"));
+    world.fleet_.restart(member);
+    world.run(8s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.fleet_.openCopies("large"));
+    checkInvariants(world);
+  }
+
+  void randomFaultsKeepInvariants()
+  {
+    const bool kept = rc::check("copies under random faults", [] {
+      ReplicaWorld world(3, 2);
+      world.run(30s);
+      for (int round = 0; round < 25; ++round) {
+        disturb(world);
+        world.run(std::chrono::milliseconds(*rc::gen::inRange(100, 4000)));
+      }
+      heal(world);
+      world.run(90s);
+      RC_ASSERT(world.fleet_.violations_.empty());
+      RC_ASSERT(world.fleet_.openCopies("large") >= 2U);
+      RC_ASSERT(world.fleet_.openCopies("small") >= 1U);
+    });
+    CPPUNIT_ASSERT(kept);
+  }
+
+private:
+  /** @return The newest epoch that any engine has seen. */
+  static std::uint64_t newestEpoch(const ReplicaWorld& aWorld)
+  {
+    std::uint64_t newest = 0;
+    for (const auto& [vm, engine] : aWorld.fleet_.engines_) {
+      newest = std::max(newest, engine.epochSeen_);
+    }
+    return newest;
+  }
+
+  /** Makes one random fault, or ends one. */
+  static void disturb(ReplicaWorld& aWorld)
+  {
+    auto engine = aWorld.fleet_.engines_.begin();
+    std::advance(
+      engine, *rc::gen::inRange<std::size_t>(0, aWorld.fleet_.engines_.size()));
+    fakes::ReplicaDaemon& daemon =
+      *aWorld
+         .daemons_[*rc::gen::inRange<std::size_t>(0, aWorld.daemons_.size())];
+    switch (*rc::gen::inRange(0, 9)) {
+      case 0:
+        aWorld.fleet_.kill(engine->first);
+        break;
+      case 1:
+        aWorld.fleet_.restart(engine->first);
+        break;
+      case 2:
+        engine->second.reachable_ = !engine->second.reachable_;
+        break;
+      case 3:
+        aWorld.fleet_.setRegistered(engine->first, *rc::gen::arbitrary<bool>());
+        break;
+      case 4:
+        daemon.paused_ = !daemon.paused_;
+        break;
+      case 5:
+        daemon.store_.faults().down_ = !daemon.store_.faults().down_;
+        break;
+      case 6:
+        daemon.engines_.faults_.late_ += 3;
+        break;
+      case 7:
+        daemon.engines_.faults_.lost_ += 3;
+        break;
+      default:
+        engine->second.instance_.leaving_ = !engine->second.instance_.leaving_;
+        break;
+    }
+  }
+
+  /** Ends all faults. */
+  static void heal(ReplicaWorld& aWorld)
+  {
+    for (auto& [vm, engine] : aWorld.fleet_.engines_) {
+      if (!engine.alive_) {
+        aWorld.fleet_.restart(vm);
+      }
+      engine.reachable_ = true;
+      engine.instance_.leaving_ = false;
+      aWorld.fleet_.setRegistered(vm, true);
+    }
+    for (const auto& daemon : aWorld.daemons_) {
+      daemon->paused_ = false;
+      daemon->store_.faults().down_ = false;
+      daemon->engines_.faults_ = {};
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaCoordinatorTest);
--- /dev/null
+++ b/tests/coordination/replica_world.h
@@ -0,0 +1,137 @@
+// A zone of engines with some daemons that may coordinate it.
+#pragma once
+
+#include "coordination/replica/replica_coordinator.h"
+#include "fakes/fake_event_log.h"
+#include "fakes/fake_replica_engines.h"
+#include "fakes/fake_store.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace auburnhaven::fakes {
+
+/** @return A service with a model of four VMs and one of two. */
+inline state::ServiceSpec
+replicaService()
+{
+  state::EngineSpec engine;
+  engine.batchSlots_ = 26;
+  engine.step_ = state::FloatMs(6);
+  engine.stepPerRequest_ = state::FloatMs(0.25);
+  engine.promptTokensPerMs_ = 46;
+  engine.usualPrompt_ = 1000;
+  engine.usualAnswer_ = 120;
+  engine.reportLag_ = state::Milliseconds(20);
+  engine.loadsPerSecond_ = 4;
+  engine.loadsAtOnce_ = 6;
+  const state::Milliseconds load(12000);
+  const state::Milliseconds warm(1500);
+  engine.models_ = { { state::ModelId("large"), 4, 0.67, 1.0, load, warm },
+                     { state::ModelId("small"), 2, 0.33, 0.6, load, warm } };
+  return { state::ServiceId("pool"), 700, engine };
+}
+
+/** One daemon that tries for the zone. */
+struct ReplicaDaemon
+{
+  ReplicaDaemon(FakeClock& aClock,
+                std::shared_ptr<FakeStoreData> aStore,
+                FakeReplicaFleet& aFleet,
+                const std::string& aName)
+    : store_(aClock, std::move(aStore))
+    , engines_(aClock, aFleet)
+    , lease_(aClock, store_, "zone", aName, leaseLimits())
+    , coordinator_(aClock,
+                   engines_,
+                   lease_,
+                   log_,
+                   { state::ZoneId("zone"), 1, false, {} },
+                   {})
+  {
+    coordinator_.setService(replicaService());
+  }
+
+  static coordination::LeaseLimits leaseLimits()
+  {
+    using std::chrono::milliseconds;
+    return { milliseconds(1500),
+             milliseconds(400),
+             milliseconds(400),
+             milliseconds(150) };
+  }
+
+  FakeStore store_;                              ///< Its way to the store.
+  FakeReplicaEngines engines_;                   ///< Its way to the engines.
+  FakeEventLog log_;                             ///< Its log.
+  coordination::AuthorityLease lease_;           ///< Its lease.
+  coordination::ReplicaCoordinator coordinator_; ///< Its coordinator.
+  bool paused_ = false;                          ///< Whether it stands still.
+};
+
+/** A zone of engines with some daemons. Not thread-safe. */
+class ReplicaWorld
+{
+public:
+  static constexpr std::chrono::milliseconds kTick{ 20 }; ///< One step.
+
+  /** @param aDaemons Daemons. @param aDomains Domains of eight engines. */
+  ReplicaWorld(std::size_t aDaemons, std::size_t aDomains)
+    : store_(std::make_shared<FakeStoreData>())
+    , fleet_(clock_)
+  {
+    for (std::size_t domain = 0; domain < aDomains; ++domain) {
+      for (int index = 0; index < 8; ++index) {
+        fleet_.add("vm" + std::to_string(domain) + std::to_string(index),
+                   "domain" + std::to_string(domain));
+      }
+    }
+    for (std::size_t index = 0; index < aDaemons; ++index) {
+      daemons_.push_back(std::make_unique<ReplicaDaemon>(
+        clock_, store_, fleet_, "daemon" + std::to_string(index)));
+    }
+  }
+
+  /** Moves all on by a time. */
+  void run(state::Duration aTime)
+  {
+    for (state::Duration past{}; past < aTime; past += kTick) {
+      clock_.advance(kTick);
+      fleet_.step();
+      for (const auto& daemon : daemons_) {
+        if (!daemon->paused_) {
+          step(*daemon);
+        }
+      }
+    }
+  }
+
+  /** @return The daemon that has the authority, or null. */
+  ReplicaDaemon* coordinator()
+  {
+    for (const auto& daemon : daemons_) {
+      if (daemon->lease_.holds()) {
+        return daemon.get();
+      }
+    }
+    return nullptr;
+  }
+
+  FakeClock clock_;                                     ///< Clock.
+  std::shared_ptr<FakeStoreData> store_;                ///< The store.
+  FakeReplicaFleet fleet_;                              ///< The engines.
+  std::vector<std::unique_ptr<ReplicaDaemon>> daemons_; ///< The daemons.
+
+private:
+  void step(ReplicaDaemon& aDaemon)
+  {
+    aDaemon.store_.step();
+    aDaemon.engines_.step();
+    aDaemon.lease_.tick(std::chrono::milliseconds(200));
+    aDaemon.coordinator_.setInstances(fleet_.registered());
+    aDaemon.coordinator_.tick();
+  }
+};
+
+} // namespace auburnhaven::fakes
--- /dev/null
+++ b/tests/coordination/routing_follower_test.cpp
@@ -0,0 +1,221 @@
+// Tests of following the store.
+
+#include "coordination/routing/store_follower.h"
+#include "fakes/fake_event_log.h"
+#include "fakes/fake_store.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+
+using namespace auburnhaven;
+using namespace auburnhaven::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Reads numbers as versions, and words as instances. */
+class FakeCodec : public RoutingCodec
+{
+public:
+  std::optional<state::RoutingConfig> decodeConfig(
+    const std::string& aText) const override
+  {
+    const auto version = std::strtoull(aText.c_str(), nullptr, 10);
+    if (version == 0) {
+      return std::nullopt;
+    }
+    state::RoutingConfig config;
+    config.version_ = state::Generation(version);
+    return config;
+  }
+  std::optional<state::Instance> decodeInstance(
+    const state::VmId& aVm,
+    const std::string& aText) const override
+  {
+    if (aText == "garbage") {
+      return std::nullopt;
+    }
+    state::Instance instance;
+    instance.id_ = aVm;
+    instance.service_ = state::ServiceId(aText);
+    if (aText == "engine") {
+      instance.engine_.emplace();
+    }
+    return instance;
+  }
+};
+
+} // namespace
+
+class RoutingFollowerTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RoutingFollowerTest);
+  CPPUNIT_TEST(listsThenWatches);
+  CPPUNIT_TEST(versionsNeverGoBack);
+  CPPUNIT_TEST(unreadableEntryNamesNoInstance);
+  CPPUNIT_TEST(compactedHistoryIsListedAgain);
+  CPPUNIT_TEST(entriesThatVanishInOutageStayForGrace);
+  CPPUNIT_TEST(removedEntryGoesAtOnce);
+  CPPUNIT_TEST(peerGivesConfiguration);
+  CPPUNIT_TEST(newsOfOthersReplaceWatches);
+  CPPUNIT_TEST(silentOthersAreReplacedByWatches);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    data_ = std::make_shared<fakes::FakeStoreData>();
+    store_ = std::make_unique<fakes::FakeStore>(clock_, data_);
+    FollowerSettings settings;
+    settings.configKey_ = "config";
+    settings.instancePrefix_ = "vm/";
+    settings.ownPrefix_ = "own/";
+    follower_ =
+      std::make_unique<StoreFollower>(clock_, *store_, codec_, log_, settings);
+    data_->put("config", "3");
+    data_->put("vm/a", "plain");
+  }
+
+  void listsThenWatches()
+  {
+    std::vector<std::string> own;
+    follower_->onOwnKey(
+      [&](const std::string& aKey, const std::optional<std::string>& aValue) {
+        own.push_back(aKey + "=" + aValue.value_or("-"));
+      });
+    run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, version());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, follower_->instances()->size());
+    data_->put("config", "4");
+    data_->put("vm/b", "engine");
+    data_->put("own/x", "1");
+    data_->remove("own/x");
+    run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 4 }, version());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, follower_->instances()->size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, own.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("own/x=-"), own.back());
+  }
+
+  void versionsNeverGoBack()
+  {
+    run(1s);
+    data_->put("config", "2");
+    run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, version());
+    data_->put("config", "nonsense");
+    run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, version());
+  }
+
+  void unreadableEntryNamesNoInstance()
+  {
+    data_->put("vm/b", "garbage");
+    run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, follower_->instances()->size());
+    data_->put("vm/a", "garbage");
+    run(1s);
+    CPPUNIT_ASSERT(follower_->instances()->empty());
+  }
+
+  void compactedHistoryIsListedAgain()
+  {
+    run(1s);
+    data_->remove("vm/a");
+    data_->put("vm/b", "plain");
+    data_->compact();
+    run(3s);
+    CPPUNIT_ASSERT(follower_->instances()->contains(state::VmId("b")));
+    CPPUNIT_ASSERT(!follower_->instances()->contains(state::VmId("a")));
+  }
+
+  void entriesThatVanishInOutageStayForGrace()
+  {
+    run(1s);
+    store_->faults().down_ = true;
+    run(2s);
+    CPPUNIT_ASSERT(follower_->hasOutage());
+    data_->remove("vm/a");
+    store_->faults().down_ = false;
+    run(1s);
+    CPPUNIT_ASSERT(!follower_->hasOutage());
+    CPPUNIT_ASSERT(follower_->instances()->contains(state::VmId("a")));
+    run(3s);
+    CPPUNIT_ASSERT(!follower_->instances()->contains(state::VmId("a")));
+  }
+
+  void removedEntryGoesAtOnce()
+  {
+    run(1s);
+    data_->remove("vm/a");
+    run(1s);
+    CPPUNIT_ASSERT(follower_->instances()->empty());
+  }
+
+  void peerGivesConfiguration()
+  {
+    store_->faults().down_ = true;
+    run(1s);
+    CPPUNIT_ASSERT(!follower_->config());
+    follower_->offerConfig("7");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 7 }, version());
+    CPPUNIT_ASSERT_EQUAL(std::string("7"), follower_->configText());
+  }
+
+  void newsOfOthersReplaceWatches()
+  {
+    run(1s);
+    const state::Revision known = follower_->newsAt();
+    follower_->setOthers(true, known);
+    run(2s);
+    const std::uint64_t reads = data_->reads_;
+    // Changes of engines are no news; they reach the daemon otherwise.
+    data_->put("vm/e", "engine");
+    run(3s);
+    CPPUNIT_ASSERT_EQUAL(reads, data_->reads_);
+    const state::Revision news = data_->put("config", "9");
+    run(200ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, version());
+    follower_->setOthers(true, news);
+    run(200ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, version());
+    run(9s);
+    CPPUNIT_ASSERT(data_->reads_ <= reads + 3);
+  }
+
+  void silentOthersAreReplacedByWatches()
+  {
+    run(1s);
+    follower_->setOthers(true, follower_->newsAt());
+    run(1s);
+    data_->put("config", "9");
+    follower_->setOthers(false, {});
+    run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, version());
+  }
+
+private:
+  std::uint64_t version() const
+  {
+    return follower_->config()->version_.value();
+  }
+
+  void run(state::Duration aTime)
+  {
+    for (state::Duration past{}; past < aTime; past += 20ms) {
+      clock_.advance(20ms);
+      store_->step();
+      follower_->tick();
+    }
+  }
+
+  fakes::FakeClock clock_;                     ///< Clock.
+  FakeCodec codec_;                            ///< Reads values.
+  fakes::FakeEventLog log_;                    ///< Log.
+  std::shared_ptr<fakes::FakeStoreData> data_; ///< The store.
+  std::unique_ptr<fakes::FakeStore> store_;    ///< Way to the store.
+  std::unique_ptr<StoreFollower> follower_;    ///< The follower.
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoutingFollowerTest);
--- /dev/null
+++ b/tests/coordination/routing_pace_test.cpp
@@ -0,0 +1,75 @@
+// Tests of the pace of copies.
+
+#include "coordination/routing/pace_func.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace auburnhaven;
+using namespace auburnhaven::coordination;
+
+class RoutingPaceTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RoutingPaceTest);
+  CPPUNIT_TEST(stepGrowsWithBatch);
+  CPPUNIT_TEST(readingGrowsFasterThanPrompt);
+  CPPUNIT_TEST(fullCopyMakesCallersWait);
+  CPPUNIT_TEST(paceScalesAllTimes);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    engine_.batchSlots_ = 26;
+    engine_.step_ = state::FloatMs(6.07);
+    engine_.stepPerRequest_ = state::FloatMs(0.241);
+    engine_.promptTokensPerMs_ = 46;
+    engine_.perMillionPairs_ = state::FloatMs(0.7);
+    engine_.usualPrompt_ = 1076;
+    engine_.usualAnswer_ = 116;
+  }
+
+  void stepGrowsWithBatch()
+  {
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      6.07, stepTime(engine_, model_, 0).count(), 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      6.07 + 26 * 0.241, stepTime(engine_, model_, 26).count(), 1e-9);
+  }
+
+  void readingGrowsFasterThanPrompt()
+  {
+    const double one = readTime(engine_, model_, 1000).count();
+    const double two = readTime(engine_, model_, 2000).count();
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1000 / 46.0 + 0.35, one, 1e-9);
+    CPPUNIT_ASSERT(two > 2 * one);
+  }
+
+  void fullCopyMakesCallersWait()
+  {
+    const auto at = [&](std::uint32_t aRunning, std::uint32_t aWaiting) {
+      return firstEventTime(engine_, model_, { aRunning, aWaiting, 26 }, 1000)
+        .count();
+    };
+    CPPUNIT_ASSERT(at(0, 0) < 60);
+    CPPUNIT_ASSERT(at(25, 0) < 150);
+    CPPUNIT_ASSERT(at(26, 0) > at(25, 0) + 50);
+    CPPUNIT_ASSERT(at(26, 10) > at(26, 0) + 500);
+  }
+
+  void paceScalesAllTimes()
+  {
+    state::ModelSpec quick = model_;
+    quick.pace_ = 0.5;
+    const state::TargetLoad load{ 10, 0, 26 };
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      firstEventTime(engine_, model_, load, 500).count() / 2,
+      firstEventTime(engine_, quick, load, 500).count(),
+      1e-6);
+  }
+
+private:
+  state::EngineSpec engine_; ///< The service.
+  state::ModelSpec model_;   ///< The model.
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoutingPaceTest);
--- /dev/null
+++ b/tests/coordination/routing_pool_test.cpp
@@ -0,0 +1,352 @@
+// Tests of the choice of targets, alone and under the load of many daemons.
+
+#include "coordination/routing/target_pool.h"
+#include "fakes/fake_clock.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <random>
+
+using namespace auburnhaven;
+using namespace auburnhaven::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+const state::ServiceId kService("pool");
+const state::ModelId kModel("m");
+const state::ZoneId kZone("zone");
+
+/** @return A configuration with one engine service and a plain one. */
+state::RoutingConfigPtr
+config()
+{
+  state::EngineSpec engine;
+  engine.batchSlots_ = 26;
+  engine.step_ = state::FloatMs(6.07);
+  engine.stepPerRequest_ = state::FloatMs(0.241);
+  engine.promptTokensPerMs_ = 46;
+  engine.usualPrompt_ = 674;
+  engine.usualAnswer_ = 135;
+  engine.models_ = { { kModel, 2, 1.0, 0.6, {}, {} } };
+  auto result = std::make_shared<state::RoutingConfig>();
+  result->services_ = { { kService, 700, engine },
+                        { state::ServiceId("plain"), 100, {} } };
+  return result;
+}
+
+/** @return A head with an open copy. */
+state::Instance
+head(const std::string& aName, state::MemberState aState)
+{
+  state::Instance instance;
+  instance.id_ = state::VmId(aName);
+  instance.service_ = kService;
+  instance.endpoint_ = { aName, 1 };
+  instance.zone_ = kZone;
+  instance.slots_ = 26;
+  instance.engine_.emplace();
+  instance.engine_->model_ = kModel;
+  instance.engine_->place_ = {
+    state::ReplicaId("r" + aName), state::Epoch(1), 0, aState
+  };
+  return instance;
+}
+
+/** @return A digest with copies of given loads. */
+ZoneDigest
+digest(std::uint64_t aCount,
+       const std::map<std::string, std::uint32_t>& aLoads,
+       state::TimePoint aNow)
+{
+  ZoneDigest result{ kZone, kService, 1, aCount, {}, {} };
+  for (const auto& [name, load] : aLoads) {
+    result.copies_.push_back(
+      { state::VmId(name), { name, 1 }, kModel, load, 0, false, 1, aNow });
+  }
+  return result;
+}
+
+/** @return What a request of the model needs. */
+TargetNeed
+need()
+{
+  return { kService, kModel, { 674, 135 }, 300ms, 6s, {} };
+}
+
+/** One daemon's pool. */
+struct Pool
+{
+  explicit Pool(fakes::FakeClock& aClock, std::uint64_t aSeed = 1)
+    : pool_(aClock, {}, [random = std::mt19937_64(aSeed)]() mutable {
+      return random();
+    })
+  {
+    pool_.setView(config(), std::make_shared<state::InstanceMap>());
+  }
+  TargetPool pool_; ///< The pool.
+};
+
+} // namespace
+
+class RoutingPoolTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RoutingPoolTest);
+  CPPUNIT_TEST(onlyOpenHeadsAreChosen);
+  CPPUNIT_TEST(digestStandsInForRegistration);
+  CPPUNIT_TEST(oldDigestCountsNoMore);
+  CPPUNIT_TEST(finishingCopyGetsNothingButKeepsItsRequests);
+  CPPUNIT_TEST(fullTargetsRefuseAtOnce);
+  CPPUNIT_TEST(ownSendsCountBeforeTheyAreReported);
+  CPPUNIT_TEST(failedTargetRests);
+  CPPUNIT_TEST(triedTargetIsNotChosenAgain);
+  CPPUNIT_TEST(copyWithLeavingMemberGetsNothing);
+  CPPUNIT_TEST(stragglerGetsLess);
+  CPPUNIT_TEST(plainServiceIsServed);
+  CPPUNIT_TEST(manyDaemonsDoNotHerd);
+  CPPUNIT_TEST(overloadIsRefusedNotQueued);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void onlyOpenHeadsAreChosen()
+  {
+    Pool pool(clock_);
+    state::InstanceMap instances;
+    instances[state::VmId("a")] = head("a", state::MemberState::kReady);
+    instances[state::VmId("b")] = head("b", state::MemberState::kOpen);
+    pool.pool_.setView(config(),
+                       std::make_shared<state::InstanceMap>(instances));
+    for (int round = 0; round < 10; ++round) {
+      CPPUNIT_ASSERT_EQUAL(state::VmId("b"), pool.pool_.choose(need()).vm_);
+    }
+  }
+
+  void digestStandsInForRegistration()
+  {
+    Pool pool(clock_);
+    state::InstanceMap instances;
+    instances[state::VmId("old")] = head("old", state::MemberState::kOpen);
+    pool.pool_.setView(config(),
+                       std::make_shared<state::InstanceMap>(instances));
+    pool.pool_.setDigest(digest(1, { { "new", 0 } }, clock_.now()));
+    CPPUNIT_ASSERT_EQUAL(state::VmId("new"), pool.pool_.choose(need()).vm_);
+    CPPUNIT_ASSERT(pool.pool_.isGone(state::VmId("old")));
+    CPPUNIT_ASSERT(!pool.pool_.isGone(state::VmId("new")));
+  }
+
+  void oldDigestCountsNoMore()
+  {
+    Pool pool(clock_);
+    pool.pool_.setDigest(digest(2, { { "a", 0 } }, clock_.now()));
+    pool.pool_.setDigest(digest(1, { { "b", 0 } }, clock_.now()));
+    CPPUNIT_ASSERT_EQUAL(state::VmId("a"), pool.pool_.choose(need()).vm_);
+    clock_.advance(2s);
+    CPPUNIT_ASSERT(pool.pool_.choose(need()).reason_ ==
+                   RefusalReason::kNoTarget);
+    CPPUNIT_ASSERT(!pool.pool_.isGone(state::VmId("a")));
+  }
+
+  void finishingCopyGetsNothingButKeepsItsRequests()
+  {
+    Pool pool(clock_);
+    ZoneDigest finishing = digest(1, { { "a", 0 } }, clock_.now());
+    finishing.copies_.front().finishing_ = true;
+    pool.pool_.setDigest(finishing);
+    CPPUNIT_ASSERT(pool.pool_.choose(need()).reason_ != RefusalReason::kNone);
+    CPPUNIT_ASSERT(!pool.pool_.isGone(state::VmId("a")));
+  }
+
+  void fullTargetsRefuseAtOnce()
+  {
+    Pool pool(clock_);
+    pool.pool_.setDigest(digest(1, { { "a", 60 }, { "b", 70 } }, clock_.now()));
+    const TargetDecision decision = pool.pool_.choose(need());
+    CPPUNIT_ASSERT(decision.reason_ == RefusalReason::kFull);
+    CPPUNIT_ASSERT(decision.retryAfter_ > 0ms);
+    CPPUNIT_ASSERT_EQUAL(2U, decision.candidates_);
+  }
+
+  void ownSendsCountBeforeTheyAreReported()
+  {
+    Pool pool(clock_);
+    pool.pool_.setDigest(digest(1, { { "a", 0 } }, clock_.now()));
+    clock_.advance(10ms);
+    std::uint32_t entered = 0;
+    while (pool.pool_.choose(need()).reason_ == RefusalReason::kNone &&
+           entered < 100) {
+      ++entered;
+    }
+    CPPUNIT_ASSERT(entered >= 26 && entered <= 32);
+    pool.pool_.finish(state::VmId("a"), SendResult::kAnswered);
+    CPPUNIT_ASSERT(pool.pool_.choose(need()).reason_ == RefusalReason::kNone);
+  }
+
+  void failedTargetRests()
+  {
+    Pool pool(clock_);
+    pool.pool_.setDigest(digest(1, { { "a", 0 }, { "b", 20 } }, clock_.now()));
+    state::VmId first = pool.pool_.choose(need()).vm_;
+    pool.pool_.finish(first, SendResult::kFailed);
+    for (int round = 0; round < 3; ++round) {
+      CPPUNIT_ASSERT(pool.pool_.choose(need()).vm_ != first);
+    }
+  }
+
+  void triedTargetIsNotChosenAgain()
+  {
+    Pool pool(clock_);
+    pool.pool_.setDigest(digest(1, { { "a", 0 } }, clock_.now()));
+    TargetNeed again = need();
+    again.excluded_ = { state::VmId("a") };
+    CPPUNIT_ASSERT(pool.pool_.choose(again).reason_ != RefusalReason::kNone);
+  }
+
+  void copyWithLeavingMemberGetsNothing()
+  {
+    Pool pool(clock_);
+    state::InstanceMap instances;
+    instances[state::VmId("a")] = head("a", state::MemberState::kOpen);
+    state::Instance member = head("m", state::MemberState::kReady);
+    member.leaving_ = true;
+    member.engine_->place_ = instances[state::VmId("a")].engine_->place_;
+    member.engine_->place_->rank_ = 1;
+    instances[state::VmId("m")] = member;
+    pool.pool_.setView(config(),
+                       std::make_shared<state::InstanceMap>(instances));
+    CPPUNIT_ASSERT(pool.pool_.choose(need()).reason_ ==
+                   RefusalReason::kNoTarget);
+  }
+
+  void stragglerGetsLess()
+  {
+    Pool pool(clock_);
+    int slow = 0;
+    for (std::uint64_t round = 1; round <= 200; ++round) {
+      ZoneDigest loads =
+        digest(round, { { "fast", 5 }, { "slow", 5 } }, clock_.now());
+      loads.copies_.back().slowness_ = 3;
+      pool.pool_.setDigest(loads);
+      const state::VmId chosen = pool.pool_.choose(need()).vm_;
+      slow += chosen == state::VmId("slow") ? 1 : 0;
+      pool.pool_.finish(chosen, SendResult::kAnswered);
+      clock_.advance(10ms);
+    }
+    CPPUNIT_ASSERT(slow > 0 && slow < 50);
+  }
+
+  void plainServiceIsServed()
+  {
+    Pool pool(clock_);
+    state::Instance plain;
+    plain.id_ = state::VmId("p");
+    plain.service_ = state::ServiceId("plain");
+    plain.endpoint_ = { "p", 1 };
+    plain.slots_ = 6;
+    state::InstanceMap instances{ { plain.id_, plain } };
+    pool.pool_.setView(config(),
+                       std::make_shared<state::InstanceMap>(instances));
+    TargetNeed call{ plain.service_, {}, {}, 150ms, 1500ms, {} };
+    CPPUNIT_ASSERT_EQUAL(plain.id_, pool.pool_.choose(call).vm_);
+    pool.pool_.noteLoad(plain.id_, { 6, 20, 6 });
+    CPPUNIT_ASSERT(pool.pool_.choose(call).reason_ == RefusalReason::kFull);
+  }
+
+  void manyDaemonsDoNotHerd()
+  {
+    // Twenty daemons that know loads by digests every 300 ms, six copies, 65
+    // requests a second that hold a slot for 1.4 s: 58% of the slots.
+    const Played played = play(20, 6, 65, 1.4);
+    CPPUNIT_ASSERT_EQUAL(0U, played.refused_);
+    CPPUNIT_ASSERT(played.worstLoad_ <= 26);
+  }
+
+  void overloadIsRefusedNotQueued()
+  {
+    // 1.6 times what the copies can serve: what enters is served in time.
+    const Played played = play(20, 6, 180, 1.4);
+    const double share = double(played.entered_) / played.asked_;
+    CPPUNIT_ASSERT(share > 0.5 && share < 0.75);
+    CPPUNIT_ASSERT(played.worstLoad_ <= 26 + 14);
+  }
+
+private:
+  /** What came of a played load. */
+  struct Played
+  {
+    std::uint32_t asked_ = 0;     ///< Requests.
+    std::uint32_t entered_ = 0;   ///< Requests that were sent to a target.
+    std::uint32_t refused_ = 0;   ///< Requests that were refused.
+    std::uint32_t worstLoad_ = 0; ///< Most requests at one copy.
+  };
+  /** A request at a copy. */
+  struct Running
+  {
+    state::TimePoint until_; ///< When it ends.
+    std::size_t daemon_;     ///< Its daemon.
+    state::VmId vm_;         ///< Its copy.
+  };
+
+  /** Plays 20 s of requests to copies, each daemon choosing by itself. */
+  Played play(std::size_t aDaemons,
+              int aCopies,
+              double aPerSecond,
+              double aHoldSeconds)
+  {
+    std::vector<std::unique_ptr<Pool>> pools;
+    for (std::size_t index = 0; index < aDaemons; ++index) {
+      pools.push_back(std::make_unique<Pool>(clock_, index + 7));
+    }
+    std::map<std::string, std::uint32_t> loads;
+    for (int copy = 0; copy < aCopies; ++copy) {
+      loads["c" + std::to_string(copy)] = 0;
+    }
+    std::mt19937_64 random(5);
+    std::exponential_distribution<double> gap(aPerSecond / 1000);
+    std::vector<Running> running;
+    Played played;
+    double nextAt = gap(random);
+    for (int now = 0; now < 20000; ++now, clock_.advance(1ms)) {
+      if (now % 300 == 0) {
+        const ZoneDigest news =
+          digest(static_cast<std::uint64_t>(now) + 1, loads, clock_.now());
+        for (const auto& pool : pools) {
+          pool->pool_.setDigest(news);
+        }
+      }
+      std::erase_if(running, [&](const Running& aRequest) {
+        const bool ended = aRequest.until_ <= clock_.now();
+        if (ended) {
+          --loads[aRequest.vm_.value()];
+          pools[aRequest.daemon_]->pool_.finish(aRequest.vm_,
+                                                SendResult::kAnswered);
+        }
+        return ended;
+      });
+      for (; nextAt <= now; nextAt += gap(random)) {
+        ++played.asked_;
+        const std::size_t daemon = random() % aDaemons;
+        const TargetDecision chosen = pools[daemon]->pool_.choose(need());
+        if (chosen.reason_ != RefusalReason::kNone) {
+          ++played.refused_;
+          continue;
+        }
+        ++played.entered_;
+        std::uint32_t& load = loads[chosen.vm_.value()];
+        played.worstLoad_ = std::max(played.worstLoad_, ++load);
+        const double queued = load > 26 ? (load - 26) * 0.05 : 0;
+        running.push_back(
+          { clock_.now() +
+              std::chrono::duration_cast<state::Duration>(
+                std::chrono::duration<double>(aHoldSeconds + queued)),
+            daemon,
+            chosen.vm_ });
+      }
+    }
+    return played;
+  }
+
+  fakes::FakeClock clock_; ///< Clock.
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoutingPoolTest);
--- /dev/null
+++ b/tests/coordination/routing_table_test.cpp
@@ -0,0 +1,90 @@
+// Tests of finding routes and accounts.
+
+#include "coordination/routing/route_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace auburnhaven;
+using coordination::RouteTable;
+
+namespace {
+
+/** @return A route of a host and prefix. */
+state::Route
+route(const std::string& aName,
+      const std::string& aHost,
+      const std::string& aPrefix)
+{
+  state::Route result;
+  result.id_ = state::RouteId(aName);
+  result.host_ = aHost;
+  result.prefix_ = aPrefix;
+  return result;
+}
+
+/** @return A table with some routes and accounts. */
+RouteTable
+table()
+{
+  auto config = std::make_shared<state::RoutingConfig>();
+  config->routes_ = { route("root", "a.example", "/"),
+                      route("short", "a.example", "/x/"),
+                      route("long", "a.example", "/x/y/"),
+                      route("other", "b.example", "/x/") };
+  config->accounts_ = { { state::AccountId("one"), { "k1", "k2" }, {} },
+                        { state::AccountId("two"), { "k3" }, 1U } };
+  return RouteTable(config);
+}
+
+/** @return Name of the route found, or "-". */
+std::string
+found(const char* aHost, const char* aPath)
+{
+  static const RouteTable kTable = table();
+  const state::Route* route = kTable.findRoute(aHost, aPath);
+  return route == nullptr ? "-" : route->id_.value();
+}
+
+} // namespace
+
+class RoutingTableTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RoutingTableTest);
+  CPPUNIT_TEST(longestPrefixWins);
+  CPPUNIT_TEST(hostDecides);
+  CPPUNIT_TEST(keysNameAccounts);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void longestPrefixWins()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::string("long"), found("a.example", "/x/y/z"));
+    CPPUNIT_ASSERT_EQUAL(std::string("short"), found("a.example", "/x/z/y/"));
+    CPPUNIT_ASSERT_EQUAL(std::string("root"), found("a.example", "/xy"));
+    // A prefix ends with a slash: the bare name does not match it.
+    CPPUNIT_ASSERT_EQUAL(std::string("root"), found("a.example", "/x"));
+  }
+
+  void hostDecides()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), found("b.example", "/x/"));
+    CPPUNIT_ASSERT_EQUAL(std::string("-"), found("b.example", "/"));
+    CPPUNIT_ASSERT_EQUAL(std::string("-"), found("c.example", "/x/"));
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), found("B.Example:80", "/x/1"));
+    CPPUNIT_ASSERT_EQUAL(std::string("-"), found("b.example", ""));
+  }
+
+  void keysNameAccounts()
+  {
+    const RouteTable accounts = table();
+    CPPUNIT_ASSERT(accounts.needsKeys());
+    CPPUNIT_ASSERT_EQUAL(std::string("one"),
+                         accounts.findAccount("k2")->id_.value());
+    CPPUNIT_ASSERT_EQUAL(std::string("two"),
+                         accounts.findAccount("k3")->id_.value());
+    CPPUNIT_ASSERT(accounts.findAccount("") == nullptr);
+    CPPUNIT_ASSERT(accounts.findAccount("k") == nullptr);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoutingTableTest);
--- /dev/null
+++ b/tests/fakes/fake_replica_engines.h
@@ -0,0 +1,425 @@
+// Model engines that form copies, with faults; checks what must always hold.
+#pragma once
+
+#include "coordination/replica/replica_engine_port.h"
+#include "fakes/fake_clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace auburnhaven::fakes {
+
+/** One engine of FakeReplicaFleet. */
+struct FakeReplicaEngine
+{
+  state::Instance instance_;           ///< As registered.
+  bool alive_ = true;                  ///< Whether its process runs.
+  bool reachable_ = true;              ///< Whether daemons reach it.
+  state::EngineState state_;           ///< What it states.
+  std::vector<state::VmId> members_;   ///< Members of its copy.
+  state::ModelId held_;                ///< Model of its latest copy.
+  state::ModelId joining_;             ///< Model that it loads for its copy.
+  state::TimePoint readyAt_{};         ///< When that is loaded.
+  state::TimePoint openAt_{};          ///< When it serves after an order.
+  bool opening_ = false;               ///< Whether it is about to serve.
+  std::uint64_t epochSeen_ = 0;        ///< Highest epoch of this life.
+  state::ModelId staging_;             ///< Model being staged.
+  state::TimePoint stagedAt_{};        ///< When that is on the host.
+  state::TimePoint incompleteSince_{}; ///< Since when a member is missing.
+};
+
+/** What the engines of a test do, shared by all daemons. Not thread-safe. */
+class FakeReplicaFleet
+{
+public:
+  /** @param aClock Clock of the test. */
+  explicit FakeReplicaFleet(FakeClock& aClock)
+    : clock_(aClock)
+  {
+  }
+
+  /** Adds an engine. */
+  void add(const std::string& aVm, const std::string& aDomain)
+  {
+    FakeReplicaEngine engine;
+    engine.instance_.id_ = state::VmId(aVm);
+    engine.instance_.service_ = state::ServiceId("pool");
+    engine.instance_.endpoint_ = { aVm, 1 };
+    engine.instance_.zone_ = state::ZoneId("zone");
+    engine.instance_.slots_ = 26;
+    engine.state_.bornAtMs_ = ++births_;
+    engine.state_.domain_ = state::DomainId(aDomain);
+    engines_[engine.instance_.id_] = engine;
+  }
+
+  /** @return All registered engines, as the store would list them. */
+  std::vector<state::Instance> registered() const
+  {
+    std::vector<state::Instance> instances;
+    for (const auto& [vm, engine] : engines_) {
+      if (!unregistered_.contains(vm)) {
+        instances.push_back(engine.instance_);
+        instances.back().engine_ = engine.state_;
+      }
+    }
+    return instances;
+  }
+
+  /** Ends a process; its host keeps the staged models. */
+  void kill(const state::VmId& aVm) { engines_.at(aVm).alive_ = false; }
+  /** Starts a process anew under the same identifier. */
+  void restart(const state::VmId& aVm)
+  {
+    FakeReplicaEngine& engine = engines_.at(aVm);
+    const state::EngineState before = engine.state_;
+    FakeReplicaEngine fresh;
+    fresh.instance_ = engine.instance_;
+    fresh.state_.bornAtMs_ = ++births_;
+    fresh.state_.domain_ = before.domain_;
+    fresh.state_.staged_ = before.staged_;
+    engine = fresh;
+  }
+  /** Takes an engine out of the list, or puts it back. */
+  void setRegistered(const state::VmId& aVm, bool aRegistered)
+  {
+    if (aRegistered) {
+      unregistered_.erase(aVm);
+    } else {
+      unregistered_.insert(aVm);
+    }
+  }
+
+  /** Moves all engines on to the present and checks what must hold. */
+  void step()
+  {
+    for (auto& [vm, engine] : engines_) {
+      if (engine.alive_) {
+        advance(engine);
+      }
+    }
+    for (auto at = late_.begin(); at != late_.end();) {
+      if (at->first <= clock_.now()) {
+        at->second();
+        at = late_.erase(at);
+      } else {
+        ++at;
+      }
+    }
+  }
+
+  /** Carries out an order. @return How it ended. */
+  coordination::ReplicaOrderStatus carryOut(
+    const state::VmId& aVm,
+    const coordination::ReplicaOrder& aOrder)
+  {
+    using coordination::ReplicaOrderKind;
+    using coordination::ReplicaOrderStatus;
+    FakeReplicaEngine& engine = engines_.at(aVm);
+    if (!engine.alive_) {
+      return ReplicaOrderStatus::kUnknown;
+    }
+    if (aOrder.expectedOrders_ != engine.state_.orders_) {
+      return ReplicaOrderStatus::kRefused;
+    }
+    switch (aOrder.kind_) {
+      case ReplicaOrderKind::kJoin:
+        return join(engine, aOrder);
+      case ReplicaOrderKind::kOpen:
+        return open(engine, aOrder);
+      case ReplicaOrderKind::kLeave:
+        return leave(engine, aOrder);
+      case ReplicaOrderKind::kStage:
+        engine.staging_ = aOrder.model_;
+        engine.stagedAt_ = clock_.now() + loadTime_;
+        ++engine.state_.orders_;
+        return ReplicaOrderStatus::kBegun;
+    }
+    return ReplicaOrderStatus::kRefused;
+  }
+
+  /** @return Heads that serve, with all members present. */
+  std::size_t openCopies(const std::string& aModel) const
+  {
+    std::size_t count = 0;
+    for (const auto& [vm, engine] : engines_) {
+      count += serves(engine) && engine.state_.model_.value() == aModel ? 1 : 0;
+    }
+    return count;
+  }
+
+  std::map<state::VmId, FakeReplicaEngine> engines_; ///< Engines.
+  std::vector<std::string> violations_;              ///< What did not hold.
+  std::vector<std::pair<state::TimePoint, std::function<void()>>>
+    late_; ///< Orders that are carried out later.
+  state::Duration loadTime_ = std::chrono::seconds(12); ///< From the weights.
+  state::Duration warmTime_ = std::chrono::milliseconds(1500); ///< From the
+                                                               ///< host.
+  state::Duration stallLimit_ = std::chrono::seconds(6);       ///< Until a head
+                                                         ///< without a member
+                                                         ///< is broken.
+
+private:
+  bool isHeadOpen(const FakeReplicaEngine& aEngine) const
+  {
+    const auto& place = aEngine.state_.place_;
+    return aEngine.alive_ && place && place->rank_ == 0 &&
+           (place->state_ == state::MemberState::kOpen ||
+            place->state_ == state::MemberState::kClosing);
+  }
+
+  bool isPresent(const FakeReplicaEngine& aHead, const state::VmId& aVm) const
+  {
+    const FakeReplicaEngine& member = engines_.at(aVm);
+    const auto& place = member.state_.place_;
+    return member.alive_ && place &&
+           place->replica_ == aHead.state_.place_->replica_ &&
+           place->epoch_ == aHead.state_.place_->epoch_;
+  }
+
+  bool serves(const FakeReplicaEngine& aEngine) const
+  {
+    return isHeadOpen(aEngine) && std::all_of(aEngine.members_.begin(),
+                                              aEngine.members_.end(),
+                                              [&](const state::VmId& aVm) {
+                                                return isPresent(aEngine, aVm);
+                                              });
+  }
+
+  void advance(FakeReplicaEngine& aEngine)
+  {
+    const state::TimePoint now = clock_.now();
+    auto& place = aEngine.state_.place_;
+    if (!aEngine.staging_.empty() && aEngine.stagedAt_ <= now) {
+      aEngine.state_.staged_ = { aEngine.staging_ };
+      aEngine.staging_ = state::ModelId();
+    }
+    if (place && place->state_ == state::MemberState::kJoining &&
+        aEngine.readyAt_ <= now) {
+      place->state_ = state::MemberState::kReady;
+      aEngine.state_.model_ = aEngine.joining_;
+      aEngine.held_ = aEngine.joining_;
+      aEngine.state_.staged_ = { aEngine.joining_ };
+    }
+    if (aEngine.opening_ && aEngine.openAt_ <= now) {
+      aEngine.opening_ = false;
+      place->state_ = state::MemberState::kOpen;
+      checkComplete(aEngine);
+    }
+    if (isHeadOpen(aEngine) && !serves(aEngine)) {
+      if (aEngine.incompleteSince_ == state::TimePoint{}) {
+        aEngine.incompleteSince_ = now;
+      }
+      if (now - aEngine.incompleteSince_ >= stallLimit_) {
+        place->state_ = state::MemberState::kBroken;
+      }
+    } else {
+      aEngine.incompleteSince_ = {};
+    }
+  }
+
+  /** A head that begins to serve needs members that were ready under its name
+   * and epoch; a lost one excuses. */
+  void checkComplete(const FakeReplicaEngine& aHead)
+  {
+    for (const state::VmId& vm : aHead.members_) {
+      const FakeReplicaEngine& member = engines_.at(vm);
+      if (member.alive_ && isPresent(aHead, vm) &&
+          member.state_.place_->state_ == state::MemberState::kJoining) {
+        violations_.push_back("opened before " + vm.value() + " was ready");
+      }
+    }
+  }
+
+  /** A VM joins another copy only when no head holds it. */
+  void checkFree(const FakeReplicaEngine& aEngine)
+  {
+    const auto& place = aEngine.state_.place_;
+    if (!place) {
+      return;
+    }
+    for (const auto& [vm, other] : engines_) {
+      const bool holds = isHeadOpen(other) &&
+                         other.state_.place_->replica_ == place->replica_ &&
+                         other.state_.place_->epoch_ == place->epoch_;
+      if (holds) {
+        violations_.push_back(aEngine.instance_.id_.value() +
+                              " joined another copy while " + vm.value() +
+                              " was open");
+      }
+    }
+  }
+
+  coordination::ReplicaOrderStatus join(
+    FakeReplicaEngine& aEngine,
+    const coordination::ReplicaOrder& aOrder)
+  {
+    using coordination::ReplicaOrderStatus;
+    auto& place = aEngine.state_.place_;
+    const bool same = place && place->replica_ == aOrder.replica_ &&
+                      place->epoch_ == aOrder.epoch_;
+    if (same) {
+      return ReplicaOrderStatus::kHolds;
+    }
+    if (aOrder.epoch_.value() < aEngine.epochSeen_) {
+      return ReplicaOrderStatus::kOutdated;
+    }
+    checkFree(aEngine);
+    std::uint32_t rank = 0;
+    while (aOrder.members_.at(rank) != aEngine.instance_.id_) {
+      ++rank;
+    }
+    place = { aOrder.replica_, aOrder.epoch_, rank, {} };
+    aEngine.members_ = aOrder.members_;
+    aEngine.epochSeen_ = aOrder.epoch_.value();
+    aEngine.opening_ = false;
+    aEngine.joining_ = aOrder.model_;
+    aEngine.state_.model_ = state::ModelId();
+    const bool staged = aEngine.state_.staged_.contains(aOrder.model_);
+    aEngine.readyAt_ =
+      clock_.now() + (aEngine.held_ == aOrder.model_
+                        ? state::Duration(std::chrono::milliseconds(200))
+                        : (staged ? warmTime_ : loadTime_));
+    ++aEngine.state_.orders_;
+    return ReplicaOrderStatus::kBegun;
+  }
+
+  coordination::ReplicaOrderStatus open(
+    FakeReplicaEngine& aEngine,
+    const coordination::ReplicaOrder& aOrder)
+  {
+    using coordination::ReplicaOrderStatus;
+    const auto& place = aEngine.state_.place_;
+    const bool here = place && place->replica_ == aOrder.replica_ &&
+                      place->epoch_ == aOrder.epoch_;
+    if (here &&
+        (aEngine.opening_ || place->state_ == state::MemberState::kOpen)) {
+      return ReplicaOrderStatus::kHolds;
+    }
+    if (!here || place->state_ != state::MemberState::kReady) {
+      return ReplicaOrderStatus::kRefused;
+    }
+    aEngine.opening_ = true;
+    aEngine.openAt_ = clock_.now() + std::chrono::milliseconds(300);
+    ++aEngine.state_.orders_;
+    return ReplicaOrderStatus::kBegun;
+  }
+
+  coordination::ReplicaOrderStatus leave(
+    FakeReplicaEngine& aEngine,
+    const coordination::ReplicaOrder& aOrder)
+  {
+    using coordination::ReplicaOrderStatus;
+    auto& place = aEngine.state_.place_;
+    const bool here = place && place->replica_ == aOrder.replica_ &&
+                      place->epoch_ == aOrder.epoch_;
+    if (here) {
+      place.reset();
+      aEngine.opening_ = false;
+      ++aEngine.state_.orders_;
+    }
+    return ReplicaOrderStatus::kHolds;
+  }
+
+  FakeClock& clock_;                   ///< Clock of the test.
+  std::uint64_t births_ = 1000;        ///< Processes started.
+  std::set<state::VmId> unregistered_; ///< Engines not in the list.
+};
+
+/** One daemon's way to the engines. Answers arrive in step(). Not thread-safe.
+ */
+class FakeReplicaEngines : public coordination::ReplicaEngines
+{
+public:
+  /** What happens to the next orders. */
+  struct Faults
+  {
+    std::uint32_t late_ = 0; ///< So many get no answer and act 5 s later.
+    std::uint32_t lost_ = 0; ///< So many act and get no answer.
+  };
+
+  FakeReplicaEngines(FakeClock& aClock, FakeReplicaFleet& aFleet)
+    : clock_(aClock)
+    , fleet_(aFleet)
+  {
+  }
+
+  void sendOrder(const state::Instance& aTo,
+                 const coordination::ReplicaOrder& aOrder,
+                 state::Duration aTimeout,
+                 OrderHandler aHandler) override
+  {
+    using coordination::ReplicaOrderStatus;
+    ++orders_;
+    const state::VmId vm = aTo.id_;
+    const bool reaches = fleet_.engines_.at(vm).reachable_;
+    ReplicaOrderStatus status = ReplicaOrderStatus::kUnknown;
+    state::Duration delay = aTimeout;
+    if (reaches && faults_.late_ > 0) {
+      --faults_.late_;
+      fleet_.late_.emplace_back(
+        clock_.now() + std::chrono::seconds(5),
+        [this, vm, aOrder] { fleet_.carryOut(vm, aOrder); });
+    } else if (reaches) {
+      status = fleet_.carryOut(vm, aOrder);
+      delay = kLatency;
+      if (faults_.lost_ > 0) {
+        --faults_.lost_;
+        status = ReplicaOrderStatus::kUnknown;
+        delay = aTimeout;
+      }
+    }
+    answer(delay, [aHandler, status] { aHandler(status); });
+  }
+
+  void fetchReport(const state::Instance& aFrom,
+                   state::Duration aTimeout,
+                   ReportHandler aHandler) override
+  {
+    const FakeReplicaEngine& engine = fleet_.engines_.at(aFrom.id_);
+    if (!engine.alive_ || !engine.reachable_) {
+      answer(aTimeout, [aHandler] { aHandler(std::nullopt); });
+      return;
+    }
+    state::EngineReport report;
+    report.state_ = engine.state_;
+    report.load_.slots_ = engine.instance_.slots_;
+    report.askedAt_ = clock_.now();
+    answer(kLatency, [aHandler, report] { aHandler(report); });
+  }
+
+  /** Runs the callbacks whose time has come. */
+  void step()
+  {
+    std::vector<std::pair<state::TimePoint, std::function<void()>>> due;
+    std::vector<std::pair<state::TimePoint, std::function<void()>>> rest;
+    for (auto& pending : pending_) {
+      (pending.first <= clock_.now() ? due : rest).push_back(pending);
+    }
+    pending_ = std::move(rest);
+    for (const auto& [at, run] : due) {
+      run();
+    }
+  }
+
+  Faults faults_;            ///< What happens to the next orders.
+  std::uint64_t orders_ = 0; ///< Orders sent.
+
+private:
+  static constexpr std::chrono::milliseconds kLatency{ 2 }; ///< Of an answer.
+
+  void answer(state::Duration aDelay, std::function<void()> aRun)
+  {
+    pending_.emplace_back(clock_.now() + aDelay, std::move(aRun));
+  }
+
+  FakeClock& clock_;        ///< Clock of the test.
+  FakeReplicaFleet& fleet_; ///< The engines.
+  std::vector<std::pair<state::TimePoint, std::function<void()>>>
+    pending_; ///< Answers on their way.
+};
+
+} // namespace auburnhaven::fakes
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -1,7 +1,7 @@
 // In-memory store for tests with outages, delays and lost answers.
 #pragma once
 
-#include "coordination/store_port.h"
+#include "coordination/prefix_store_port.h"
 #include "fakes/fake_clock.h"
 
 #include <cstdint>
@@ -50,11 +50,35 @@
   std::uint64_t reads_ = 0;             ///< Reads answered, watches included.
   std::uint64_t writes_ = 0;       ///< Writes answered, lease calls included.
   std::uint64_t nextRevision_ = 1; ///< Revision of the next write.
+  std::vector<coordination::StoreChange> history_; ///< Changes in order.
+  state::Revision compactedAt_; ///< Newest change that was dropped.
+
+  /** Writes a key without a condition. @return Its revision. */
+  state::Revision put(const std::string& aKey, std::string aValue)
+  {
+    const state::Revision revision(nextRevision_++);
+    history_.push_back({ aKey, aValue, revision });
+    items_[aKey] = { std::move(aValue), revision };
+    return revision;
+  }
+  /** Removes a key. */
+  void remove(const std::string& aKey)
+  {
+    items_.erase(aKey);
+    history_.push_back(
+      { aKey, std::nullopt, state::Revision(nextRevision_++) });
+  }
+  /** Drops all history. */
+  void compact()
+  {
+    history_.clear();
+    compactedAt_ = state::Revision(nextRevision_ - 1);
+  }
 };
 
 /** One client's connection to the shared data. Answers arrive in step(). Not
  * thread-safe. */
-class FakeStore : public coordination::Store
+class FakeStore : public coordination::PrefixStore
 {
 public:
   /**
@@ -74,6 +98,7 @@
   void step()
   {
     answerWatches();
+    answerPrefixWatches();
     std::vector<Pending> due;
     std::vector<Pending> rest;
     for (Pending& pending : pending_) {
@@ -90,6 +115,7 @@
   {
     pending_.clear();
     watches_.clear();
+    prefixWatches_.clear();
   }
 
   void get(const std::string& aKey,
@@ -179,7 +205,75 @@
     answer(std::move(aHandler), reply);
   }
 
+  void list(const std::string& aPrefix, ListHandler aHandler) override
+  {
+    coordination::ListReply reply;
+    if (!faults_.down_) {
+      ++data_->reads_;
+      reply.status_ = coordination::StoreStatus::kOk;
+      reply.at_ = state::Revision(data_->nextRevision_ - 1);
+      for (const auto& [key, item] : data_->items_) {
+        if (key.starts_with(aPrefix)) {
+          reply.items_.push_back({ key, item.value_, item.revision_ });
+        }
+      }
+    }
+    answer(std::move(aHandler), reply);
+  }
+
+  void watchPrefix(const std::string& aPrefix,
+                   state::Revision aAfter,
+                   state::Duration aTimeout,
+                   WatchHandler aHandler) override
+  {
+    if (faults_.down_) {
+      answer(std::move(aHandler), coordination::WatchReply{});
+      return;
+    }
+    ++data_->reads_;
+    prefixWatches_.push_back(
+      { aPrefix, aAfter, clock_.now() + aTimeout, std::move(aHandler) });
+  }
+
 private:
+  /** A watch of a prefix that waits. */
+  struct PrefixWatch
+  {
+    std::string prefix_;     ///< Prefix.
+    state::Revision after_;  ///< Revision already known.
+    state::TimePoint until_; ///< When it gives up.
+    WatchHandler handler_;   ///< Takes the answer.
+  };
+
+  void answerPrefixWatches()
+  {
+    std::vector<PrefixWatch> rest;
+    for (PrefixWatch& watch : prefixWatches_) {
+      coordination::WatchReply reply;
+      reply.status_ = watch.after_ < data_->compactedAt_
+                        ? coordination::WatchStatus::kCompacted
+                        : coordination::WatchStatus::kChanges;
+      reply.at_ = state::Revision(data_->nextRevision_ - 1);
+      for (const coordination::StoreChange& change : data_->history_) {
+        if (change.revision_ > watch.after_ &&
+            change.key_.starts_with(watch.prefix_)) {
+          reply.changes_.push_back(change);
+        }
+      }
+      const bool done =
+        reply.status_ == coordination::WatchStatus::kCompacted ||
+        !reply.changes_.empty() || watch.until_ <= clock_.now();
+      if (faults_.down_) {
+        answer(std::move(watch.handler_), coordination::WatchReply{});
+      } else if (done) {
+        answer(std::move(watch.handler_), reply);
+      } else {
+        rest.push_back(std::move(watch));
+      }
+    }
+    prefixWatches_ = std::move(rest);
+  }
+
   /** An answer on its way. */
   struct Pending
   {
@@ -225,8 +319,7 @@
     if (present != aExpected) {
       return { coordination::StoreStatus::kConflict, {}, present };
     }
-    const state::Revision revision(data_->nextRevision_++);
-    data_->items_[aKey] = { std::move(aValue), revision };
+    const state::Revision revision = data_->put(aKey, std::move(aValue));
     return { coordination::StoreStatus::kOk, {}, revision };
   }
 
@@ -274,6 +367,7 @@
   StoreFaults faults_;           ///< Faults that apply to the next calls.
   std::vector<Pending> pending_; ///< Answers on their way.
   std::vector<Watch> watches_;   ///< Watches that wait.
+  std::vector<PrefixWatch> prefixWatches_; ///< Watches of prefixes.
 };
 
 } // namespace auburnhaven::fakes
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,358 @@
+// Tests of reading and writing the platform's messages.
+
+#include "platform/engine_orders.h"
+#include "platform/kv_store.h"
+#include "platform/routing_codec.h"
+
+#include "transport/loopback.h"
+#include "transport/system_clock.h"
+
+#include <nlohmann/json.hpp>
+
+using namespace auburnhaven;
+using namespace std::chrono_literals;
+using coordination::LeaseReply;
+using coordination::StoreStatus;
+using fakes::RawServer;
+using Json = nlohmann::json;
+using Socket = boost::asio::ip::tcp::socket;
+
+namespace {
+
+constexpr char kConfig[] = R"({"version":7,"route_table":[
+ {"name":"r1","hostname":"a.example","prefix":"/x/","route_type":"streaming",
+  "timeout_ms":8000,"target_latency_ms":500,"priority":1,
+  "weighted_backends":[{"backend":"s1","weight":90},{"backend":"s2","weight":10}],
+  "max_attempts":2,"public":false,"session_affinity":true,"stream_resume":true,
+  "target_itl_ms":300},
+ {"name":"r2","hostname":"a.example","prefix":"/y/","route_type":"idempotent",
+  "timeout_ms":800,"target_latency_ms":150,"priority":2,"backend":"s2",
+  "max_attempts":2,"public":true}],
+ "backends":[{"name":"s1","health_check_path":"/healthz","max_connections":698,
+  "runtime":{"batch_slots":26,"kv_capacity":1400000,"step_ms":6.07,
+   "per_seq_ms":0.241,"context_per_k":0.00488,"read_per_s":46000.0,
+   "pairs_per_m":0.7,"report_lag_ms":200.0,"loads_per_s":4.0,"loads_at_once":6,
+   "usual":{"prompt":1076,"answer":116},"batch_form_ms":300,
+   "model_list":[{"name":"m0","size":4,"work_share":0.67,"pace":1.0,
+    "load_time_s":16.0,"warm_s":1.6}]}},
+  {"name":"s2","max_connections":244}],
+ "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":3}],
+ "limits":{"max_header_bytes":8192,"max_body_bytes":4194304,
+  "header_timeout_ms":5000,"idle_timeout_ms":20000},"new_field":1})";
+
+constexpr char kEntry[] = R"({"backend":"s1","address":"10.0.0.9:8080",
+ "zone":"z1","version":"v1","batch_slots":26,"state":"healthy",
+ "warmup_remaining_ms":0,"phase":"colocated","born":1773141150000,
+ "model_list":[{"name":"m0","version":1,"loras":[]}],"sequence":4,
+ "fault_domain":"d1","preloaded":["m0"],
+ "group":{"name":"g","epoch":12,"rank":1,"state":"healthy"}})";
+
+/** @return The entry with one field replaced or removed. */
+std::string
+entryWith(const char* aField, const Json& aValue)
+{
+  Json entry = Json::parse(kEntry);
+  if (aValue.is_null()) {
+    entry.erase(aField);
+  } else {
+    entry[aField] = aValue;
+  }
+  return entry.dump();
+}
+
+const state::VmId kVm("i-1");
+
+/** Answers scripted replies to a store client. */
+class ScriptedStore
+{
+public:
+  /** @param aReplies Status line and body of each answer. */
+  explicit ScriptedStore(
+    std::vector<std::pair<std::string, std::string>> aReplies)
+    : replies_(std::move(aReplies))
+    , server_([this](Socket& aSocket, int) { serve(aSocket); })
+    , client_(context_)
+    , caller_(context_, client_)
+    , store_(caller_, { server_.endpoint(), 300ms, 200ms })
+  {
+  }
+
+  /** Runs calls until the answer has come. */
+  void await(const bool& aDone)
+  {
+    fakes::runUntil(context_, [&] { return aDone; });
+  }
+
+  std::vector<std::string> requests_; ///< Requests seen.
+
+private:
+  void serve(Socket& aSocket)
+  {
+    for (;;) {
+      const std::string request = RawServer::readRequest(aSocket);
+      if (request.empty() || next_ == replies_.size()) {
+        return;
+      }
+      requests_.push_back(request);
+      const auto& [status, body] = replies_[next_++];
+      if (status.empty()) {
+        return;
+      }
+      RawServer::write(aSocket,
+                       "HTTP/1.1 " + status + "\r\nContent-Length: " +
+                         std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+  }
+
+  std::vector<std::pair<std::string, std::string>> replies_; ///< Answers.
+  std::size_t next_ = 0;                                     ///< Next answer.
+  RawServer server_;                                         ///< The store.
+  boost::asio::io_context context_;                          ///< Event loop.
+  transport::HttpClient client_;                             ///< HTTP.
+  transport::ServiceCaller caller_;                          ///< Calls.
+
+public:
+  platform::KvStore store_; ///< The client.
+};
+
+} // namespace
+
+class PlatformCodecTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PlatformCodecTest);
+  CPPUNIT_TEST(configurationIsRead);
+  CPPUNIT_TEST(brokenConfigurationIsNone);
+  CPPUNIT_TEST(entryIsRead);
+  CPPUNIT_TEST(brokenEntryNamesNoInstance);
+  CPPUNIT_TEST(reportIsRead);
+  CPPUNIT_TEST(ordersAreWritten);
+  CPPUNIT_TEST(listReadsAllPages);
+  CPPUNIT_TEST(watchTellsChangesAndCompaction);
+  CPPUNIT_TEST(leaseIsCreatedRenewedAndLost);
+  CPPUNIT_TEST(leaseOfAnotherIsConflict);
+  CPPUNIT_TEST(ownLeaseIsFoundAfterLostAnswer);
+  CPPUNIT_TEST(swapWithoutAnswerIsUnknown);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void configurationIsRead()
+  {
+    const auto config = platform::decodeConfig(kConfig);
+    CPPUNIT_ASSERT(config.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 7 }, config->version_.value());
+    const state::Route& stream = config->routes_.at(0);
+    CPPUNIT_ASSERT(stream.kind_ == state::RouteKind::kStreaming);
+    CPPUNIT_ASSERT(stream.resumable_ && !stream.public_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, stream.services_.size());
+    CPPUNIT_ASSERT_EQUAL(10U, stream.services_.at(1).weight_);
+    CPPUNIT_ASSERT(stream.latencyTarget_ == 500ms);
+    const state::EngineSpec& engine = *config->services_.at(0).engine_;
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(46.0, engine.promptTokensPerMs_, 1e-9);
+    CPPUNIT_ASSERT(engine.models_.at(0).warmTime_ == 1600ms);
+    CPPUNIT_ASSERT(!config->services_.at(1).engine_);
+    CPPUNIT_ASSERT_EQUAL(3U, *config->accounts_->at(0).priority_);
+    CPPUNIT_ASSERT(config->limits_.idleTimeout_ == 20000ms);
+  }
+
+  void brokenConfigurationIsNone()
+  {
+    CPPUNIT_ASSERT(!platform::decodeConfig(""));
+    CPPUNIT_ASSERT(!platform::decodeConfig("{"));
+    CPPUNIT_ASSERT(!platform::decodeConfig(R"({"version":"x"})"));
+    Json config = Json::parse(kConfig);
+    config["route_table"][0].erase("prefix");
+    CPPUNIT_ASSERT(!platform::decodeConfig(config.dump()));
+  }
+
+  void entryIsRead()
+  {
+    const auto instance = platform::decodeInstance(kVm, kEntry);
+    CPPUNIT_ASSERT(instance.has_value());
+    CPPUNIT_ASSERT(
+      (instance->endpoint_ == state::Endpoint{ "10.0.0.9", 8080 }));
+    CPPUNIT_ASSERT(!instance->leaving_);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{ 1 }, instance->engine_->place_->rank_);
+    CPPUNIT_ASSERT(instance->engine_->place_->state_ ==
+                   state::MemberState::kReady);
+    CPPUNIT_ASSERT(instance->engine_->staged_.contains(state::ModelId("m0")));
+    CPPUNIT_ASSERT(
+      platform::decodeInstance(kVm, entryWith("state", "draining"))->leaving_);
+    CPPUNIT_ASSERT(
+      !platform::decodeInstance(kVm, entryWith("fault_domain", nullptr))
+         ->engine_);
+  }
+
+  void brokenEntryNamesNoInstance()
+  {
+    for (const std::string& text : { std::string("\xff\xfe"),
+                                     std::string("[]"),
+                                     entryWith("address", nullptr),
+                                     entryWith("address", "nowhere"),
+                                     entryWith("address", "1.2.3.4:99999"),
+                                     entryWith("backend", 5),
+                                     entryWith("state", "sleepy"),
+                                     entryWith("batch_slots", "many"),
+                                     entryWith("zone", nullptr) }) {
+      CPPUNIT_ASSERT_MESSAGE(text,
+                             !platform::decodeInstance(kVm, text).has_value());
+    }
+  }
+
+  void reportIsRead()
+  {
+    const auto report = platform::decodeReport(
+      R"({"phase":"colocated","model_list":[],"busy":true,"sequence":2,
+          "queued":1,"active":12,"born":5,"fault_domain":"d","group":null,
+          "pace":2.5})");
+    CPPUNIT_ASSERT(report.has_value());
+    CPPUNIT_ASSERT_EQUAL(12U, report->load_.running_);
+    CPPUNIT_ASSERT_EQUAL(1U, report->load_.waiting_);
+    CPPUNIT_ASSERT(!report->state_.place_);
+    CPPUNIT_ASSERT(report->state_.busy_);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(2.5, report->slowness_, 1e-9);
+    CPPUNIT_ASSERT(!platform::decodeReport("oops").has_value());
+  }
+
+  void ordersAreWritten()
+  {
+    using coordination::ReplicaOrderKind;
+    coordination::ReplicaOrder order{ ReplicaOrderKind::kJoin,
+                                      state::ReplicaId("g7"),
+                                      state::Epoch(12),
+                                      state::ModelId("m0"),
+                                      { state::VmId("a"), state::VmId("b") },
+                                      4 };
+    CPPUNIT_ASSERT(Json::parse(platform::encodeOrder(order)) ==
+                   Json::parse(R"({"operation":"join","group":"g7","epoch":12,
+        "model_id":"m0","member_list":["a","b"],"expected":4})"));
+    order = {};
+    order.kind_ = ReplicaOrderKind::kStage;
+    order.model_ = state::ModelId("m0");
+    CPPUNIT_ASSERT(Json::parse(platform::encodeOrder(order)) ==
+                   Json::parse(R"({"operation":"phase","model_id":"m0",
+                     "expected":0})"));
+  }
+
+  void listReadsAllPages()
+  {
+    ScriptedStore world(
+      { { "200 OK",
+          R"({"entries":[{"key":"a","data":"MQ==","mod_revision":3,
+              "created_revision":3,"lease_id":0}],"has_more":true,"at":9})" },
+        { "200 OK",
+          R"({"entries":[{"key":"b","data":"Mg==","mod_revision":8,
+              "created_revision":8,"lease_id":0}],"has_more":false,"at":11})" } });
+    bool done = false;
+    world.store_.list("", [&](const coordination::ListReply& aReply) {
+      CPPUNIT_ASSERT(aReply.status_ == StoreStatus::kOk);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, aReply.items_.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("2"), aReply.items_.at(1).value_);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, aReply.at_.value());
+      done = true;
+    });
+    world.await(done);
+    CPPUNIT_ASSERT(world.requests_.at(1).find("after=a") != std::string::npos);
+  }
+
+  void watchTellsChangesAndCompaction()
+  {
+    ScriptedStore world(
+      { { "200 OK",
+          R"({"events":[{"key":"a","data":"MQ==","mod_revision":12,
+              "created_revision":3,"lease_id":0},
+              {"key":"b","mod_revision":13,"compacted":true}],"at":13})" },
+        { "410 Gone", "{}" } });
+    bool done = false;
+    world.store_.watchPrefix(
+      "", state::Revision(9), 100ms, [&](const auto& aReply) {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, aReply.changes_.size());
+        CPPUNIT_ASSERT(aReply.changes_.at(0).value_ == "1");
+        CPPUNIT_ASSERT(!aReply.changes_.at(1).value_);
+        done = true;
+      });
+    world.await(done);
+    done = false;
+    world.store_.watchPrefix(
+      "", state::Revision(13), 100ms, [&](const auto& aReply) {
+        CPPUNIT_ASSERT(aReply.status_ == coordination::WatchStatus::kCompacted);
+        done = true;
+      });
+    world.await(done);
+  }
+
+  void leaseIsCreatedRenewedAndLost()
+  {
+    ScriptedStore world({ { "200 OK", R"({"lease_id":77,"ttl_ms":1500})" },
+                          { "200 OK", R"({"mod_revision":41})" },
+                          { "200 OK", R"({"ttl_ms":1500})" },
+                          { "404 Not Found", "{}" },
+                          { "503 Unavailable", "{}" } });
+    for (int round = 0; round < 2; ++round) {
+      const LeaseReply reply = acquire(world);
+      CPPUNIT_ASSERT(reply.status_ == StoreStatus::kOk);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 41 }, reply.number_);
+    }
+    CPPUNIT_ASSERT(acquire(world).status_ == StoreStatus::kUnavailable);
+    CPPUNIT_ASSERT(world.requests_.at(2).starts_with("POST /v1/kv-keep/77 "));
+  }
+
+  void leaseOfAnotherIsConflict()
+  {
+    ScriptedStore world(
+      { { "200 OK", R"({"lease_id":77,"ttl_ms":1500})" },
+        { "412 Precondition Failed",
+          R"({"entries":[{"key":"k","data":"b3RoZXI=","mod_revision":5,
+              "created_revision":5,"lease_id":70}]})" } });
+    const LeaseReply reply = acquire(world);
+    CPPUNIT_ASSERT(reply.status_ == StoreStatus::kConflict);
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), reply.holder_);
+  }
+
+  void ownLeaseIsFoundAfterLostAnswer()
+  {
+    ScriptedStore world(
+      { { "200 OK", R"({"lease_id":77,"ttl_ms":1500})" },
+        { "", "" },
+        { "200 OK", R"({"lease_id":78,"ttl_ms":1500})" },
+        { "412 Precondition Failed",
+          R"({"entries":[{"key":"k","data":"bWU=","mod_revision":5,
+              "created_revision":5,"lease_id":77}]})" },
+        { "200 OK", R"({"ttl_ms":1500})" } });
+    CPPUNIT_ASSERT(acquire(world).status_ == StoreStatus::kUnknown);
+    const LeaseReply reply = acquire(world);
+    CPPUNIT_ASSERT(reply.status_ == StoreStatus::kOk);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 5 }, reply.number_);
+    CPPUNIT_ASSERT(world.requests_.at(4).starts_with("POST /v1/kv-keep/77 "));
+  }
+
+  void swapWithoutAnswerIsUnknown()
+  {
+    ScriptedStore world({ { "", "" }, { "429 Too Many", "{}" } });
+    for (const StoreStatus expected :
+         { StoreStatus::kUnknown, StoreStatus::kUnavailable }) {
+      bool done = false;
+      world.store_.compareAndSwap(
+        "k", {}, "v", {}, [&](const coordination::StoreReply& aReply) {
+          CPPUNIT_ASSERT(aReply.status_ == expected);
+          done = true;
+        });
+      world.await(done);
+    }
+  }
+
+private:
+  static LeaseReply acquire(ScriptedStore& aWorld)
+  {
+    bool done = false;
+    LeaseReply result;
+    aWorld.store_.acquireLease(
+      "k", "me", 1500ms, [&](const LeaseReply& aReply) {
+        result = aReply;
+        done = true;
+      });
+    aWorld.await(done);
+    return result;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformCodecTest);
--- /dev/null
+++ b/tests/platform/relay_test.cpp
@@ -0,0 +1,371 @@
+// Tests of relayed requests between loopback targets and callers.
+
+#include "platform/relay_world.h"
+
+#include <atomic>
+
+using namespace auburnhaven;
+using fakes::RawServer;
+using fakes::RelayWorld;
+using Socket = boost::asio::ip::tcp::socket;
+
+namespace {
+
+constexpr char kStreamHead[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                               "X-Origin-Signature: s1\r\n"
+                               "Content-Type: text/event-stream\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n";
+
+/** @return A chunk of a streamed body. */
+std::string
+chunk(const std::string& aData)
+{
+  std::ostringstream text;
+  text << std::hex << aData.size() << "\r\n" << aData << "\r\n";
+  return text.str();
+}
+
+/** @return Status code of an answer. */
+std::string
+statusOf(const std::string& aAnswer)
+{
+  return aAnswer.substr(0, aAnswer.find("\r\n")).substr(9, 3);
+}
+
+/** @return Whether an answer has a text. */
+bool
+has(const std::string& aAnswer, const std::string& aText)
+{
+  return aAnswer.find(aText) != std::string::npos;
+}
+
+} // namespace
+
+class RelayTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RelayTest);
+  CPPUNIT_TEST(requestPassesUnchanged);
+  CPPUNIT_TEST(answerPassesUnchanged);
+  CPPUNIT_TEST(noConfigurationIsNotRun);
+  CPPUNIT_TEST(unknownRouteAndKey);
+  CPPUNIT_TEST(rejectedRequestGoesElsewhere);
+  CPPUNIT_TEST(nonIdempotentIsSentOnce);
+  CPPUNIT_TEST(nonIdempotentThatDidNotRunGoesElsewhere);
+  CPPUNIT_TEST(idempotentIsRepeatedAfterFailure);
+  CPPUNIT_TEST(foreignAnswerReachesNobody);
+  CPPUNIT_TEST(unsignedSuccessReachesNobody);
+  CPPUNIT_TEST(tornAnswerNeverLooksWhole);
+  CPPUNIT_TEST(failureOfTargetIsPassedOn);
+  CPPUNIT_TEST(brokenStreamGoesOnElsewhere);
+  CPPUNIT_TEST(streamThatCannotGoOnIsCut);
+  CPPUNIT_TEST(silentTargetEndsAtTimeout);
+  CPPUNIT_TEST(stoppingDaemonRefuses);
+  CPPUNIT_TEST(withoutTargetIsRefusedAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void requestPassesUnchanged()
+  {
+    std::string seen;
+    RawServer target([&](Socket& aSocket, int) {
+      seen = RawServer::readRequest(aSocket);
+      RawServer::write(aSocket, RelayWorld::answer("200 OK", "fine"));
+    });
+    RelayWorld world;
+    world.addTarget("i-1", target.endpoint());
+    world.start();
+    const std::string answer =
+      world.ask(RelayWorld::request("POST", "/unsafe/x?y=1", "body!"));
+    CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(answer));
+    CPPUNIT_ASSERT(has(seen, "POST /unsafe/x?y=1 HTTP/1.1\r\n"));
+    CPPUNIT_ASSERT(has(seen, "Host: shop.example\r\n"));
+    CPPUNIT_ASSERT(has(seen, "X-Attempt-Id: a1\r\n"));
+    CPPUNIT_ASSERT(has(seen, "X-Custom: kept\r\n"));
+    CPPUNIT_ASSERT(has(seen, "X-Tenant-Id: one\r\n"));
+    CPPUNIT_ASSERT(has(seen, "X-Target-Instance: i-1\r\n"));
+    CPPUNIT_ASSERT(!has(seen, "forged"));
+    CPPUNIT_ASSERT(!has(seen, "key-1"));
+    CPPUNIT_ASSERT(seen.ends_with("\r\n\r\nbody!"));
+    const std::size_t at = seen.find("X-Deadline-Ms: ") + 15;
+    const int left = std::stoi(seen.substr(at));
+    CPPUNIT_ASSERT(left > 1000 && left <= 2500);
+  }
+
+  void answerPassesUnchanged()
+  {
+    RawServer target([&](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      RawServer::write(
+        aSocket, RelayWorld::answer("201 Made", "b\r\n\r\ny", "X-More: 1\r\n"));
+    });
+    RelayWorld world;
+    world.addTarget("i-1", target.endpoint());
+    world.start();
+    const std::string answer = world.ask(RelayWorld::request("GET", "/safe/"));
+    CPPUNIT_ASSERT_EQUAL(std::string("201"), statusOf(answer));
+    CPPUNIT_ASSERT(has(answer, "X-Origin-Signature: s1\r\n"));
+    CPPUNIT_ASSERT(has(answer, "X-More: 1\r\n"));
+    CPPUNIT_ASSERT(has(answer, "Content-Type: text/plain\r\n"));
+    CPPUNIT_ASSERT(answer.ends_with("\r\n\r\nb\r\n\r\ny"));
+  }
+
+  void noConfigurationIsNotRun()
+  {
+    RelayWorld world;
+    const std::string answer = world.ask(RelayWorld::request("GET", "/safe/"));
+    CPPUNIT_ASSERT_EQUAL(std::string("503"), statusOf(answer));
+    CPPUNIT_ASSERT(has(answer, "Retry-After: 0.500\r\n"));
+  }
+
+  void unknownRouteAndKey()
+  {
+    RelayWorld world;
+    world.start();
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("404"),
+      statusOf(world.ask(RelayWorld::request("GET", "/none/"))));
+    std::string request = RelayWorld::request("GET", "/safe/");
+    request.replace(request.find("key-1"), 5, "key-2");
+    CPPUNIT_ASSERT_EQUAL(std::string("401"), statusOf(world.ask(request)));
+  }
+
+  void rejectedRequestGoesElsewhere()
+  {
+    RawServer full([&](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      RawServer::write(
+        aSocket, RelayWorld::answer("503 Full", "", "X-Not-Executed: 1\r\n"));
+    });
+    RawServer good([&](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      RawServer::write(aSocket, RelayWorld::answer("200 OK", "fine"));
+    });
+    for (const char* path : { "/safe/", "/unsafe/" }) {
+      RelayWorld world;
+      world.addTarget("i-1", full.endpoint());
+      world.addTarget("i-2", good.endpoint());
+      world.start();
+      for (int round = 0; round < 4; ++round) {
+        CPPUNIT_ASSERT_EQUAL(
+          std::string("200"),
+          statusOf(world.ask(RelayWorld::request("POST", path, "x"))));
+      }
+    }
+  }
+
+  void nonIdempotentIsSentOnce()
+  {
+    std::atomic<int> sends = 0;
+    const auto script = [&](Socket& aSocket, int) {
+      sends += RawServer::readRequest(aSocket).empty() ? 0 : 1;
+    };
+    RawServer one(script);
+    RawServer two(script);
+    RelayWorld world;
+    world.addTarget("i-1", one.endpoint());
+    world.addTarget("i-2", two.endpoint());
+    world.start();
+    const std::string answer =
+      world.ask(RelayWorld::request("POST", "/unsafe/", "x"));
+    CPPUNIT_ASSERT_EQUAL(std::string("502"), statusOf(answer));
+    CPPUNIT_ASSERT_EQUAL(1, sends.load());
+  }
+
+  void nonIdempotentThatDidNotRunGoesElsewhere()
+  {
+    RawServer good([&](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      RawServer::write(aSocket, RelayWorld::answer("200 OK", "fine"));
+    });
+    state::Endpoint closed;
+    {
+      RawServer gone([](Socket&, int) {});
+      closed = gone.endpoint();
+    }
+    RelayWorld world;
+    world.addTarget("i-1", closed);
+    world.addTarget("i-2", good.endpoint());
+    world.start();
+    for (int round = 0; round < 4; ++round) {
+      CPPUNIT_ASSERT_EQUAL(
+        std::string("200"),
+        statusOf(world.ask(RelayWorld::request("POST", "/unsafe/", "x"))));
+    }
+  }
+
+  void idempotentIsRepeatedAfterFailure()
+  {
+    RawServer bad(
+      [&](Socket& aSocket, int) { RawServer::readRequest(aSocket); });
+    RawServer good([&](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      RawServer::write(aSocket, RelayWorld::answer("200 OK", "fine"));
+    });
+    RelayWorld world;
+    world.addTarget("i-1", bad.endpoint());
+    world.addTarget("i-2", good.endpoint());
+    world.start();
+    for (int round = 0; round < 4; ++round) {
+      CPPUNIT_ASSERT_EQUAL(
+        std::string("200"),
+        statusOf(world.ask(RelayWorld::request("GET", "/safe/"))));
+    }
+  }
+
+  void foreignAnswerReachesNobody()
+  {
+    RawServer target([&](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      std::string foreign = RelayWorld::answer("200 OK", "secret");
+      foreign.replace(foreign.find("a1"), 2, "b2");
+      RawServer::write(aSocket, foreign);
+    });
+    RelayWorld world;
+    world.addTarget("i-1", target.endpoint());
+    world.start();
+    const std::string answer =
+      world.ask(RelayWorld::request("POST", "/unsafe/", "x"));
+    CPPUNIT_ASSERT_EQUAL(std::string("502"), statusOf(answer));
+    CPPUNIT_ASSERT(!has(answer, "secret"));
+  }
+
+  void unsignedSuccessReachesNobody()
+  {
+    RawServer target([&](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      std::string plain = RelayWorld::answer("200 OK", "forged");
+      plain.replace(plain.find("X-Origin-Signature"), 18, "X-Other-Header-Abc");
+      RawServer::write(aSocket, plain);
+    });
+    RelayWorld world;
+    world.addTarget("i-1", target.endpoint());
+    world.start();
+    const std::string answer =
+      world.ask(RelayWorld::request("POST", "/unsafe/", "x"));
+    CPPUNIT_ASSERT_EQUAL(std::string("502"), statusOf(answer));
+    CPPUNIT_ASSERT(!has(answer, "forged"));
+  }
+
+  void tornAnswerNeverLooksWhole()
+  {
+    RawServer target([&](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      std::string torn = RelayWorld::answer("200 OK", "a whole answer");
+      RawServer::write(aSocket, torn.substr(0, torn.size() - 3));
+    });
+    RelayWorld world;
+    world.addTarget("i-1", target.endpoint());
+    world.start();
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("502"),
+      statusOf(world.ask(RelayWorld::request("POST", "/unsafe/", "x"))));
+  }
+
+  void failureOfTargetIsPassedOn()
+  {
+    RawServer target([&](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      RawServer::write(aSocket, RelayWorld::answer("500 Oops", "broken"));
+    });
+    RelayWorld world;
+    world.addTarget("i-1", target.endpoint());
+    world.start();
+    const std::string answer =
+      world.ask(RelayWorld::request("POST", "/unsafe/", "x"));
+    CPPUNIT_ASSERT_EQUAL(std::string("500"), statusOf(answer));
+    CPPUNIT_ASSERT(has(answer, "X-Origin-Signature: s1\r\n"));
+    CPPUNIT_ASSERT(answer.ends_with("broken"));
+  }
+
+  void brokenStreamGoesOnElsewhere()
+  {
+    std::string resumed;
+    const auto script = [&](Socket& aSocket, int) {
+      const std::string request = RawServer::readRequest(aSocket);
+      if (!has(request, "Last-Event-Id: ")) {
+        RawServer::write(aSocket,
+                         kStreamHead + chunk("id: 1\ndata: a\n\n") +
+                           chunk("id: 2\ndata: b\n\nid: 3\nda"));
+        return;
+      }
+      resumed = request;
+      RawServer::write(aSocket,
+                       kStreamHead + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+    };
+    RawServer one(script);
+    RawServer two(script);
+    RelayWorld world;
+    world.addTarget("i-1", one.endpoint());
+    world.addTarget("i-2", two.endpoint());
+    world.start();
+    const std::string answer =
+      world.ask(RelayWorld::request("POST", "/stream/", "x"));
+    CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(answer));
+    CPPUNIT_ASSERT(has(resumed, "Last-Event-Id: 2\r\n"));
+    CPPUNIT_ASSERT(has(answer, "id: 1\ndata: a\n\n"));
+    CPPUNIT_ASSERT(has(answer, "id: 2\ndata: b\n\n"));
+    CPPUNIT_ASSERT(has(answer, "id: 3\ndata: c\n\n"));
+    CPPUNIT_ASSERT(!has(answer, "id: 3\nda\r\n"));
+    CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
+  }
+
+  void streamThatCannotGoOnIsCut()
+  {
+    RawServer target([&](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      RawServer::write(aSocket, kStreamHead + chunk("id: 1\ndata: a\n\n"));
+    });
+    RelayWorld world;
+    world.addTarget("i-1", target.endpoint());
+    world.start(std::chrono::milliseconds(600));
+    const std::string answer =
+      world.ask(RelayWorld::request("POST", "/stream/", "x"));
+    CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(answer));
+    CPPUNIT_ASSERT(has(answer, "id: 1\ndata: a\n\n"));
+    CPPUNIT_ASSERT(!answer.ends_with("0\r\n\r\n"));
+  }
+
+  void silentTargetEndsAtTimeout()
+  {
+    std::promise<void> over;
+    std::shared_future<void> wait = over.get_future().share();
+    RawServer target([wait](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      wait.wait();
+    });
+    {
+      RelayWorld world;
+      world.addTarget("i-1", target.endpoint());
+      world.start(std::chrono::milliseconds(300));
+      CPPUNIT_ASSERT_EQUAL(
+        std::string("504"),
+        statusOf(world.ask(RelayWorld::request("POST", "/unsafe/", "x"))));
+    }
+    over.set_value();
+  }
+
+  void stoppingDaemonRefuses()
+  {
+    RelayWorld world;
+    world.start();
+    world.relay_.refuseAll();
+    const std::string answer =
+      world.ask(RelayWorld::request("POST", "/unsafe/", "x"));
+    CPPUNIT_ASSERT_EQUAL(std::string("503"), statusOf(answer));
+    CPPUNIT_ASSERT(has(answer, "Retry-After: 0.000\r\n"));
+  }
+
+  void withoutTargetIsRefusedAtOnce()
+  {
+    RelayWorld world;
+    world.start();
+    const auto before = std::chrono::steady_clock::now();
+    const std::string answer = world.ask(RelayWorld::request("GET", "/safe/"));
+    CPPUNIT_ASSERT_EQUAL(std::string("503"), statusOf(answer));
+    CPPUNIT_ASSERT(has(answer, "Retry-After: "));
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - before <
+                   std::chrono::milliseconds(1500));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
--- /dev/null
+++ b/tests/platform/relay_world.h
@@ -0,0 +1,158 @@
+// A relay between loopback targets and callers.
+#pragma once
+
+#include "platform/request_dialect.h"
+#include "transport/event_log_writer.h"
+#include "transport/loopback.h"
+#include "transport/relay/relay_handler.h"
+#include "transport/system_clock.h"
+
+#include "fakes/fake_event_log.h"
+
+#include <boost/asio.hpp>
+
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace auburnhaven::fakes {
+
+/** Counts events by name; safe from any thread. */
+class LockedEventLog : public FakeEventLog
+{
+public:
+  void write(state::LogWeight aWeight,
+             std::string_view aPart,
+             std::string_view aEvent,
+             std::initializer_list<state::LogField> aFields) override
+  {
+    const std::lock_guard lock(mutex_);
+    FakeEventLog::write(aWeight, aPart, aEvent, aFields);
+  }
+
+private:
+  std::mutex mutex_; ///< Guards the events.
+};
+
+/** A relay between loopback targets and callers. */
+class RelayWorld
+{
+public:
+  RelayWorld()
+    : pool_(1)
+    , targets_(clock_,
+               {},
+               [random = std::mt19937_64(1)]() mutable { return random(); })
+    , budget_({ 200, 100, 100 })
+    , relay_({ clock_,
+               targets_,
+               budget_,
+               dialect_,
+               routes_,
+               clients_,
+               log_,
+               metrics_ },
+             {})
+    , server_(pool_, { "127.0.0.1", 0 }, {}, relay_)
+  {
+    clients_.push_back(
+      std::make_unique<transport::HttpClient>(pool_.context(0)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), server_.start());
+    pool_.start();
+  }
+  ~RelayWorld() { pool_.stop(); }
+  RelayWorld(const RelayWorld&) = delete;
+  RelayWorld& operator=(const RelayWorld&) = delete;
+
+  /** Adds a target of the plain service. */
+  void addTarget(const std::string& aVm, const state::Endpoint& aEndpoint)
+  {
+    state::Instance instance;
+    instance.id_ = state::VmId(aVm);
+    instance.service_ = state::ServiceId("app");
+    instance.endpoint_ = aEndpoint;
+    instance.slots_ = 6;
+    instances_[instance.id_] = instance;
+  }
+
+  /** Puts a configuration with one route for each kind into force. */
+  void start(std::chrono::milliseconds aTimeout = std::chrono::seconds(3))
+  {
+    auto config = std::make_shared<state::RoutingConfig>();
+    using state::RouteKind;
+    for (const auto& [prefix, kind] :
+         { std::pair("/safe/", RouteKind::kIdempotent),
+           std::pair("/unsafe/", RouteKind::kNonIdempotent),
+           std::pair("/stream/", RouteKind::kStreaming) }) {
+      state::Route route;
+      route.id_ = state::RouteId(prefix);
+      route.host_ = "shop.example";
+      route.prefix_ = prefix;
+      route.kind_ = kind;
+      route.resumable_ = kind == RouteKind::kStreaming;
+      route.timeout_ = aTimeout;
+      route.latencyTarget_ = std::chrono::seconds(1);
+      route.maxAttempts_ = kind == RouteKind::kNonIdempotent ? 1 : 2;
+      route.services_ = { { state::ServiceId("app"), 1 } };
+      config->routes_.push_back(route);
+    }
+    config->services_ = { { state::ServiceId("app"), 100, {} } };
+    config->accounts_ = { { state::AccountId("one"), { "key-1" }, {} } };
+    targets_.setView(config, std::make_shared<state::InstanceMap>(instances_));
+    routes_.set(std::make_shared<const coordination::RouteTable>(config));
+  }
+
+  /** Sends a request and reads until the relay closes the connection. */
+  std::string ask(const std::string& aRequest)
+  {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect({ boost::asio::ip::address_v4::loopback(), server_.port() });
+    boost::asio::write(socket, boost::asio::buffer(aRequest));
+    std::string answer;
+    boost::system::error_code error;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+
+  /** @return A request of a caller. */
+  static std::string request(const std::string& aMethod,
+                             const std::string& aPath,
+                             const std::string& aBody = "")
+  {
+    return aMethod + ' ' + aPath +
+           " HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n"
+           "X-Attempt-Id: a1\r\nX-Deadline-Ms: 2500\r\n"
+           "X-Custom: kept\r\nX-Tenant-Id: forged\r\n"
+           "Authorization: Bearer key-1\r\nContent-Length: " +
+           std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  }
+
+  /** @return An answer of a target to request a1. */
+  static std::string answer(const std::string& aStatus,
+                            const std::string& aBody,
+                            const std::string& aHeaders = "")
+  {
+    return "HTTP/1.1 " + aStatus + "\r\nX-Attempt-Id: a1\r\n" +
+           "X-Origin-Signature: s1\r\nContent-Type: text/plain\r\n" + aHeaders +
+           "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+           aBody;
+  }
+
+  transport::SystemClock clock_;     ///< Clock.
+  transport::TrafficPool pool_;      ///< Thread of the relay.
+  LockedEventLog log_;               ///< Log.
+  transport::Metrics metrics_;       ///< Metrics.
+  coordination::TargetPool targets_; ///< Choice of targets.
+  coordination::RetryBudget budget_; ///< Budget.
+  platform::RequestDialect dialect_; ///< Headers.
+  transport::SnapshotHolder<coordination::RouteTable> routes_;  ///< Routes.
+  std::vector<std::unique_ptr<transport::HttpClient>> clients_; ///< Clients.
+  transport::RelayHandler relay_;                               ///< The relay.
+  transport::HttpServer server_; ///< Its listener.
+  state::InstanceMap instances_; ///< Targets.
+};
+
+} // namespace auburnhaven::fakes
--- /dev/null
+++ b/tests/protocol/zone_digest_test.cpp
@@ -0,0 +1,134 @@
+// Tests of the digests and of the exchange of the configuration.
+
+#include "protocol/config_exchange.h"
+#include "protocol/zone_digest_codec.h"
+
+#include "fakes/fake_byte_links.h"
+#include "fakes/fake_event_log.h"
+#include "fakes/fake_store.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace auburnhaven;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** @return A digest with some copies. */
+coordination::ZoneDigest
+digest(int aCopies, state::TimePoint aNow)
+{
+  coordination::ZoneDigest result{
+    state::ZoneId("z"), state::ServiceId("s"), 7, 9, state::Revision(33), {}
+  };
+  for (int index = 0; index < aCopies; ++index) {
+    result.copies_.push_back({ state::VmId("vm" + std::to_string(index)),
+                               { "10.0.0.1", 80 },
+                               state::ModelId("m"),
+                               3,
+                               4,
+                               index % 2 == 1,
+                               1.5,
+                               aNow - 100ms });
+  }
+  return result;
+}
+
+/** Reads any text as version 1. */
+class AnyCodec : public coordination::RoutingCodec
+{
+public:
+  std::optional<state::RoutingConfig> decodeConfig(
+    const std::string& aText) const override
+  {
+    state::RoutingConfig config;
+    config.version_ = state::Generation(aText.size());
+    return config;
+  }
+  std::optional<state::Instance> decodeInstance(
+    const state::VmId& /*aVm*/,
+    const std::string& /*aText*/) const override
+  {
+    return std::nullopt;
+  }
+};
+
+} // namespace
+
+class ZoneDigestTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ZoneDigestTest);
+  CPPUNIT_TEST(digestComesBack);
+  CPPUNIT_TEST(largeDigestFitsIntoDatagram);
+  CPPUNIT_TEST(garbageIsNoDigest);
+  CPPUNIT_TEST(cutOffDaemonLearnsFromPeer);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void digestComesBack()
+  {
+    const state::TimePoint now{ 1h };
+    const auto sent = digest(3, now);
+    CPPUNIT_ASSERT(protocol::decodeZoneDigest(
+                     protocol::encodeZoneDigest(sent, now), now) == sent);
+  }
+
+  void largeDigestFitsIntoDatagram()
+  {
+    const state::TimePoint now{ 1h };
+    const std::string datagram =
+      protocol::encodeZoneDigest(digest(100, now), now);
+    CPPUNIT_ASSERT(datagram.size() <= protocol::kMaxDigestBytes);
+    CPPUNIT_ASSERT(protocol::decodeZoneDigest(datagram, now).has_value());
+  }
+
+  void garbageIsNoDigest()
+  {
+    const state::TimePoint now{ 1h };
+    const std::string good = protocol::encodeZoneDigest(digest(2, now), now);
+    for (std::size_t size = 0; size < good.size(); ++size) {
+      CPPUNIT_ASSERT(
+        !protocol::decodeZoneDigest(good.substr(0, size), now).has_value());
+    }
+    CPPUNIT_ASSERT(!protocol::decodeZoneDigest("hello", now).has_value());
+    CPPUNIT_ASSERT(!protocol::decodeZoneDigest("\x81\x01", now).has_value());
+  }
+
+  void cutOffDaemonLearnsFromPeer()
+  {
+    fakes::FakeClock clock;
+    fakes::ByteSwitch network(clock, 3);
+    fakes::FakeEventLog log;
+    const AnyCodec codec;
+    auto data = std::make_shared<fakes::FakeStoreData>();
+    data->put("config", "new");
+    fakes::FakeStore goodStore(clock, data);
+    fakes::FakeStore cutStore(clock, data);
+    cutStore.faults().down_ = true;
+    coordination::FollowerSettings settings;
+    settings.configKey_ = "config";
+    settings.instancePrefix_ = "vm/";
+    coordination::StoreFollower good(clock, goodStore, codec, log, settings);
+    coordination::StoreFollower cut(clock, cutStore, codec, log, settings);
+    const state::Endpoint goodAt{ "g", 1 };
+    const state::Endpoint cutAt{ "c", 1 };
+    fakes::FakeByteLinks goodLinks(network, goodAt);
+    fakes::FakeByteLinks cutLinks(network, cutAt);
+    protocol::ConfigExchange giver(clock, goodLinks, good, goodAt, 1);
+    protocol::ConfigExchange asker(clock, cutLinks, cut, cutAt, 2);
+    asker.setPeers({ goodAt, cutAt });
+    for (int step = 0; step < 150; ++step) {
+      clock.advance(20ms);
+      goodStore.step();
+      cutStore.step();
+      good.tick();
+      cut.tick();
+      asker.tick();
+      network.step();
+    }
+    CPPUNIT_ASSERT(cut.config() != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), cut.configText());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ZoneDigestTest);
--- /dev/null
+++ b/tests/transport/event_splitter_test.cpp
@@ -0,0 +1,87 @@
+// Tests of splitting streams into events.
+
+#include "transport/relay/event_splitter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace auburnhaven;
+using transport::EventSplitter;
+
+class EventSplitterTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(EventSplitterTest);
+  CPPUNIT_TEST(onlyWholeEventsComeOut);
+  CPPUNIT_TEST(carriageReturnsAreKept);
+  CPPUNIT_TEST(repeatedEventsAreLeftOut);
+  CPPUNIT_TEST(partIsDropped);
+  CPPUNIT_TEST(anyCutGivesTheSameEvents);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void onlyWholeEventsComeOut()
+  {
+    EventSplitter events;
+    events.add("id: 1\ndata: a\n\nid: 2\nda");
+    CPPUNIT_ASSERT(events.next() == "id: 1\ndata: a\n\n");
+    CPPUNIT_ASSERT(events.next().empty());
+    CPPUNIT_ASSERT(events.hasPart());
+    events.add("ta: b\n\n");
+    CPPUNIT_ASSERT(events.next() == "id: 2\ndata: b\n\n");
+    CPPUNIT_ASSERT(!events.hasPart());
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), *events.lastId());
+  }
+
+  void carriageReturnsAreKept()
+  {
+    EventSplitter events;
+    events.add("id: 7\r\ndata: a\r\n\r\n");
+    CPPUNIT_ASSERT(events.next() == "id: 7\r\ndata: a\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::string("7"), *events.lastId());
+  }
+
+  void repeatedEventsAreLeftOut()
+  {
+    EventSplitter events;
+    events.add("id: 4\ndata: a\n\n");
+    events.next();
+    events.add("id: 3\ndata: x\n\nid: 4\ndata: a\n\nid: 5\ndata: b\n\n");
+    CPPUNIT_ASSERT(events.next() == "id: 5\ndata: b\n\n");
+  }
+
+  void partIsDropped()
+  {
+    EventSplitter events;
+    events.add("id: 1\ndata: a\n\nid: 2\ndata: torn");
+    events.next();
+    events.dropPart();
+    CPPUNIT_ASSERT(!events.hasPart());
+    events.add("id: 2\ndata: b\n\n");
+    CPPUNIT_ASSERT(events.next() == "id: 2\ndata: b\n\n");
+  }
+
+  void anyCutGivesTheSameEvents()
+  {
+    const bool same = rc::check("events do not depend on cuts", [] {
+      std::string stream;
+      for (int id = 1; id <= 5; ++id) {
+        stream += "id: " + std::to_string(id) + "\ndata: x\n\n";
+      }
+      EventSplitter events;
+      std::string out;
+      for (std::size_t at = 0; at < stream.size();) {
+        const auto size = *rc::gen::inRange<std::size_t>(1, 9);
+        events.add(std::string_view(stream).substr(at, size));
+        at += size;
+        for (auto event = events.next(); !event.empty();
+             event = events.next()) {
+          out += event;
+        }
+      }
+      RC_ASSERT(out == stream);
+    });
+    CPPUNIT_ASSERT(same);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
