Stage before joining; share the room of nearly full copies among daemons

Cause: copies were formed with cold members, which held up to three warm VMs for 16 to 32 s, and the loads in progress were not counted with the staged ones, so that each took longer; near full, 20 daemons chose the same least loaded copies by the same digest (played load: 54 requests at one copy of 26 slots). Now cold VMs stage first, all loads of a zone count against its share, and daemons enter nearly full copies only within their part of the room.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -434,6 +434,7 @@
     }
   }
   updatePeers();
+  targets_.setDaemons(registry_.size());
   const double daemons = std::max<double>(1, registry_.size());
   budget_.setMaximum(
     std::max(1U,
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -20,6 +20,8 @@
   0.9; ///< Part of the weight store's rate that is used.
 
 constexpr double kLoadBurst = 2; ///< Loads of a zone that may start at once.
+constexpr int kSlowLoadFactor =
+  2; ///< How much longer a load may take when many run at once.
 constexpr std::chrono::seconds kStageMargin{
   3
 }; ///< Added to a model's load time before it is staged again.
@@ -625,10 +627,16 @@
   const auto last = lastModels_.find(aEngine.instance_.id_);
   const auto order = orders_.find(aEngine.instance_.id_);
   const bool ordered = order != orders_.end() && order->second.underWay_;
+  const auto staging = staging_.find(aEngine.instance_.id_);
+  const bool stages = staging != staging_.end() &&
+                      clock_.now() < staging->second &&
+                      !isStaged(aEngine.instance_.id_);
   return { aEngine.instance_.id_,
            aEngine.report_->state_.staged_,
            last == lastModels_.end() ? state::ModelId() : last->second.second,
-           aEngine.report_->state_.busy_ || ordered };
+           aEngine.report_->state_.busy_ || ordered,
+           stages ? stagedModels_.at(aEngine.instance_.id_)
+                  : state::ModelId() };
 }
 
 bool
@@ -715,6 +723,15 @@
   return zone_.firstStart_ && !trafficSeen_;
 }
 
+bool
+ReplicaCoordinator::isStaged(const state::VmId& aVm) const
+{
+  const auto model = stagedModels_.find(aVm);
+  const WatchedEngine* engine = watch_.find(aVm);
+  return model != stagedModels_.end() && engine != nullptr && engine->report_ &&
+         engine->report_->state_.staged_.contains(model->second);
+}
+
 std::uint32_t
 ReplicaCoordinator::loadsInProgress() const
 {
@@ -733,6 +750,10 @@
       loads += loading ? 1 : 0;
     }
   }
+  for (const auto& [vm, until] : staging_) {
+    loads +=
+      clock_.now() < until && watch_.isAlive(vm) && !isStaged(vm) ? 1 : 0;
+  }
   return loads;
 }
 
@@ -745,15 +766,18 @@
   if (lateStart) {
     return kNoLimit;
   }
-  std::uint32_t largest = 1;
-  for (const state::ModelSpec& model : engine_->models_) {
-    largest = std::max(largest, model.size_);
-  }
-  // A whole copy may start to load as soon as fewer loads than the zone's share
-  // of the weight store are in progress.
   const std::uint32_t share =
     std::max(1U, engine_->loadsAtOnce_ / std::max(1U, zone_.zones_));
-  return loadsInProgress() < share ? largest : 0;
+  const std::uint32_t loads = loadsInProgress();
+  if (loadsAreQuick()) {
+    // A whole copy may start to load as soon as the weight store has room.
+    std::uint32_t largest = 1;
+    for (const state::ModelSpec& model : engine_->models_) {
+      largest = std::max(largest, model.size_);
+    }
+    return loads < share ? largest : 0;
+  }
+  return share - std::min(share, loads);
 }
 
 void
@@ -786,7 +810,9 @@
   order.model_ = aMove.model_;
   if (send(aMove.vm_, order)) {
     const state::ModelSpec* model = state::findModel(*engine_, aMove.model_);
-    staging_[aMove.vm_] = clock_.now() + model->loadTime_ + kStageMargin;
+    staging_[aMove.vm_] =
+      clock_.now() + model->loadTime_ * kSlowLoadFactor + kStageMargin;
+    stagedModels_[aMove.vm_] = aMove.model_;
   }
 }
 
--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -123,6 +123,7 @@
   FreeVm describe(const WatchedEngine& aEngine) const;
   bool isFree(const WatchedEngine& aEngine) const;
   bool isSettled(const state::DomainId& aDomain);
+  bool isStaged(const state::VmId& aVm) const;
   std::uint32_t loadsInProgress() const;
   std::uint32_t loadsNow() const;
   bool loadsAreQuick() const;
@@ -160,6 +161,8 @@
   std::map<state::DomainId, std::pair<std::set<state::VmId>, state::TimePoint>>
     settledSince_; ///< VMs of a domain, and since when there has
                    ///< been no new one.
+  std::map<state::VmId, state::ModelId>
+    stagedModels_; ///< What those VMs were told to stage.
   std::map<state::VmId, state::TimePoint>
     staging_; ///< VMs that were told to stage a model, and until when that may
               ///< take.
--- a/src/coordination/replica/replica_layout_func.cpp
+++ b/src/coordination/replica/replica_layout_func.cpp
@@ -18,7 +18,7 @@
 constexpr double kGiveUpPenalty =
   0.06; ///< Value that giving one copy up must at least bring.
 constexpr double kLoadPenalty =
-  0.02; ///< Value that one load from the weight store must at least bring.
+  0.04; ///< Value that one load from the weight store must at least bring.
 constexpr std::array kReserveValues = {
   0.075,
   0.05
--- a/src/coordination/replica/replica_plan_func.cpp
+++ b/src/coordination/replica/replica_plan_func.cpp
@@ -28,6 +28,16 @@
   return aVm.staged_.contains(aModel) ? Readiness::kStaged : Readiness::kCold;
 }
 
+/** @return How far a cold VM is from having a model; lesser is nearer. */
+int
+stagingCost(const FreeVm& aVm, const state::ModelId& aModel)
+{
+  if (aVm.staging_.empty()) {
+    return 1;
+  }
+  return aVm.staging_ == aModel ? 0 : 2;
+}
+
 /** Plans one zone. */
 class Planner
 {
@@ -52,7 +62,7 @@
       }
     }
     formMissing();
-    stageReserves();
+    stageModels();
     return std::move(moves_);
   }
 
@@ -156,7 +166,11 @@
           continue;
         }
         std::optional<Lack> lack = membersFor(id, model);
-        if (lack && (!best || isBefore(*lack, *best))) {
+        // Cold VMs stage the model first, and stay free for a better use.
+        const bool ready =
+          lack && (lack->loads_ == 0 ||
+                   (facts_.quickLoads_ && lack->loads_ <= loadsLeft_));
+        if (ready && (!best || isBefore(*lack, *best))) {
           best = std::move(lack);
         }
       }
@@ -188,11 +202,12 @@
 
   /** @return The members that a new copy would have, when there are enough. */
   std::optional<Lack> membersFor(const state::DomainId& aDomain,
-                                 const state::ModelSpec& aModel)
+                                 const state::ModelSpec& aModel,
+                                 bool aWithBusy = false)
   {
     std::vector<FreeVm> free;
     for (const FreeVm& vm : free_[aDomain]) {
-      if (!vm.busy_) {
+      if (!vm.busy_ || aWithBusy) {
         free.push_back(vm);
       }
     }
@@ -203,16 +218,21 @@
       free.begin(), free.end(), [&](const FreeVm& aLeft, const FreeVm& aRight) {
         const Readiness left = readinessOf(aLeft, aModel.id_);
         const Readiness right = readinessOf(aRight, aModel.id_);
-        return left != right ? left < right
-                             : aLeft.staged_.size() < aRight.staged_.size();
+        if (left != right) {
+          return left < right;
+        }
+        const int leftCost = stagingCost(aLeft, aModel.id_);
+        const int rightCost = stagingCost(aRight, aModel.id_);
+        return leftCost != rightCost
+                 ? leftCost < rightCost
+                 : aLeft.staged_.size() < aRight.staged_.size();
       });
     Lack lack{ aDomain, &aModel, 0, {} };
     for (std::uint32_t rank = 0; rank < aModel.size_; ++rank) {
       lack.loads_ += readinessOf(free[rank], aModel.id_) == Readiness::kCold;
       lack.members_.push_back(free[rank].id_);
     }
-    return lack.loads_ <= loadsLeft_ ? std::optional(std::move(lack))
-                                     : std::nullopt;
+    return lack;
   }
 
   /** Takes VMs out of the free ones. */
@@ -224,6 +244,63 @@
     });
   }
 
+  /** Stages models where copies lack them, those that lack the least first;
+   * then the reserves of domains that lack no copy. */
+  void stageModels()
+  {
+    if (facts_.quickLoads_) {
+      return stageReserves();
+    }
+    for (;;) {
+      std::optional<Lack> next = nextColdLack();
+      if (!next || loadsLeft_ == 0) {
+        break;
+      }
+      stageFor(*next);
+    }
+    stageReserves();
+  }
+
+  /** @return The lacking copy that needs the fewest loads, or nothing. Its VMs
+   * are taken out of the free ones. */
+  std::optional<Lack> nextColdLack()
+  {
+    std::optional<Lack> best;
+    for (const auto& [id, free] : free_) {
+      for (std::size_t index = 0; index < facts_.models_.size(); ++index) {
+        const state::ModelSpec& model = facts_.models_[index];
+        const std::uint32_t have =
+          presentOf(facts_.domains_.at(id), model.id_) +
+          formed_[{ id, model.id_ }];
+        std::optional<Lack> lack;
+        if (have < layout_.at(id)[index]) {
+          lack = membersFor(id, model, true);
+        }
+        if (lack && (!best || lack->loads_ < best->loads_)) {
+          best = std::move(lack);
+        }
+      }
+    }
+    if (best) {
+      ++formed_[{ best->domain_, best->model_->id_ }];
+    }
+    return best;
+  }
+
+  /** Stages the model of a lacking copy on its cold members. */
+  void stageFor(const Lack& aLack)
+  {
+    for (const FreeVm& vm : free_[aLack.domain_]) {
+      const bool member =
+        std::find(aLack.members_.begin(), aLack.members_.end(), vm.id_) !=
+        aLack.members_.end();
+      if (member && readinessOf(vm, aLack.model_->id_) == Readiness::kCold) {
+        stageOn(vm, aLack.model_->id_);
+      }
+    }
+    take(aLack.domain_, aLack.members_);
+  }
+
   /** Stages models on hosts of domains that lack no copy: on the first spare
    * the largest model and on the others the next one; and the largest model on
    * members of open smaller copies, until the domain has its reserve. */
@@ -266,7 +343,8 @@
       ready += readinessOf(vm, largest_.id_) != Readiness::kCold ? 1 : 0;
     }
     for (const FreeVm& vm : aSpares) {
-      if (!vm.staged_.empty() || !vm.lastModel_.empty()) {
+      if (!vm.staged_.empty() || !vm.lastModel_.empty() ||
+          !vm.staging_.empty()) {
         continue;
       }
       const state::ModelId& model = ready == 0 ? largest_.id_ : smaller().id_;
@@ -295,7 +373,10 @@
   /** Stages a model on one host. @return Whether it may. */
   bool stageOn(const FreeVm& aVm, const state::ModelId& aModel)
   {
-    if (aVm.busy_ || loadsLeft_ == 0) {
+    if (aVm.staging_ == aModel) {
+      return true;
+    }
+    if (aVm.busy_ || !aVm.staging_.empty() || loadsLeft_ == 0) {
       return false;
     }
     --loadsLeft_;
--- a/src/coordination/replica/replica_plan_func.h
+++ b/src/coordination/replica/replica_plan_func.h
@@ -19,6 +19,7 @@
   state::ModelId lastModel_; ///< Model of its latest copy in this life; it
                              ///< joins a copy of that model at once.
   bool busy_ = false;        ///< Whether it carries out an order.
+  state::ModelId staging_;   ///< Model being put onto its host; empty for none.
   bool operator==(const FreeVm&) const = default;
 };
 
--- a/src/coordination/routing/target_pool.cpp
+++ b/src/coordination/routing/target_pool.cpp
@@ -32,6 +32,17 @@
          place->state_ == state::MemberState::kOpen;
 }
 
+/** @return A load when half of those that end between two digests have left:
+ * what a request meets on average. */
+state::TargetLoad
+drained(state::TargetLoad aLoad, double aLeaving)
+{
+  const auto left = static_cast<std::uint32_t>(aLeaving / 2);
+  const std::uint32_t waiting = std::min(aLoad.waiting_, left);
+  aLoad.waiting_ -= waiting;
+  return aLoad;
+}
+
 /** @return Whether a copy has a member that is about to stop. */
 bool
 losesMember(const state::Instance& aHead, const state::InstanceMap& aInstances)
@@ -125,6 +136,72 @@
       target.reportedAt_ = copy.asOf_;
     }
   }
+  shareRoom(aDigest.zone_);
+}
+
+void
+TargetPool::setDaemons(std::size_t aDaemons)
+{
+  const std::lock_guard lock(mutex_);
+  daemons_ = std::max<std::size_t>(1, aDaemons);
+}
+
+double
+TargetPool::leavingOf(const Target& aTarget,
+                      const state::TargetLoad& aLoad) const
+{
+  const state::ServiceSpec* service =
+    state::findService(*config_, aTarget.service_);
+  const state::ModelSpec* model =
+    service != nullptr && service->engine_
+      ? state::findModel(*service->engine_, aTarget.model_)
+      : nullptr;
+  if (model == nullptr) {
+    return 0;
+  }
+  const state::FloatMs slotTime =
+    usualSlotTime(*service->engine_, *model) * aTarget.slowness_;
+  return aLoad.running_ * (state::FloatMs(settings_.digestPeriod_) / slotTime);
+}
+
+double
+TargetPool::roomOf(const Target& aTarget, const state::TargetLoad& aLoad) const
+{
+  const double limit = aTarget.slots_ + settings_.queueRoom_;
+  const double total = aLoad.running_ + aLoad.waiting_;
+  return std::max(0.0, limit - total + leavingOf(aTarget, aLoad));
+}
+
+void
+TargetPool::shareRoom(const state::ZoneId& aZone)
+{
+  const state::TimePoint now = clock_.now();
+  std::map<state::ModelId, double> rooms;
+  for (const auto& [vm, target] : targets_) {
+    if (target.zone_ == aZone && !target.model_.empty() &&
+        isUsable(target, now)) {
+      rooms[target.model_] += roomOf(target, loadOf(target, now));
+    }
+  }
+  constexpr double kRandomRange = 1ULL << 53U;
+  for (const auto& [model, room] : rooms) {
+    const double part =
+      room / static_cast<double>(daemons_) * settings_.quotaSlack_;
+    const double luck = static_cast<double>(random_() >> 11U) / kRandomRange;
+    quotas_[{ aZone, model }] = static_cast<std::uint32_t>(part + luck);
+  }
+}
+
+bool
+TargetPool::mayEnter(const Target& aTarget,
+                     const state::TargetLoad& aLoad) const
+{
+  const double total = aLoad.running_ + aLoad.waiting_;
+  if (aTarget.model_.empty() || total < settings_.freeLoad_ * aTarget.slots_) {
+    return true;
+  }
+  const auto quota = quotas_.find({ aTarget.zone_, aTarget.model_ });
+  return quota == quotas_.end() || quota->second > 0;
 }
 
 std::optional<bool>
@@ -230,16 +307,21 @@
       continue;
     }
     Candidate candidate{ &vm, &target, loadOf(target, now), {}, 0 };
-    candidate.expected_ = expectedTime(target, aNeed, candidate.load_);
+    candidate.expected_ = expectedTime(
+      target,
+      aNeed,
+      drained(candidate.load_, leavingOf(target, candidate.load_)));
     all.push_back(candidate);
     const bool tried =
       std::find(aNeed.excluded_.begin(), aNeed.excluded_.end(), vm) !=
       aNeed.excluded_.end();
-    if (!tried && target.restsUntil_ <= now && candidate.expected_ <= limit) {
-      const double room =
-        static_cast<double>(target.slots_ + settings_.queueRoom_) -
-        candidate.load_.running_ - candidate.load_.waiting_;
-      candidate.weight_ = std::max(room, 0.0) * std::max(room, 0.0) /
+    const bool enters = target.restsUntil_ <= now &&
+                        candidate.expected_ <= limit &&
+                        mayEnter(target, candidate.load_);
+    if (!tried && enters) {
+      const double idle = std::max(
+        1.0, static_cast<double>(target.slots_) - candidate.load_.running_);
+      candidate.weight_ = roomOf(target, candidate.load_) * idle /
                           (target.slowness_ * target.slowness_);
       open.push_back(candidate);
     }
@@ -250,6 +332,11 @@
   const Candidate& chosen = pick(open);
   ++chosen.target_->own_;
   noteChange(*chosen.target_, now, 1);
+  const auto quota =
+    quotas_.find({ chosen.target_->zone_, chosen.target_->model_ });
+  if (quota != quotas_.end() && quota->second > 0) {
+    --quota->second;
+  }
   return { RefusalReason::kNone,
            *chosen.vm_,
            chosen.target_->endpoint_,
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -77,6 +77,8 @@
 {
   state::Duration reportTrust_ =
     std::chrono::seconds(3); ///< Age at which a reported load no longer counts.
+  state::Duration digestPeriod_ =
+    std::chrono::milliseconds(300); ///< Between two digests of a zone.
   state::Duration digestTrust_ = std::chrono::milliseconds(
     1500); ///< Age at which a zone's digest no longer counts.
   state::Duration failurePause_ = std::chrono::milliseconds(
@@ -85,6 +87,11 @@
     150);                 ///< How long a target rests after it was full.
   double patience_ = 1.0; ///< Part of the latency target that the expected
                           ///< first event may take.
+  double freeLoad_ = 0.6; ///< Part of its slots up to which a target takes any
+                          ///< request.
+  double quotaSlack_ = 1.2; ///< How much more than its part of the room of a
+                            ///< zone a daemon may use, since callers are not
+                            ///< shared evenly.
   std::uint32_t queueRoom_ =
     3; ///< Requests beyond a target's slots that count as room in the choice.
   bool operator==(const TargetPoolSettings&) const = default;
@@ -93,10 +100,12 @@
 /**
  * Chooses targets at random in proportion to the room that they have, from the
  * loads that zones' coordinators and targets report and from what this daemon
- * sent since. A request enters only where it is expected to begin in time; else
- * it is refused at once. Answers the load of many daemons before few targets,
- * where each knows the others' requests only by reports that lag: the least
- * loaded target would draw the requests of all daemons at once. Thread-safe.
+ * sent since. A request enters only where it is expected to begin in time, and
+ * where targets are nearly full only within the daemon's part of the room that
+ * the newest digest shows; else it is refused at once. Answers the load of many
+ * daemons before few targets, where each knows the others' requests only by
+ * reports that lag: the least loaded target would draw the requests of all
+ * daemons at once. Thread-safe.
  */
 class TargetPool
 {
@@ -125,6 +134,8 @@
    * @param aDigest The copies.
    */
   void setDigest(const ZoneDigest& aDigest);
+  /** @param aDaemons Daemons that send requests to the same targets. */
+  void setDaemons(std::size_t aDaemons);
   /**
    * Chooses the target of a request. A chosen target counts the request until
    * finish() is called.
@@ -193,6 +204,10 @@
 
   std::optional<bool> isListed(const Target& aTarget,
                                state::TimePoint aNow) const;
+  double leavingOf(const Target& aTarget, const state::TargetLoad& aLoad) const;
+  double roomOf(const Target& aTarget, const state::TargetLoad& aLoad) const;
+  void shareRoom(const state::ZoneId& aZone);
+  bool mayEnter(const Target& aTarget, const state::TargetLoad& aLoad) const;
   bool isUsable(const Target& aTarget, state::TimePoint aNow) const;
   bool fits(const Target& aTarget,
             const TargetNeed& aNeed,
@@ -213,6 +228,10 @@
   state::RoutingConfigPtr config_;        ///< Configuration in force.
   std::map<state::VmId, Target> targets_; ///< Targets.
   std::map<state::ZoneId, DigestState> digests_; ///< Newest digests.
+  std::map<std::pair<state::ZoneId, state::ModelId>, std::uint32_t>
+    quotas_;                ///< Requests that may still enter nearly full
+                            ///< copies until the next digest.
+  std::size_t daemons_ = 1; ///< Daemons that send to the same targets.
 };
 
 } // namespace auburnhaven::coordination
