--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -89,11 +89,11 @@
                           ///< first event may take.
   double freeLoad_ = 0.6; ///< Part of its slots up to which a target takes any
                           ///< request.
-  double quotaSlack_ = 1.2; ///< How much more than its part of the room of a
+  double quotaSlack_ = 1.1; ///< How much more than its part of the room of a
                             ///< zone a daemon may use, since callers are not
                             ///< shared evenly.
   std::uint32_t queueRoom_ =
-    3; ///< Requests beyond a target's slots that count as room in the choice.
+    1; ///< Requests beyond a target's slots that count as room in the choice.
   bool operator==(const TargetPoolSettings&) const = default;
 };
 
