--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -19,9 +19,20 @@
   add_executable(${NAME}_tests ${SOURCES} ${PROJECT_SOURCE_DIR}/tests/test_main.cpp)
   target_include_directories(${NAME}_tests PRIVATE ${PROJECT_SOURCE_DIR}/tests)
   target_link_libraries(${NAME}_tests PRIVATE ${ARGN} auburnhaven_fakes rapidcheck cppunit)
-  add_test(NAME ${NAME} COMMAND ${NAME}_tests)
-  # A fixed seed and a bounded count; longer runs set RC_PARAMS themselves.
-  set_tests_properties(${NAME} PROPERTIES ENVIRONMENT "RC_PARAMS=max_success=25 seed=20261204")
+  # One test for each suite, so that they run side by side. Random tests have a fixed seed and a
+  # bounded count here; longer runs set RC_PARAMS themselves.
+  set(CASES 25)
+  if(AUBURNHAVEN_SANITIZE)
+    set(CASES 5)
+  endif()
+  foreach(SOURCE ${SOURCES})
+    file(STRINGS ${SOURCE} LINES REGEX "^CPPUNIT_TEST_SUITE_REGISTRATION")
+    foreach(LINE ${LINES})
+      string(REGEX REPLACE "^CPPUNIT_TEST_SUITE_REGISTRATION\\((.*)\\).*$" "\\1" SUITE "${LINE}")
+      add_test(NAME ${NAME}.${SUITE} COMMAND ${NAME}_tests ${SUITE})
+      set_tests_properties(${NAME}.${SUITE} PROPERTIES ENVIRONMENT "RC_PARAMS=max_success=${CASES} seed=20261204")
+    endforeach()
+  endforeach()
 endfunction()
 
 # Adds one executable for each source in bench/ that carries the given prefix.
--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -32,8 +32,8 @@
                                           ///< the store's lease.
 constexpr milliseconds kLeaseRetry(150);  ///< After a renewal that failed.
 constexpr std::chrono::seconds kProbeAfter(1); ///< Silence before TCP probes.
-constexpr milliseconds kRegistrationTimeToLive(6000); ///< Of a daemon's entry.
-constexpr milliseconds kRegistrationRenewal(2000);    ///< Between two renewals.
+constexpr milliseconds kRegistrationTimeToLive(10000); ///< Of a daemon's entry.
+constexpr milliseconds kRegistrationRenewal(3500); ///< Between two renewals.
 constexpr milliseconds kCoordinatorSilence(
   1000); ///< Silence of the own zone's coordinator after which a daemon follows
          ///< the store by itself.
@@ -435,7 +435,7 @@
   }
   updatePeers();
   targets_.setDaemons(registry_.size());
-  const double daemons = std::max<double>(1, registry_.size());
+  const double daemons = std::max(1.0, static_cast<double>(registry_.size()));
   budget_.setMaximum(
     std::max(1U,
              static_cast<std::uint32_t>(settings_.retries_.extra_ *
--- a/src/coordination/replica/replica_layout_func.cpp
+++ b/src/coordination/replica/replica_layout_func.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
+#include <limits>
 
 namespace auburnhaven::coordination {
 
@@ -199,7 +199,7 @@
     chosen_.assign(domains_.size(), 0);
     best_ = chosen_;
     if (combinations < kMaxCombinations) {
-      bestValue_ = -INFINITY;
+      bestValue_ = -std::numeric_limits<double>::infinity();
       searchAll(0, 0);
     } else {
       searchOneByOne();
@@ -256,7 +256,7 @@
   void searchOneByOne()
   {
     for (std::size_t domain = 0; domain < domains_.size(); ++domain) {
-      double best = -INFINITY;
+      double best = -std::numeric_limits<double>::infinity();
       for (std::size_t index = 0; index < options_[domain].size(); ++index) {
         const Option& option = options_[domain][index];
         count(option, 1);
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -49,12 +49,12 @@
   state::Duration pause_ = std::chrono::milliseconds(
     500); ///< From one answer to the next watch; changes gather meanwhile.
   state::Duration urgentPause_ =
-    std::chrono::milliseconds(120); ///< The same while changes are urgent.
+    std::chrono::milliseconds(250); ///< The same while changes are urgent.
   state::Duration failurePause_ =
     std::chrono::milliseconds(250); ///< After a call that failed.
   state::Duration refreshPeriod_ =
-    std::chrono::seconds(8); ///< While others are heard: between two readings
-                             ///< of all changes.
+    std::chrono::seconds(14); ///< While others are heard: between two readings
+                              ///< of all changes.
   state::Duration returnGrace_ = std::chrono::milliseconds(
     2500); ///< After an outage: how long entries that are missing stay in use.
   bool operator==(const FollowerSettings&) const = default;
--- a/src/coordination/routing/target_pool.cpp
+++ b/src/coordination/routing/target_pool.cpp
@@ -62,7 +62,7 @@
 } // namespace
 
 TargetPool::TargetPool(const state::Clock& aClock,
-                       TargetPoolSettings aSettings,
+                       const TargetPoolSettings& aSettings,
                        RandomSource aRandom)
   : clock_(aClock)
   , settings_(aSettings)
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -118,7 +118,7 @@
    * @param aRandom Source of random numbers.
    */
   TargetPool(const state::Clock& aClock,
-             TargetPoolSettings aSettings,
+             const TargetPoolSettings& aSettings,
              RandomSource aRandom);
 
   /**
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -253,6 +253,7 @@
     const bool retry = failure.kind_ == HttpFailureKind::kClosed &&
                        !failure.bytesMayHaveArrived_;
     if (!retry) {
+      failure.keptConnection_ = true;
       return HttpCall(std::move(failure));
     }
   }
--- a/src/transport/http_client_type.h
+++ b/src/transport/http_client_type.h
@@ -72,6 +72,9 @@
   bool bytesMayHaveArrived_ =
     false; ///< Whether any byte of the request could have reached the target.
   std::string message_; ///< Text for people.
+  bool keptConnection_ =
+    false; ///< Whether the connection had been used before;
+           ///< its target may have closed it meanwhile.
   bool operator==(const HttpFailure&) const = default;
 };
 
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -198,7 +198,9 @@
   ++sends_;
   const SendEnd end = attempt(target);
   noteSend(target, end);
-  need_.excluded_.push_back(target.vm_);
+  if (!staleConnection_) {
+    need_.excluded_.push_back(target.vm_);
+  }
   if (end == SendEnd::kDelivered || end == SendEnd::kOver) {
     if (end == SendEnd::kOver && !responder_.callerGone()) {
       giveUp();
@@ -274,8 +276,8 @@
   }
   ~TargetMonitor()
   {
+    // The timer's handler finds nothing to end when it runs out.
     watch_->aborter_ = nullptr;
-    watch_->timer_.cancel();
   }
   TargetMonitor(const TargetMonitor&) = delete;
   TargetMonitor& operator=(const TargetMonitor&) = delete;
@@ -324,7 +326,8 @@
                     : request_.path_ + '?' + request_.query_;
   request.headers_ = parts_.dialect_.headersFor(request_, send);
   request.body_ = request_.body_;
-  request.freshConnection_ = !mayRunTwice();
+  request.freshConnection_ = !mayRunTwice() || staleConnection_;
+  staleConnection_ = false;
   HttpAborter aborter;
   aborter_ = &aborter;
   const TargetMonitor monitor(
@@ -336,6 +339,8 @@
     end = takeResponse(call, aTarget);
   } else {
     lastDetail_ = call.failure().message_;
+    staleConnection_ = call.failure().kind_ == HttpFailureKind::kClosed &&
+                       call.failure().keptConnection_;
     end = call.failure().bytesMayHaveArrived_ ? SendEnd::kUnknown
                                               : SendEnd::kNotRun;
   }
@@ -346,6 +351,8 @@
   SendResult result = SendResult::kAnswered;
   if (end == SendEnd::kOver) {
     result = SendResult::kAborted;
+  } else if (staleConnection_) {
+    result = SendResult::kAnswered;
   } else if (end == SendEnd::kNotRun && call.hasResponse()) {
     result = SendResult::kRejected;
   } else if (end != SendEnd::kDelivered) {
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -106,7 +106,9 @@
   std::uint32_t sends_ = 0;                 ///< Sends to targets.
   std::uint32_t runs_ = 0;                  ///< Sends that may have run.
   std::uint32_t rejections_ = 0;            ///< Sends that certainly did not.
-  bool streaming_ = false; ///< Whether a streamed answer has begun.
+  bool staleConnection_ = false; ///< Whether the newest send met a kept
+                                 ///< connection that its target had closed.
+  bool streaming_ = false;       ///< Whether a streamed answer has begun.
   std::optional<HttpResponse> failure_; ///< Newest failure that a target
                                         ///< answered.
   std::string lastDetail_; ///< Why the newest send ended as it did.
--- a/tests/coordination/replica_plan_test.cpp
+++ b/tests/coordination/replica_plan_test.cpp
@@ -32,6 +32,7 @@
 vms(const std::string& aPrefix, int aCount, const std::string& aModel = "")
 {
   std::vector<FreeVm> result;
+  result.reserve(static_cast<std::size_t>(aCount));
   for (int index = 0; index < aCount; ++index) {
     result.push_back(vm(aPrefix + std::to_string(index), aModel));
   }
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(nonIdempotentIsSentOnce);
   CPPUNIT_TEST(nonIdempotentThatDidNotRunGoesElsewhere);
   CPPUNIT_TEST(idempotentIsRepeatedAfterFailure);
+  CPPUNIT_TEST(closedKeptConnectionIsNoFailureOfTheTarget);
   CPPUNIT_TEST(foreignAnswerReachesNobody);
   CPPUNIT_TEST(unsignedSuccessReachesNobody);
   CPPUNIT_TEST(tornAnswerNeverLooksWhole);
@@ -212,6 +213,28 @@
     }
   }
 
+  void closedKeptConnectionIsNoFailureOfTheTarget()
+  {
+    // Answers one request on each connection and closes it without a word.
+    std::atomic<int> requests = 0;
+    RawServer target([&](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      ++requests;
+      RawServer::write(aSocket, RelayWorld::answer("200 OK", "fine"));
+      if (requests > 1) {
+        RawServer::readRequest(aSocket);
+      }
+    });
+    RelayWorld world;
+    world.addTarget("i-1", target.endpoint());
+    world.start();
+    for (int round = 0; round < 6; ++round) {
+      CPPUNIT_ASSERT_EQUAL(
+        std::string("200"),
+        statusOf(world.ask(RelayWorld::request("GET", "/safe/"))));
+    }
+  }
+
   void foreignAnswerReachesNobody()
   {
     RawServer target([&](Socket& aSocket, int) {
