--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -4,6 +4,7 @@
 
 #include "app/command_config.h"
 #include "app/command_func.h"
+#include "app/command_log.h"
 #include "app/command_status.h"
 #include "app/relay_daemon.h"
 #include "app/relay_settings_file.h"
@@ -23,6 +24,8 @@
 {
   std::string settings_;           ///< Settings file of `serve`.
   std::string file_;               ///< Configuration file.
+  std::string request_;            ///< Request of `log`.
+  std::vector<std::string> logs_;  ///< Files of `log`.
   std::uint32_t count_ = 20;       ///< Lines of history or audit.
   std::uint32_t waitSeconds_ = 60; ///< Longest wait of `config submit`.
   OperatorOptions operator_;       ///< How to reach a daemon.
@@ -66,6 +69,22 @@
     ->callback([] { std::cout << relaySettingsReference(); });
 }
 
+/** Declares `log`. */
+void
+addLog(CLI::App& aApp, CommandOptions& aOptions)
+{
+  CLI::App* command = aApp.add_subcommand(
+    "log", "Print the log records of one request in order of time");
+  command
+    ->add_option("--request", aOptions.request_, "Identifier of the request")
+    ->required();
+  command->add_option("FILE", aOptions.logs_, "Logs of relay daemons")
+    ->required();
+  command->callback([&aOptions] {
+    aOptions.status_ = runLog(aOptions.request_, aOptions.logs_, std::cout);
+  });
+}
+
 /** Declares `serve` and `settings`. */
 void
 addDaemonCommands(CLI::App& aApp, CommandOptions& aOptions)
@@ -205,6 +224,7 @@
   CommandOptions options;
   addDaemonCommands(app, options);
   addRelayCommands(app, options);
+  addLog(app, options);
   addConfigCommands(app, options);
   addStatusCommands(app, options);
   try {
--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -39,6 +39,9 @@
          ///< the store by itself.
 constexpr milliseconds kDigestPeriod(300); ///< Between two digests of a zone.
 constexpr double kUsedBudget = 0.8; ///< Part of the limit of repeated sends.
+constexpr double kBudgetSlack =
+  1.3; ///< How much more than its even part of the extra sends a daemon may
+       ///< save, since they are not needed evenly.
 constexpr std::uint32_t kPermille = 1000;     ///< Thousandths.
 constexpr char kOwnPrefix[] = "auburnhaven/"; ///< Of the daemons' keys.
 constexpr char kDutyPrefix[] = "auburnhaven/coordinator/"; ///< Of the duties.
@@ -439,7 +442,7 @@
   budget_.setMaximum(
     std::max(1U,
              static_cast<std::uint32_t>(settings_.retries_.extra_ *
-                                        kUsedBudget / daemons)));
+                                        kUsedBudget * kBudgetSlack / daemons)));
 }
 
 void
--- a/src/coordination/routing/target_pool.cpp
+++ b/src/coordination/routing/target_pool.cpp
@@ -302,6 +302,7 @@
                settings_.patience_));
   std::vector<Candidate> all;
   std::vector<Candidate> open;
+  std::vector<Candidate> resting;
   for (auto& [vm, target] : targets_) {
     if (!fits(target, aNeed, now)) {
       continue;
@@ -315,21 +316,21 @@
     const bool tried =
       std::find(aNeed.excluded_.begin(), aNeed.excluded_.end(), vm) !=
       aNeed.excluded_.end();
-    const bool enters = target.restsUntil_ <= now &&
-                        candidate.expected_ <= limit &&
-                        mayEnter(target, candidate.load_);
+    const bool enters =
+      candidate.expected_ <= limit && mayEnter(target, candidate.load_);
     if (!tried && enters) {
       const double idle = std::max(
         1.0, static_cast<double>(target.slots_) - candidate.load_.running_);
       candidate.weight_ = roomOf(target, candidate.load_) * idle /
                           (target.slowness_ * target.slowness_);
-      open.push_back(candidate);
+      (target.restsUntil_ <= now ? open : resting).push_back(candidate);
     }
   }
-  if (open.empty()) {
+  if (open.empty() && resting.empty()) {
     return refuse(all, aNeed);
   }
-  const Candidate& chosen = pick(open);
+  // A target that failed lately is still better than a refusal.
+  const Candidate& chosen = pick(open.empty() ? resting : open);
   ++chosen.target_->own_;
   noteChange(*chosen.target_, now, 1);
   const auto quota =
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -87,9 +87,9 @@
     150);                 ///< How long a target rests after it was full.
   double patience_ = 1.0; ///< Part of the latency target that the expected
                           ///< first event may take.
-  double freeLoad_ = 0.6; ///< Part of its slots up to which a target takes any
+  double freeLoad_ = 0.7; ///< Part of its slots up to which a target takes any
                           ///< request.
-  double quotaSlack_ = 1.1; ///< How much more than its part of the room of a
+  double quotaSlack_ = 1.2; ///< How much more than its part of the room of a
                             ///< zone a daemon may use, since callers are not
                             ///< shared evenly.
   std::uint32_t queueRoom_ =
--- a/tests/coordination/routing_pool_test.cpp
+++ b/tests/coordination/routing_pool_test.cpp
@@ -102,6 +102,7 @@
   CPPUNIT_TEST(fullTargetsRefuseAtOnce);
   CPPUNIT_TEST(ownSendsCountBeforeTheyAreReported);
   CPPUNIT_TEST(failedTargetRests);
+  CPPUNIT_TEST(restingTargetIsBetterThanRefusal);
   CPPUNIT_TEST(triedTargetIsNotChosenAgain);
   CPPUNIT_TEST(copyWithLeavingMemberGetsNothing);
   CPPUNIT_TEST(stragglerGetsLess);
@@ -198,6 +199,15 @@
     }
   }
 
+  void restingTargetIsBetterThanRefusal()
+  {
+    Pool pool(clock_);
+    pool.pool_.setDigest(digest(1, { { "a", 0 } }, clock_.now()));
+    pool.pool_.choose(need());
+    pool.pool_.finish(state::VmId("a"), SendResult::kFailed);
+    CPPUNIT_ASSERT_EQUAL(state::VmId("a"), pool.pool_.choose(need()).vm_);
+  }
+
   void triedTargetIsNotChosenAgain()
   {
     Pool pool(clock_);
