--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -33,6 +33,7 @@
 constexpr milliseconds kLeaseRetry(150);  ///< After a renewal that failed.
 constexpr std::chrono::seconds kProbeAfter(1); ///< Silence before TCP probes.
 constexpr milliseconds kRegistrationTimeToLive(10000); ///< Of a daemon's entry.
+constexpr milliseconds kRegistrationRetry(2000); ///< After a call that failed.
 constexpr milliseconds kRegistrationRenewal(3500); ///< Between two renewals.
 constexpr milliseconds kCoordinatorSilence(
   1000); ///< Silence of the own zone's coordinator after which a daemon follows
@@ -145,7 +146,7 @@
   limits.timeToLive_ = kRegistrationTimeToLive;
   limits.renewal_ = kRegistrationRenewal;
   limits.margin_ = kLeaseMargin;
-  limits.retryPause_ = kLeaseRetry;
+  limits.retryPause_ = kRegistrationRetry;
   return limits;
 }
 
@@ -352,7 +353,7 @@
     });
   follower_.setOthers(
     !coordinates && clock_.now() - heardAt_ < kCoordinatorSilence, newsAt_);
-  registration_.tick(mayTry ? std::optional<state::Duration>(kTryPeriod)
+  registration_.tick(mayTry ? std::optional<state::Duration>(kRegistrationRetry)
                             : std::nullopt);
   if (clock_.now() >= digestAt_) {
     digestAt_ = clock_.now() + kDigestPeriod;
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -51,7 +51,7 @@
   state::Duration urgentPause_ =
     std::chrono::milliseconds(250); ///< The same while changes are urgent.
   state::Duration failurePause_ =
-    std::chrono::milliseconds(250); ///< After a call that failed.
+    std::chrono::milliseconds(700); ///< After a call that failed.
   state::Duration refreshPeriod_ =
     std::chrono::seconds(14); ///< While others are heard: between two readings
                               ///< of all changes.
