--- a/src/coordination/replica/load_limiter.h
+++ b/src/coordination/replica/load_limiter.h
@@ -37,12 +37,6 @@
     tokens_ -= 1;
     return true;
   }
-  /** @return Loads that may start now. */
-  double available()
-  {
-    refill();
-    return tokens_;
-  }
 
 private:
   void refill()
