Let daemons that come second for a zone's coordination stop trying

A daemon that lost the try for a lease learnt the holder only from the watch; while the coordinator's digests are heard there is no watch, so it tried each 0.4 s until the next reading after 14 s, for each zone. Beside it: a listing after lost history never told that an own key was gone, so a dead coordinator or daemon stayed known for good. Ruled out: watches during the outage (955 in the worst 5 s), renewals (priced a tenth). Change: the store's refusal names the holder and ZoneDuty (own file now) takes it; listings remove own keys that are missing. Calls to the store are counted by kind and status in metrics and each 5 s in the log. Tests: ReplicaDutyTest (both failed before), ownKeyThatVanishedWithItsHistoryIsTold (failed before).

--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -108,9 +108,10 @@
   add_executable(auburnhaven ${SRC}/app/main.cpp)
   target_link_libraries(auburnhaven PRIVATE auburnhaven_app)
 
-  file(GLOB STANDIN_SOURCES CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/standins/*.cpp)
+  file(GLOB_RECURSE STANDIN_SOURCES CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/standins/*.cpp)
   if(STANDIN_SOURCES)
     add_executable(auburnhaven-standins ${STANDIN_SOURCES})
+    target_include_directories(auburnhaven-standins PRIVATE ${PROJECT_SOURCE_DIR}/standins)
     target_link_libraries(auburnhaven-standins PRIVATE auburnhaven_transport)
   endif()
 
--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -25,7 +25,6 @@
         ///< vacant duty.
 constexpr milliseconds kOtherZonePatience(
   2500); ///< Wait before a daemon of another zone does.
-constexpr milliseconds kTryPeriod(400);        ///< Between two tries.
 constexpr milliseconds kLeaseTimeToLive(1500); ///< Of a zone's duty.
 constexpr milliseconds kLeaseRenewal(400);     ///< Between two renewals.
 constexpr milliseconds kLeaseMargin(400); ///< End of the own authority before
@@ -39,6 +38,8 @@
   1000); ///< Silence of the own zone's coordinator after which a daemon follows
          ///< the store by itself.
 constexpr milliseconds kDigestPeriod(300); ///< Between two digests of a zone.
+constexpr std::chrono::seconds kUsagePeriod(
+  5); ///< Between two records of the calls to the store.
 constexpr double kUsedBudget = 0.8; ///< Part of the limit of repeated sends.
 constexpr double kBudgetSlack =
   1.3; ///< How much more than its even part of the extra sends a daemon may
@@ -83,6 +84,27 @@
   return limits;
 }
 
+/** @return Settings of the coordination of a zone. */
+coordination::ZoneDutySettings
+dutySettings(const RelayDaemonSettings& aSettings,
+             const state::Clock& aClock,
+             const state::ZoneId& aZone)
+{
+  std::mt19937_64 random{ std::random_device{}() };
+  const auto jitter = milliseconds(
+    random() % static_cast<std::uint64_t>(kOwnZonePatience.count()));
+  coordination::ZoneDutySettings duty;
+  duty.key_ = kDutyPrefix + aZone.value();
+  duty.self_ = state::textOf(aSettings.listeners_.peers_) + ' ' +
+               std::to_string(aClock.wallNow().time_since_epoch().count());
+  duty.patience_ =
+    aZone == aSettings.zone_ ? jitter : kOtherZonePatience + jitter * 10;
+  duty.lease_ = dutyLimits();
+  duty.zone_ = replicaZone(aSettings, aZone);
+  duty.limits_ = replicaLimits(aSettings);
+  return duty;
+}
+
 /** @return Settings of the follower. */
 coordination::FollowerSettings
 followerSettings()
@@ -152,60 +174,6 @@
 
 } // namespace
 
-ZoneDuty::ZoneDuty(const RelayDaemonSettings& aSettings,
-                   state::Clock& aClock,
-                   coordination::Store& aStore,
-                   coordination::ReplicaEngines& aEngines,
-                   state::EventLog& aLog,
-                   const state::ZoneId& aZone)
-  : clock_(aClock)
-  , key_(kDutyPrefix + aZone.value())
-  , self_(state::textOf(aSettings.listeners_.peers_) + ' ' +
-          std::to_string(aClock.wallNow().time_since_epoch().count()))
-  , vacantSince_(aClock.now())
-  , lease_(aClock, aStore, key_, self_, dutyLimits())
-  , coordinator_(aClock,
-                 aEngines,
-                 lease_,
-                 aLog,
-                 replicaZone(aSettings, aZone),
-                 replicaLimits(aSettings))
-{
-  std::mt19937_64 random{ std::random_device{}() };
-  const auto jitter = milliseconds(
-    random() % static_cast<std::uint64_t>(kOwnZonePatience.count()));
-  patience_ =
-    aZone == aSettings.zone_ ? jitter : kOtherZonePatience + jitter * 10;
-}
-
-void
-ZoneDuty::setHolder(const std::optional<std::string>& aHolder)
-{
-  if (holder_ && !aHolder) {
-    vacantSince_ = clock_.now();
-  }
-  holder_ = aHolder;
-}
-
-void
-ZoneDuty::tick(bool aMayTry)
-{
-  const bool vacant = !holder_ || *holder_ == self_;
-  const bool tries =
-    aMayTry && vacant && clock_.now() - vacantSince_ >= patience_;
-  lease_.tick(tries ? std::optional<state::Duration>(kTryPeriod)
-                    : std::nullopt);
-  coordinator_.tick();
-}
-
-void
-ZoneDuty::handBack()
-{
-  if (lease_.holds()) {
-    lease_.release([] {});
-  }
-}
-
 RelayDaemon::RelayDaemon(RelayDaemonSettings aSettings)
   : settings_(std::move(aSettings))
   , seed_(std::random_device{}())
@@ -245,8 +213,8 @@
       traffic_.context(thread), clientLimits()));
   }
   for (const state::ZoneId& zone : settings_.zones_) {
-    duties_[zone] = std::make_unique<ZoneDuty>(
-      settings_, clock_, store_, engines_, log_, zone);
+    duties_[zone] = std::make_unique<coordination::ZoneDuty>(
+      clock_, store_, engines_, log_, dutySettings(settings_, clock_, zone));
   }
 }
 
@@ -359,6 +327,34 @@
     digestAt_ = clock_.now() + kDigestPeriod;
     sendDigests();
   }
+  if (clock_.now() >= usageAt_) {
+    usageAt_ = clock_.now() + kUsagePeriod;
+    noteStoreCalls();
+  }
+}
+
+void
+RelayDaemon::noteStoreCalls()
+{
+  for (const auto& [kind, total] : store_.calls()) {
+    std::uint64_t& noted = notedCalls_[kind];
+    if (total == noted) {
+      continue;
+    }
+    const std::uint64_t count = total - noted;
+    noted = total;
+    metrics_
+      .counter("auburnhaven_store_calls_total{call=\"" +
+               std::string(kind.call_) + "\",status=\"" +
+               std::to_string(kind.status_) + "\"}")
+      .add(count);
+    log_.write(state::LogWeight::kRoutine,
+               kPart,
+               "calls to the store",
+               { state::logField("call", kind.call_),
+                 state::logField("status", kind.status_),
+                 state::logField("count", count) });
+  }
 }
 
 void
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -3,7 +3,7 @@
 
 #include "app/relay_settings_type.h"
 #include "coordination/authority_lease.h"
-#include "coordination/replica/replica_coordinator.h"
+#include "coordination/replica/zone_duty.h"
 #include "coordination/request/retry_budget.h"
 #include "coordination/routing/daemon_registry.h"
 #include "coordination/routing/store_follower.h"
@@ -32,58 +32,6 @@
 
 namespace auburnhaven::app {
 
-/** Tries for the coordination of zones, the own one first. Control thread only.
- */
-class ZoneDuty
-{
-public:
-  /**
-   * @param aSettings Settings of the daemon.
-   * @param aClock Clock; outlives this object.
-   * @param aStore The store; outlives this object.
-   * @param aEngines The engines; outlive this object.
-   * @param aLog Log; outlives this object.
-   * @param aZone The zone.
-   */
-  ZoneDuty(const RelayDaemonSettings& aSettings,
-           state::Clock& aClock,
-           coordination::Store& aStore,
-           coordination::ReplicaEngines& aEngines,
-           state::EventLog& aLog,
-           const state::ZoneId& aZone);
-
-  /** @return Key of the zone's lease. */
-  const std::string& key() const { return key_; }
-  /**
-   * Takes the present holder of the lease.
-   * @param aHolder The holder, or nothing when there is none.
-   */
-  void setHolder(const std::optional<std::string>& aHolder);
-  /** @return The present holder, as last heard. */
-  const std::optional<std::string>& holder() const { return holder_; }
-  /**
-   * Does what is due.
-   * @param aMayTry Whether to try for the lease when nobody has it.
-   */
-  void tick(bool aMayTry);
-  /** @return The coordinator of the zone. */
-  coordination::ReplicaCoordinator& coordinator() { return coordinator_; }
-  /** @return Whether this daemon has the duty. */
-  bool isHeld() const { return lease_.holds(); }
-  /** Gives the lease back, when it is held. */
-  void handBack();
-
-private:
-  const state::Clock& clock_;          ///< Clock.
-  std::string key_;                    ///< Key of the lease.
-  std::string self_;                   ///< Holder's name of this process.
-  state::Duration patience_;           ///< Wait before a try.
-  std::optional<std::string> holder_;  ///< Present holder.
-  state::TimePoint vacantSince_{};     ///< Since when there is none.
-  coordination::AuthorityLease lease_; ///< The lease.
-  coordination::ReplicaCoordinator coordinator_; ///< The coordinator.
-};
-
 /** One relay daemon. Used by the thread that makes it. */
 class RelayDaemon
 {
@@ -106,6 +54,7 @@
   void tick();
   void takeDigest(const coordination::ZoneDigest& aDigest);
   void sendDigests();
+  void noteStoreCalls();
   void takeConfig();
   void takeInstances();
   void takeOwnKey(const std::string& aKey,
@@ -132,11 +81,14 @@
   transport::DatagramSocket digests_;         ///< Digests of the zones.
   state::TimePoint digestAt_{};               ///< When to send digests.
   std::uint64_t digestCount_ = 0;             ///< Digests sent.
+  state::TimePoint usageAt_{}; ///< When to record the calls to the store.
+  std::map<platform::StoreCallKind, std::uint64_t>
+    notedCalls_;               ///< Calls to the store as last recorded.
   state::Revision newsAt_;     ///< Newest change of the store announced.
   state::TimePoint heardAt_{}; ///< When the own zone's coordinator was heard.
   transport::PeerLinks links_; ///< Links to other daemons.
   protocol::ConfigExchange exchange_; ///< Configuration from peers.
-  std::map<state::ZoneId, std::unique_ptr<ZoneDuty>>
+  std::map<state::ZoneId, std::unique_ptr<coordination::ZoneDuty>>
     duties_;                       ///< Coordination of each zone.
   transport::TrafficPool traffic_; ///< Traffic thread.
   std::vector<std::unique_ptr<transport::HttpClient>>
--- a/src/coordination/authority_lease.cpp
+++ b/src/coordination/authority_lease.cpp
@@ -111,6 +111,9 @@
   if (aReply.status_ == StoreStatus::kConflict) {
     until_ = {};
     number_ = 0;
+    if (takenHandler_ && !aReply.holder_.empty()) {
+      takenHandler_(aReply.holder_);
+    }
   }
   if (aReply.status_ != StoreStatus::kOk || stopped_) {
     return;
--- a/src/coordination/authority_lease.h
+++ b/src/coordination/authority_lease.h
@@ -33,6 +33,8 @@
 {
 public:
   using DoneHandler = std::function<void()>; ///< Called when a call has ended.
+  using TakenHandler =
+    std::function<void(const std::string&)>; ///< Takes another holder's name.
 
   /**
    * @param aClock Monotonic clock.
@@ -47,6 +49,8 @@
                  std::string aHolder,
                  const LeaseLimits& aLimits);
 
+  /** @param aHandler Called when the store says that another holder has it. */
+  void onTaken(TakenHandler aHandler) { takenHandler_ = std::move(aHandler); }
   /**
    * Renews the lease, or tries to get it, when the time has come.
    * @param aPeriod Period of attempts while the lease is not held; none to not
@@ -77,6 +81,7 @@
   std::string name_;               ///< Name of the lease.
   std::string holder_;             ///< Name of this process.
   LeaseLimits limits_;             ///< Limits.
+  TakenHandler takenHandler_;      ///< Told of another holder.
   bool underWay_ = false;          ///< Whether a request is under way.
   bool stopped_ = false;           ///< Whether the lease was given back.
   std::uint64_t number_ = 0;       ///< Number under which it was last held.
--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -134,27 +134,39 @@
     return;
   }
   answered();
-  std::set<state::VmId> seen;
+  std::set<std::string> seen;
   for (const StoreItem& item : aReply.items_) {
-    if (item.key_.starts_with(settings_.instancePrefix_)) {
-      seen.insert(
-        state::VmId(item.key_.substr(settings_.instancePrefix_.size())));
-    }
+    seen.insert(item.key_);
     apply(item.key_, item.value_, item.revision_);
   }
+  removeMissing(seen);
+  at_ = aReply.at_;
+  listed_ = true;
+  mustList_ = false;
+  publish();
+}
+
+void
+StoreFollower::removeMissing(const std::set<std::string>& aSeen)
+{
   std::vector<state::VmId> gone;
   for (const auto& [vm, instance] : present_) {
-    if (!seen.contains(vm)) {
+    if (!aSeen.contains(settings_.instancePrefix_ + vm.value())) {
       gone.push_back(vm);
     }
   }
   for (const state::VmId& vm : gone) {
     removeInstance(vm);
   }
-  at_ = aReply.at_;
-  listed_ = true;
-  mustList_ = false;
-  publish();
+  std::vector<std::string> goneKeys;
+  for (const std::string& key : ownKeys_) {
+    if (!aSeen.contains(key)) {
+      goneKeys.push_back(key);
+    }
+  }
+  for (const std::string& key : goneKeys) {
+    takeOwnKey(key, std::nullopt);
+  }
 }
 
 void
@@ -202,7 +214,21 @@
     } else {
       removeInstance(vm);
     }
-  } else if (aKey.starts_with(settings_.ownPrefix_) && keyHandler_) {
+  } else if (aKey.starts_with(settings_.ownPrefix_)) {
+    takeOwnKey(aKey, aValue);
+  }
+}
+
+void
+StoreFollower::takeOwnKey(const std::string& aKey,
+                          const std::optional<std::string>& aValue)
+{
+  if (aValue) {
+    ownKeys_.insert(aKey);
+  } else {
+    ownKeys_.erase(aKey);
+  }
+  if (keyHandler_) {
     keyHandler_(aKey, aValue);
   }
 }
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace auburnhaven::coordination {
@@ -155,6 +156,9 @@
   void takeConfig(const std::string& aText, std::string_view aSource);
   void putInstance(const state::VmId& aVm, const std::string& aText);
   void removeInstance(const state::VmId& aVm);
+  void takeOwnKey(const std::string& aKey,
+                  const std::optional<std::string>& aValue);
+  void removeMissing(const std::set<std::string>& aSeen);
   void dropMissing();
   void publish();
 
@@ -172,8 +176,9 @@
   state::InstanceMapPtr instances_ =
     std::make_shared<state::InstanceMap>(); ///< Instances as published.
   std::map<state::VmId, state::TimePoint>
-    missing_;                ///< Instances that vanished in an outage, and when
-                             ///< they are dropped.
+    missing_; ///< Instances that vanished in an outage, and when
+              ///< they are dropped.
+  std::set<std::string> ownKeys_; ///< The daemons' own keys that exist.
   bool changed_ = false;     ///< Whether instances differ from the published.
   bool listed_ = false;      ///< Whether the keys were listed.
   bool mustList_ = true;     ///< Whether the keys must be listed next.
--- a/standins/http_host.cpp
+++ b/standins/http_host.cpp
@@ -19,6 +19,23 @@
 
 constexpr std::size_t kMaxBodyBytes = 16UL * 1024 * 1024; ///< Largest body.
 
+/** @return A text with its percent codes replaced. */
+std::string
+decodePercent(const std::string& aText)
+{
+  std::string text;
+  for (std::size_t at = 0; at < aText.size(); ++at) {
+    unsigned value = 0;
+    const char* const code = aText.data() + at + 1;
+    const bool coded =
+      aText[at] == '%' && at + 2 < aText.size() &&
+      std::from_chars(code, code + 2, value, 16).ptr == code + 2;
+    text += coded ? static_cast<char>(value) : aText[at];
+    at += coded ? 2 : 0;
+  }
+  return text;
+}
+
 } // namespace
 
 Exchange::Exchange(tcp::socket& aSocket,
@@ -49,7 +66,7 @@
     return "";
   }
   const std::size_t from = found + aName.size() + 2;
-  return text.substr(from, text.find('&', from) - from);
+  return decodePercent(text.substr(from, text.find('&', from) - from));
 }
 
 std::string
@@ -67,14 +84,24 @@
 
 void
 Exchange::reply(unsigned aStatus, const std::string& aBody, bool aNotRun)
+{
+  replyWith(aStatus,
+            aBody,
+            aNotRun ? HeaderList{ { "X-Not-Run", "true" } } : HeaderList());
+}
+
+void
+Exchange::replyWith(unsigned aStatus,
+                    const std::string& aBody,
+                    const HeaderList& aHeaders)
 {
   http::response<http::string_body> response;
   response.version(11);
   response.result(aStatus);
   response.keep_alive(request_.keep_alive());
   response.set(http::field::content_type, "application/json");
-  if (aNotRun) {
-    response.set("X-Not-Run", "true");
+  for (const auto& [name, value] : aHeaders) {
+    response.set(name, value);
   }
   response.body() = aStatus == 204 ? "" : aBody;
   response.prepare_payload();
@@ -92,10 +119,14 @@
 }
 
 void
-Exchange::beginChunks()
+Exchange::beginChunks(std::string_view aContentType, const HeaderList& aHeaders)
 {
-  send("HTTP/1.1 200 OK\r\nContent-Type: application/jsonlines\r\n"
-       "Transfer-Encoding: chunked\r\n\r\n");
+  std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+  head.append("Content-Type: ").append(aContentType).append("\r\n");
+  for (const auto& [name, value] : aHeaders) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  }
+  send(head + "\r\n");
 }
 
 void
--- a/standins/http_host.h
+++ b/standins/http_host.h
@@ -11,12 +11,18 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace auburnhaven::standins {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
+using HeaderList =
+  std::vector<std::pair<std::string, std::string>>; ///< Names and values of
+                                                    ///< headers.
+
 /** One request with the means to answer it. Lives on the thread of its host. */
 class Exchange
 {
@@ -34,7 +40,7 @@
   std::string path() const;
   /**
    * @param aName Name of a query parameter.
-   * @return Its value, or an empty string.
+   * @return Its value without percent codes, or an empty string.
    */
   std::string query(const std::string& aName) const;
   /**
@@ -44,6 +50,8 @@
   std::string header(const std::string& aName) const;
   /** @return Body of the request. */
   const std::string& body() const { return request_.body(); }
+  /** @return Method of the request. */
+  http::verb method() const { return request_.method(); }
   /** @return Whether the request has this method and path. */
   bool is(http::verb aMethod, std::string_view aPath) const;
 
@@ -56,10 +64,26 @@
   void reply(unsigned aStatus,
              const std::string& aBody = "{}",
              bool aNotRun = false);
+  /**
+   * Answers with a whole body and headers.
+   * @param aStatus HTTP status.
+   * @param aBody Body, JSON unless empty.
+   * @param aHeaders Names and values of further headers.
+   */
+  void replyWith(unsigned aStatus,
+                 const std::string& aBody,
+                 const HeaderList& aHeaders);
+  /** @param aBytes Bytes to write as they are. */
+  void sendRaw(const std::string& aBytes) { send(aBytes); }
   /** Closes the connection without an answer. */
   void drop() { open_ = false; }
-  /** Starts an answer in chunks. */
-  void beginChunks();
+  /**
+   * Starts an answer in chunks.
+   * @param aContentType Type of the body.
+   * @param aHeaders Names and values of further headers.
+   */
+  void beginChunks(std::string_view aContentType = "application/jsonlines",
+                   const HeaderList& aHeaders = {});
   /** @param aData Bytes of the next chunk. */
   void chunk(std::string_view aData);
   /** Ends the answer in chunks. */
--- a/standins/standins_command.cpp
+++ b/standins/standins_command.cpp
@@ -2,6 +2,7 @@
 
 #include "standins_command.h"
 
+#include "platform/platform_world.h"
 #include "world.h"
 
 #include <CLI/CLI.hpp>
@@ -13,7 +14,10 @@
 namespace {
 
 constexpr std::size_t kMaxZones = kServicePort - kStorePort; ///< Store fronts.
-constexpr std::uint32_t kMaxServices = 26; ///< Service VMs of a zone.
+constexpr std::uint32_t kMaxServices = 26;      ///< Service VMs of a zone.
+constexpr std::uint32_t kMaxModelWorkers = 100; ///< Model workers of a zone.
+constexpr std::uint32_t kMaxPlainWorkers =
+  kModelPort - kPlainPort; ///< Workers of the plain service.
 
 /** Numbers that are given in other units than the options hold. */
 struct Units
@@ -50,6 +54,28 @@
   aApp.add_option("--threads", aOptions.threads_)->check(CLI::Range(1, 64));
 }
 
+/** Declares the command that hosts the users' platform. @return The command. */
+const CLI::App*
+addPlatform(CLI::App& aApp, PlatformOptions& aOptions)
+{
+  CLI::App* const command = aApp.add_subcommand(
+    "platform", "The users' platform: its store, workers and operator");
+  command->add_option("--base-port", aOptions.basePort_, "First port");
+  command->add_option("--zones", aOptions.zones_, "Names of the zones")
+    ->delimiter(',');
+  command
+    ->add_option(
+      "--workers-per-zone", aOptions.workersPerZone_, "Model workers of a zone")
+    ->check(CLI::Range(1U, kMaxModelWorkers));
+  command
+    ->add_option(
+      "--plain-workers", aOptions.plainWorkers_, "Workers of the plain service")
+    ->check(CLI::Range(1U, kMaxPlainWorkers));
+  command->add_option("--slots", aOptions.pace_.slots_, "Requests at once")
+    ->check(CLI::Range(1U, 1000U));
+  return command;
+}
+
 /** Prints where everything listens, one line each. */
 void
 printPlan(const WorldOptions& aOptions)
@@ -75,8 +101,10 @@
 {
   CLI::App app("Stand-ins for store, VM list, weight store, engines, services");
   WorldOptions options;
+  PlatformOptions platform;
   Units units;
   addOptions(app, options, units);
+  const CLI::App* const onPlatform = addPlatform(app, platform);
   try {
     app.parse(aCount, aArguments);
   } catch (const CLI::ParseError& error) {
@@ -86,6 +114,12 @@
     std::chrono::microseconds(static_cast<std::int64_t>(units.tokenMs_ * 1000));
   options.engine_.load_ = std::chrono::milliseconds(units.loadMs_);
   try {
+    if (onPlatform->parsed()) {
+      PlatformWorld world(platform);
+      std::cout << world.plan() << "ready" << std::endl;
+      world.run();
+      return 0;
+    }
     World world(options);
     printPlan(options);
     world.run();
--- /dev/null
+++ b/tests/coordination/replica_duty_test.cpp
@@ -0,0 +1,111 @@
+// Tests of trying for the coordination of a zone.
+
+#include "coordination/replica/zone_duty.h"
+#include "fakes/fake_event_log.h"
+#include "fakes/fake_replica_engines.h"
+#include "fakes/fake_store.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace auburnhaven;
+using namespace auburnhaven::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A daemon that tries for the coordination. */
+struct Daemon
+{
+  Daemon(fakes::FakeClock& aClock,
+         const std::shared_ptr<fakes::FakeStoreData>& aData,
+         fakes::FakeReplicaFleet& aFleet,
+         const std::string& aName)
+    : store_(aClock, aData)
+    , engines_(aClock, aFleet)
+    , duty_(aClock, store_, engines_, log_, settings(aName))
+  {
+  }
+
+  static ZoneDutySettings settings(const std::string& aName)
+  {
+    ZoneDutySettings settings;
+    settings.key_ = "duty";
+    settings.self_ = aName;
+    settings.lease_.timeToLive_ = 1500ms;
+    settings.lease_.renewal_ = 400ms;
+    settings.lease_.margin_ = 400ms;
+    settings.lease_.retryPause_ = 150ms;
+    return settings;
+  }
+
+  fakes::FakeStore store_;            ///< Its connection to the store.
+  fakes::FakeReplicaEngines engines_; ///< Its connections to the engines.
+  fakes::FakeEventLog log_;           ///< Its log.
+  ZoneDuty duty_;                     ///< Its part in the coordination.
+};
+
+} // namespace
+
+class ReplicaDutyTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ReplicaDutyTest);
+  CPPUNIT_TEST(whoComesSecondDoesNotTryAgain);
+  CPPUNIT_TEST(vacancyIsTakenAfterTheLeaseHasEnded);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    for (const char* name : { "a", "b", "c" }) {
+      daemons_.push_back(std::make_unique<Daemon>(clock_, data_, fleet_, name));
+    }
+  }
+
+  // After the start of many daemons, all but one came second. They read no
+  // changes of the store while the coordinator is heard, and tried on.
+  void whoComesSecondDoesNotTryAgain()
+  {
+    run(10s);
+    CPPUNIT_ASSERT(daemons_[0]->duty_.isHeld());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), *daemons_[1]->duty_.holder());
+    // One try each, and the holder's renewals.
+    const std::uint64_t renewals = 10s / 400ms + 1;
+    CPPUNIT_ASSERT(data_->writes_ <= renewals + daemons_.size());
+  }
+
+  void vacancyIsTakenAfterTheLeaseHasEnded()
+  {
+    run(1s);
+    const auto dead = std::move(daemons_.front());
+    daemons_.erase(daemons_.begin());
+    run(2s);
+    CPPUNIT_ASSERT(!daemons_[0]->duty_.isHeld());
+    for (const auto& daemon : daemons_) {
+      daemon->duty_.setHolder(std::nullopt);
+    }
+    run(1s);
+    CPPUNIT_ASSERT(daemons_[0]->duty_.isHeld());
+    CPPUNIT_ASSERT(!daemons_[1]->duty_.isHeld());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), *daemons_[1]->duty_.holder());
+  }
+
+private:
+  void run(state::Duration aTime)
+  {
+    for (const auto end = clock_.now() + aTime; clock_.now() < end;) {
+      for (const auto& daemon : daemons_) {
+        daemon->store_.step();
+        daemon->duty_.tick(true);
+      }
+      clock_.advance(10ms);
+    }
+  }
+
+  fakes::FakeClock clock_; ///< Clock.
+  std::shared_ptr<fakes::FakeStoreData> data_ =
+    std::make_shared<fakes::FakeStoreData>();    ///< The store's data.
+  fakes::FakeReplicaFleet fleet_{ clock_ };      ///< The engines.
+  std::vector<std::unique_ptr<Daemon>> daemons_; ///< The daemons.
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaDutyTest);
--- a/tests/coordination/routing_follower_test.cpp
+++ b/tests/coordination/routing_follower_test.cpp
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(versionsNeverGoBack);
   CPPUNIT_TEST(unreadableEntryNamesNoInstance);
   CPPUNIT_TEST(compactedHistoryIsListedAgain);
+  CPPUNIT_TEST(ownKeyThatVanishedWithItsHistoryIsTold);
   CPPUNIT_TEST(entriesThatVanishInOutageStayForGrace);
   CPPUNIT_TEST(removedEntryGoesAtOnce);
   CPPUNIT_TEST(peerGivesConfiguration);
@@ -130,6 +131,23 @@
     CPPUNIT_ASSERT(!follower_->instances()->contains(state::VmId("a")));
   }
 
+  void ownKeyThatVanishedWithItsHistoryIsTold()
+  {
+    std::map<std::string, std::string> own;
+    follower_->onOwnKey(
+      [&](const std::string& aKey, const std::optional<std::string>& aValue) {
+        own[aKey] = aValue.value_or("gone");
+      });
+    data_->put("own/x", "1");
+    data_->put("own/y", "1");
+    run(1s);
+    data_->remove("own/x");
+    data_->compact();
+    run(3s);
+    CPPUNIT_ASSERT_EQUAL(std::string("gone"), own["own/x"]);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), own["own/y"]);
+  }
+
   void entriesThatVanishInOutageStayForGrace()
   {
     run(1s);
