Wait for members that are listed late before a copy is given up or its VMs are used

Zone lund-b was cut off and its entries expired; a daemon of another zone took its coordination over knowing no VM. On the return the entries came one after the other. The copy r3145732 was adopted with the one member listed by then and parked because its head was 'not reachable'; members listed later belonged to a known copy but not to its members, so they counted as free and joined another copy while their head was open. Open copies were told to leave for the same reason, and digests without them made daemons cut their streams. Ruled out: late orders, lost answers, a restart under the same name (no such record in the log). Change: a copy with missing members is adopted only 2.5 s after the newest VM was listed (5 s in all at most); until then no plan and no digest; a VM that reports an unknown copy is not free; members listed later are filled in. Tests: listThatComesBackInPartsBreaksNoCopy, membersListedBeforeTheirHeadAreNotFree; both failed before.

--- a/src/coordination/replica/engine_watch.cpp
+++ b/src/coordination/replica/engine_watch.cpp
@@ -36,6 +36,9 @@
     WatchedEngine& engine = engines_[instance.id_];
     const bool moved = engine.instance_.endpoint_ != instance.endpoint_;
     engine.instance_ = instance;
+    if (!engine.listed_) {
+      grownAt_ = clock_.now();
+    }
     engine.listed_ = true;
     if (moved) {
       engine.report_.reset();
--- a/src/coordination/replica/engine_watch.h
+++ b/src/coordination/replica/engine_watch.h
@@ -26,8 +26,8 @@
 {
   state::Instance instance_; ///< As it registered itself.
   std::optional<state::EngineReport>
-    report_;           ///< Newest report; absent before the first one.
-  bool listed_ = true; ///< Whether it is still registered.
+    report_;            ///< Newest report; absent before the first one.
+  bool listed_ = false; ///< Whether it is registered.
   state::TimePoint unlistedAt_{}; ///< Since when it is not.
   std::uint32_t misses_ = 0;      ///< Reports in a row without answer.
   state::TimePoint heardAt_{};    ///< When the newest answer arrived.
@@ -104,6 +104,8 @@
   bool isLost(const state::VmId& aVm) const;
   /** @return Whether each engine has answered or is lost. */
   bool isComplete() const;
+  /** @return When a VM was last added to the list. */
+  state::TimePoint grownAt() const { return grownAt_; }
   /** @return Whether no VM has answered for so long that the fault may be this
    * daemon's. */
   bool doubtsItself() const;
@@ -129,6 +131,7 @@
   std::map<state::VmId, WatchedEngine> engines_; ///< What is known.
   std::map<state::VmId, Question> questions_;    ///< When to ask.
   state::TimePoint heardAt_{};                   ///< Newest answer of any VM.
+  state::TimePoint grownAt_{}; ///< When a VM was last added to the list.
   std::shared_ptr<bool> alive_ =
     std::make_shared<bool>(true); ///< Ends callbacks after destruction.
 };
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -133,7 +133,9 @@
     (this->*kSteps[static_cast<std::size_t>(replica.phase_)])(replica);
   }
   sweep();
-  plan();
+  if (!waitsForList_) {
+    plan();
+  }
   setPaces();
 }
 
@@ -150,7 +152,8 @@
 std::optional<ZoneDigest>
 ReplicaCoordinator::digest() const
 {
-  if (!lease_.holds() || !engine_ || !adopted_ || watch_.doubtsItself()) {
+  const bool knowsCopies = adopted_ && !waitsForList_;
+  if (!lease_.holds() || !engine_ || !knowsCopies || watch_.doubtsItself()) {
     return std::nullopt;
   }
   ZoneDigest digest{ zone_.zone_, service_, authority_, 0, {}, {} };
@@ -200,6 +203,7 @@
   authority_ = lease_.number();
   epochs_ = 0;
   adopted_ = false;
+  waitingSince_ = {};
   replicas_.clear();
   dissolved_.clear();
   orders_.clear();
@@ -223,19 +227,44 @@
 void
 ReplicaCoordinator::adoptUnknown()
 {
+  waitsForList_ = watch_.engines().empty();
   for (const auto& [vm, engine] : watch_.engines()) {
-    if (!watch_.answers(vm)) {
+    if (!watch_.answers(vm) || !engine.report_->state_.place_) {
       continue;
     }
-    const auto& place = engine.report_->state_.place_;
-    if (place && !isKnown(*place)) {
-      adopt(*place);
+    const state::MemberPlace& place = *engine.report_->state_.place_;
+    if (isKnown(place)) {
+      fillMember(vm, place);
+    } else {
+      adopt(place);
     }
   }
+  if (!waitsForList_) {
+    waitingSince_ = {};
+  } else if (waitingSince_ == state::TimePoint{}) {
+    waitingSince_ = clock_.now();
+  }
 }
 
 void
-ReplicaCoordinator::adopt(const state::MemberPlace& aPlace)
+ReplicaCoordinator::fillMember(const state::VmId& aVm,
+                               const state::MemberPlace& aPlace)
+{
+  const auto found = replicas_.find(aPlace.replica_);
+  const bool missing = found != replicas_.end() &&
+                       found->second.epoch_ == aPlace.epoch_ &&
+                       (found->second.members_.size() <= aPlace.rank_ ||
+                        found->second.members_[aPlace.rank_].vm_.empty());
+  if (!missing) {
+    return;
+  }
+  auto& members = found->second.members_;
+  members.resize(std::max<std::size_t>(members.size(), aPlace.rank_ + 1));
+  members[aPlace.rank_] = { aVm, watch_.find(aVm)->report_->state_.bornAtMs_ };
+}
+
+Replica
+ReplicaCoordinator::collect(const state::MemberPlace& aPlace) const
 {
   Replica replica;
   replica.id_ = aPlace.replica_;
@@ -243,12 +272,11 @@
   replica.model_ = modelOf(aPlace.replica_);
   replica.maybeOpened_ = true;
   replica.since_ = clock_.now();
-  std::size_t present = 0;
   for (const auto& [vm, engine] : watch_.engines()) {
-    const bool alive = watch_.answers(vm);
     const auto& place = engine.report_ ? engine.report_->state_.place_
                                        : std::optional<state::MemberPlace>();
-    const bool here = alive && place && place->replica_ == replica.id_ &&
+    const bool here = watch_.answers(vm) && place &&
+                      place->replica_ == replica.id_ &&
                       place->epoch_ == replica.epoch_;
     if (!here) {
       continue;
@@ -256,19 +284,44 @@
     if (replica.members_.size() <= place->rank_) {
       replica.members_.resize(place->rank_ + 1);
     }
-    ++present;
     replica.members_[place->rank_] = { vm, engine.report_->state_.bornAtMs_ };
     replica.domain_ = engine.report_->state_.domain_;
   }
+  return replica;
+}
+
+bool
+ReplicaCoordinator::isComplete(const Replica& aReplica) const
+{
+  const state::ModelSpec* model = state::findModel(*engine_, aReplica.model_);
+  return model != nullptr && aReplica.members_.size() == model->size_ &&
+         std::none_of(
+           aReplica.members_.begin(),
+           aReplica.members_.end(),
+           [](const ReplicaMember& aMember) { return aMember.vm_.empty(); });
+}
+
+void
+ReplicaCoordinator::adopt(const state::MemberPlace& aPlace)
+{
+  Replica replica = collect(aPlace);
+  const bool complete = isComplete(replica);
+  const state::TimePoint now = clock_.now();
+  const bool grows = now - watch_.grownAt() < limits_.listingGrace_;
+  const bool patient = waitingSince_ == state::TimePoint{} ||
+                       now - waitingSince_ < limits_.listingGrace_ * 2;
+  if (!complete && grows && patient) {
+    waitsForList_ = true;
+    return;
+  }
+  const auto present = std::count_if(
+    replica.members_.begin(),
+    replica.members_.end(),
+    [](const ReplicaMember& aMember) { return !aMember.vm_.empty(); });
   ReplicaMember& head = replica.members_.front();
-  const bool headPresent = !head.vm_.empty();
-  if (!headPresent) {
+  if (head.vm_.empty()) {
     head.vm_ = headOf(replica.id_);
   }
-  const state::ModelSpec* model = state::findModel(*engine_, replica.model_);
-  const bool complete = headPresent && model != nullptr &&
-                        present == model->size_ &&
-                        replica.members_.size() == model->size_;
   if (!complete) {
     replica.phase_ = ReplicaPhase::kShutting;
   } else if (placeIn(replica, head.vm_)->state_ == state::MemberState::kOpen) {
@@ -646,6 +699,10 @@
   if (!watch_.isAlive(vm) || aEngine.instance_.leaving_) {
     return false;
   }
+  const auto& place = aEngine.report_->state_.place_;
+  if (place && !isKnown(*place)) {
+    return false;
+  }
   return std::none_of(
     replicas_.begin(), replicas_.end(), [&](const auto& aEntry) {
       const auto& members = aEntry.second.members_;
--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -97,6 +97,9 @@
   void sweep();
   void adoptUnknown();
   void adopt(const state::MemberPlace& aPlace);
+  Replica collect(const state::MemberPlace& aPlace) const;
+  bool isComplete(const Replica& aReplica) const;
+  void fillMember(const state::VmId& aVm, const state::MemberPlace& aPlace);
   bool isKnown(const state::MemberPlace& aPlace) const;
   void noteModels();
   void stepJoining(Replica& aReplica);
@@ -169,8 +172,12 @@
   std::uint64_t authority_ = 0; ///< Number of the present authority.
   std::uint64_t epochs_ = 0;    ///< Copies formed under it.
   bool adopted_ = false;        ///< Whether the reports were taken over.
-  bool trafficSeen_ = false;    ///< Whether callers have come.
-  state::TimePoint startedAt_;  ///< Start of this object.
+  bool waitsForList_ = false;   ///< Whether VMs report copies of which members
+                                ///< may still be listed.
+  state::TimePoint waitingSince_{}; ///< Since when it does; zero when it does
+                                    ///< not.
+  bool trafficSeen_ = false;        ///< Whether callers have come.
+  state::TimePoint startedAt_;      ///< Start of this object.
   std::shared_ptr<bool> alive_ =
     std::make_shared<bool>(true); ///< Ends callbacks after destruction.
 };
--- a/src/coordination/replica/replica_limits_type.h
+++ b/src/coordination/replica/replica_limits_type.h
@@ -39,6 +39,9 @@
     std::chrono::seconds(60); ///< After which an unfinished copy is given up.
   state::Duration unlistedTime_ = std::chrono::seconds(
     30); ///< How long a VM that is not registered any more is still asked.
+  state::Duration listingGrace_ = std::chrono::milliseconds(
+    2500); ///< How long after the newest VM was listed further ones may follow,
+           ///< as after an outage of the store.
   state::Duration zoneSilence_ = std::chrono::milliseconds(
     900); ///< Silence of all VMs after which the daemon doubts itself.
   bool operator==(const ReplicaLimits&) const = default;
--- a/tests/coordination/replica_coordinator_test.cpp
+++ b/tests/coordination/replica_coordinator_test.cpp
@@ -59,10 +59,76 @@
   CPPUNIT_TEST(leavingMemberEndsCopyGracefully);
   CPPUNIT_TEST(silentZoneIsNotGivenUp);
   CPPUNIT_TEST(restartedMemberIsNoMember);
+  CPPUNIT_TEST(listThatComesBackInPartsBreaksNoCopy);
+  CPPUNIT_TEST(membersListedBeforeTheirHeadAreNotFree);
   CPPUNIT_TEST(randomFaultsKeepInvariants);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Entries expired in an outage of the store and are back one after the other,
+  // while a daemon that has just started takes over.
+  void listThatComesBackInPartsBreaksNoCopy()
+  {
+    ReplicaWorld world(1, 2);
+    world.run(80s);
+    const std::size_t large = world.fleet_.openCopies("large");
+    const std::size_t small = world.fleet_.openCopies("small");
+    CPPUNIT_ASSERT(large > 0 && small > 0);
+    world.coordinator()->paused_ = true;
+    std::vector<state::VmId> expired;
+    for (const auto& [vm, engine] : world.fleet_.engines_) {
+      if (expired.empty() || vm.value().back() % 3 != 0) {
+        expired.push_back(vm);
+        world.fleet_.setRegistered(vm, false);
+      }
+    }
+    world.addDaemon("fresh");
+    world.run(2500ms);
+    CPPUNIT_ASSERT(world.coordinator() != nullptr);
+    CPPUNIT_ASSERT(!world.coordinator()->coordinator_.digest());
+    for (const state::VmId& vm : expired) {
+      world.fleet_.setRegistered(vm, true);
+      world.run(50ms);
+    }
+    world.run(3s);
+    CPPUNIT_ASSERT_EQUAL(large, world.fleet_.openCopies("large"));
+    CPPUNIT_ASSERT_EQUAL(small, world.fleet_.openCopies("small"));
+    CPPUNIT_ASSERT(world.coordinator()->coordinator_.digest().has_value());
+    checkInvariants(world);
+  }
+
+  // A zone was cut off and all its entries expired. On its return they are
+  // listed one after the other, heads last, to a daemon that knew none.
+  void membersListedBeforeTheirHeadAreNotFree()
+  {
+    ReplicaWorld world(1, 2);
+    world.run(80s);
+    const std::size_t large = world.fleet_.openCopies("large");
+    const std::size_t small = world.fleet_.openCopies("small");
+    world.coordinator()->paused_ = true;
+    std::vector<state::VmId> heads;
+    std::vector<state::VmId> others;
+    for (const auto& [vm, engine] : world.fleet_.engines_) {
+      const auto& place = engine.state_.place_;
+      (place && place->rank_ == 0 ? heads : others).push_back(vm);
+      world.fleet_.setRegistered(vm, false);
+    }
+    world.addDaemon("fresh");
+    world.run(4s);
+    for (const state::VmId& vm : others) {
+      world.fleet_.setRegistered(vm, true);
+      world.run(40ms);
+    }
+    world.run(1200ms);
+    for (const state::VmId& vm : heads) {
+      world.fleet_.setRegistered(vm, true);
+    }
+    world.run(4s);
+    checkInvariants(world);
+    CPPUNIT_ASSERT_EQUAL(large, world.fleet_.openCopies("large"));
+    CPPUNIT_ASSERT_EQUAL(small, world.fleet_.openCopies("small"));
+  }
+
   void copiesOfBothModelsAreFormed()
   {
     ReplicaWorld world(1, 2);
--- a/tests/coordination/replica_world.h
+++ b/tests/coordination/replica_world.h
@@ -88,11 +88,17 @@
       }
     }
     for (std::size_t index = 0; index < aDaemons; ++index) {
-      daemons_.push_back(std::make_unique<ReplicaDaemon>(
-        clock_, store_, fleet_, "daemon" + std::to_string(index)));
+      addDaemon("daemon" + std::to_string(index));
     }
   }
 
+  /** Starts a daemon that knows nothing yet. */
+  void addDaemon(const std::string& aName)
+  {
+    daemons_.push_back(
+      std::make_unique<ReplicaDaemon>(clock_, store_, fleet_, aName));
+  }
+
   /** Moves all on by a time. */
   void run(state::Duration aTime)
   {
