Choose copies evenly while they have room; say at once when a zone is handed back

The weight room x idle slots, made for nearly full copies, drew 100 daemons to the same one. Ruled out: too few slots (9 of 34 in use), the model of pace as such. Change: the weight of an engine is even up to 70% of free slots and falls with the square below. Test: copyThatJustOpenedIsNotFlooded.

Cause, digests: a digest of more than 12 copies was cut at the packet's size and the rest taken as gone. Now as many as fit (20 and more), and a digest that is not whole says nothing of the rest. Test: copyMissingFromPartialDigestIsNotGone, largeDigestFitsIntoDatagram.

Test: dutyThatWasHandedBackIsTakenAtOnce. Calls to an absent store are repeated after 0.7, then 1.4 s.

--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -156,7 +156,9 @@
   if (!lease_.holds() || !engine_ || !knowsCopies || watch_.doubtsItself()) {
     return std::nullopt;
   }
-  ZoneDigest digest{ zone_.zone_, service_, authority_, 0, {}, {} };
+  ZoneDigest digest{
+    zone_.zone_, service_, authority_, 0, {}, {}, true, false
+  };
   for (const auto& [id, replica] : replicas_) {
     const WatchedEngine* head = watch_.find(replica.members_.front().vm_);
     const bool opens = replica.phase_ == ReplicaPhase::kOpening &&
--- a/src/coordination/replica/zone_duty.cpp
+++ b/src/coordination/replica/zone_duty.cpp
@@ -46,10 +46,10 @@
 }
 
 void
-ZoneDuty::handBack()
+ZoneDuty::handBack(AuthorityLease::DoneHandler aHandler)
 {
   if (lease_.holds()) {
-    lease_.release([] {});
+    lease_.release(std::move(aHandler));
   }
 }
 
--- a/src/coordination/replica/zone_duty.h
+++ b/src/coordination/replica/zone_duty.h
@@ -67,8 +67,11 @@
   ReplicaCoordinator& coordinator() { return coordinator_; }
   /** @return Whether this daemon has the duty. */
   bool isHeld() const { return lease_.holds(); }
-  /** Gives the lease back, when it is held. */
-  void handBack();
+  /**
+   * Gives the lease back, when it is held.
+   * @param aHandler Called when the store has answered.
+   */
+  void handBack(AuthorityLease::DoneHandler aHandler);
 
 private:
   const state::Clock& clock_;         ///< Clock.
--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -115,7 +115,10 @@
 void
 StoreFollower::failed(std::string_view aCall)
 {
-  nextCall_ = clock_.now() + settings_.failurePause_;
+  failurePause_ =
+    inOutage_ ? std::min(failurePause_ * 2, settings_.longestFailurePause_)
+              : settings_.failurePause_;
+  nextCall_ = clock_.now() + failurePause_;
   if (!inOutage_) {
     inOutage_ = true;
     log_.write(state::LogWeight::kChange,
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -52,7 +52,10 @@
   state::Duration urgentPause_ =
     std::chrono::milliseconds(250); ///< The same while changes are urgent.
   state::Duration failurePause_ =
-    std::chrono::milliseconds(700); ///< After a call that failed.
+    std::chrono::milliseconds(700); ///< After the first call that failed; twice
+                                    ///< as long after each further one.
+  state::Duration longestFailurePause_ =
+    std::chrono::milliseconds(1400); ///< Longest such pause.
   state::Duration refreshPeriod_ =
     std::chrono::seconds(14); ///< While others are heard: between two readings
                               ///< of all changes.
@@ -186,12 +189,13 @@
   bool urgent_ = false;      ///< Whether changes are wanted sooner.
   bool inOutage_ = false;    ///< Whether an outage was noticed.
   bool othersHeard_ = false; ///< Whether others that follow are heard.
-  state::Revision othersNewsAt_;  ///< Newest change that they announce.
-  state::Revision newsAt_;        ///< Newest change that all must read.
-  state::Revision at_;            ///< Revision from which the watch goes on.
-  state::TimePoint nextCall_{};   ///< When to call next.
-  state::TimePoint answeredAt_{}; ///< Newest answer of the store.
-  state::TimePoint graceUntil_{}; ///< End of the grace after an outage.
+  state::Revision othersNewsAt_;   ///< Newest change that they announce.
+  state::Revision newsAt_;         ///< Newest change that all must read.
+  state::Revision at_;             ///< Revision from which the watch goes on.
+  state::TimePoint nextCall_{};    ///< When to call next.
+  state::Duration failurePause_{}; ///< Pause after the newest failure.
+  state::TimePoint answeredAt_{};  ///< Newest answer of the store.
+  state::TimePoint graceUntil_{};  ///< End of the grace after an outage.
   std::shared_ptr<bool> alive_ =
     std::make_shared<bool>(true); ///< Ends callbacks after destruction.
 };
--- a/src/coordination/routing/target_pool.cpp
+++ b/src/coordination/routing/target_pool.cpp
@@ -114,9 +114,11 @@
   if (!newer || !config_) {
     return;
   }
-  state = {
-    aDigest.authority_, aDigest.count_, state.number_ + 1, clock_.now()
-  };
+  state = { aDigest.authority_,
+            aDigest.count_,
+            state.number_ + 1,
+            clock_.now(),
+            aDigest.whole_ };
   const state::ServiceSpec* service =
     state::findService(*config_, aDigest.service_);
   const std::uint32_t slots =
@@ -172,6 +174,24 @@
   return std::max(0.0, limit - total + leavingOf(aTarget, aLoad));
 }
 
+double
+TargetPool::weightOf(const Target& aTarget,
+                     const state::TargetLoad& aLoad) const
+{
+  const double room = roomOf(aTarget, aLoad);
+  const double slowness = aTarget.slowness_ * aTarget.slowness_;
+  if (aTarget.model_.empty()) {
+    const double idle =
+      std::max(1.0, static_cast<double>(aTarget.slots_) - aLoad.running_);
+    return room * idle / slowness;
+  }
+  // Prompts are read one after the other, so what delays a first event is how
+  // many requests came of late, not how many run.
+  const double filled =
+    std::min(1.0, room / (settings_.evenRoom_ * aTarget.slots_));
+  return filled * filled / slowness;
+}
+
 void
 TargetPool::shareRoom(const state::ZoneId& aZone)
 {
@@ -213,7 +233,10 @@
   if (aTarget.model_.empty() || !young) {
     return std::nullopt;
   }
-  return aTarget.digest_ == digest->second.number_;
+  if (aTarget.digest_ == digest->second.number_) {
+    return true;
+  }
+  return digest->second.whole_ ? std::optional(false) : std::nullopt;
 }
 
 bool
@@ -319,10 +342,7 @@
     const bool enters =
       candidate.expected_ <= limit && mayEnter(target, candidate.load_);
     if (!tried && enters) {
-      const double idle = std::max(
-        1.0, static_cast<double>(target.slots_) - candidate.load_.running_);
-      candidate.weight_ = roomOf(target, candidate.load_) * idle /
-                          (target.slowness_ * target.slowness_);
+      candidate.weight_ = weightOf(target, candidate.load_);
       (target.restsUntil_ <= now ? open : resting).push_back(candidate);
     }
   }
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -89,6 +89,8 @@
                           ///< first event may take.
   double freeLoad_ = 0.7; ///< Part of its slots up to which a target takes any
                           ///< request.
+  double evenRoom_ = 0.7; ///< Part of its slots beyond which more room draws
+                          ///< no more requests to a copy.
   double quotaSlack_ = 1.2; ///< How much more than its part of the room of a
                             ///< zone a daemon may use, since callers are not
                             ///< shared evenly.
@@ -191,6 +193,7 @@
     std::uint64_t count_ = 0;     ///< Its count.
     std::uint64_t number_ = 0;    ///< Digests taken of the zone.
     state::TimePoint takenAt_{};  ///< When it was taken.
+    bool whole_ = true;           ///< Whether it has all open copies.
   };
   /** A target that may take a request. */
   struct Candidate
@@ -206,6 +209,7 @@
                                state::TimePoint aNow) const;
   double leavingOf(const Target& aTarget, const state::TargetLoad& aLoad) const;
   double roomOf(const Target& aTarget, const state::TargetLoad& aLoad) const;
+  double weightOf(const Target& aTarget, const state::TargetLoad& aLoad) const;
   void shareRoom(const state::ZoneId& aZone);
   bool mayEnter(const Target& aTarget, const state::TargetLoad& aLoad) const;
   bool isUsable(const Target& aTarget, state::TimePoint aNow) const;
--- a/src/coordination/routing/zone_digest_type.h
+++ b/src/coordination/routing/zone_digest_type.h
@@ -35,6 +35,9 @@
   state::Revision newsAt_; ///< Revision of the store's newest change that other
                            ///< daemons must read.
   std::vector<CopyLoad> copies_; ///< The open copies.
+  bool whole_ = true; ///< Whether these are all open copies of the zone.
+  bool ends_ = false; ///< Whether its coordinator has given the zone back, so
+                      ///< that another may take over at once.
   bool operator==(const ZoneDigest&) const = default;
 };
 
--- a/src/protocol/zone_digest_codec.cpp
+++ b/src/protocol/zone_digest_codec.cpp
@@ -10,8 +10,7 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t kBytesPerCopy = 100; ///< Bound of an encoded copy.
-constexpr std::size_t kHeadBytes = 120; ///< Bound of what stands before them.
+constexpr std::size_t kHeadBytes = 160; ///< Bound of all but the copies.
 constexpr std::size_t kCopyFields = 9;  ///< Fields of an encoded copy.
 
 std::int64_t
@@ -42,26 +41,30 @@
 std::string
 encodeZoneDigest(const coordination::ZoneDigest& aDigest, state::TimePoint aNow)
 {
-  constexpr std::size_t kMaxCopies =
-    (kMaxDigestBytes - kHeadBytes) / kBytesPerCopy;
   Json copies = Json::array();
+  std::size_t bytesLeft = kMaxDigestBytes - kHeadBytes;
   for (const coordination::CopyLoad& copy : aDigest.copies_) {
-    if (copies.size() == kMaxCopies) {
+    Json row = { copy.head_.value(),      copy.endpoint_.address_,
+                 copy.endpoint_.port_,    copy.model_.value(),
+                 copy.running_,           copy.waiting_,
+                 copy.slowness_,          copy.finishing_,
+                 ageMs(aNow - copy.asOf_) };
+    const std::size_t size = Json::to_cbor(row).size();
+    if (size > bytesLeft) {
       break;
     }
-    copies.push_back({ copy.head_.value(),
-                       copy.endpoint_.address_,
-                       copy.endpoint_.port_,
-                       copy.model_.value(),
-                       copy.running_,
-                       copy.waiting_,
-                       copy.slowness_,
-                       copy.finishing_,
-                       ageMs(aNow - copy.asOf_) });
+    bytesLeft -= size;
+    copies.push_back(std::move(row));
   }
-  const Json digest = { aDigest.zone_.value(),   aDigest.service_.value(),
-                        aDigest.authority_,      aDigest.count_,
-                        aDigest.newsAt_.value(), std::move(copies) };
+  const bool whole = aDigest.whole_ && copies.size() == aDigest.copies_.size();
+  const Json digest = { aDigest.zone_.value(),
+                        aDigest.service_.value(),
+                        aDigest.authority_,
+                        aDigest.count_,
+                        aDigest.newsAt_.value(),
+                        std::move(copies),
+                        whole,
+                        aDigest.ends_ };
   const std::vector<std::uint8_t> bytes = Json::to_cbor(digest);
   return { bytes.begin(), bytes.end() };
 }
@@ -83,6 +86,8 @@
     for (const Json& copy : digest.at(5)) {
       result.copies_.push_back(decodeCopy(copy, aNow));
     }
+    result.whole_ = digest.at(6).get<bool>();
+    result.ends_ = digest.at(7).get<bool>();
     return result;
   } catch (const Json::exception&) {
     return std::nullopt;
--- a/tests/coordination/replica_duty_test.cpp
+++ b/tests/coordination/replica_duty_test.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST_SUITE(ReplicaDutyTest);
   CPPUNIT_TEST(whoComesSecondDoesNotTryAgain);
   CPPUNIT_TEST(vacancyIsTakenAfterTheLeaseHasEnded);
+  CPPUNIT_TEST(dutyThatWasHandedBackIsTakenAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -89,6 +90,20 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), *daemons_[1]->duty_.holder());
   }
 
+  void dutyThatWasHandedBackIsTakenAtOnce()
+  {
+    run(1s);
+    bool done = false;
+    daemons_[0]->duty_.handBack([&] {
+      done = true;
+      daemons_[1]->duty_.setHolder(std::nullopt);
+    });
+    run(100ms);
+    CPPUNIT_ASSERT(done);
+    CPPUNIT_ASSERT(!daemons_[0]->duty_.isHeld());
+    CPPUNIT_ASSERT(daemons_[1]->duty_.isHeld());
+  }
+
 private:
   void run(state::Duration aTime)
   {
--- a/tests/coordination/routing_pool_test.cpp
+++ b/tests/coordination/routing_pool_test.cpp
@@ -60,7 +60,7 @@
        const std::map<std::string, std::uint32_t>& aLoads,
        state::TimePoint aNow)
 {
-  ZoneDigest result{ kZone, kService, 1, aCount, {}, {} };
+  ZoneDigest result{ kZone, kService, 1, aCount, {}, {}, true, false };
   for (const auto& [name, load] : aLoads) {
     result.copies_.push_back(
       { state::VmId(name), { name, 1 }, kModel, load, 0, false, 1, aNow });
@@ -98,6 +98,7 @@
   CPPUNIT_TEST(onlyOpenHeadsAreChosen);
   CPPUNIT_TEST(digestStandsInForRegistration);
   CPPUNIT_TEST(oldDigestCountsNoMore);
+  CPPUNIT_TEST(copyMissingFromPartialDigestIsNotGone);
   CPPUNIT_TEST(finishingCopyGetsNothingButKeepsItsRequests);
   CPPUNIT_TEST(fullTargetsRefuseAtOnce);
   CPPUNIT_TEST(ownSendsCountBeforeTheyAreReported);
@@ -108,6 +109,7 @@
   CPPUNIT_TEST(stragglerGetsLess);
   CPPUNIT_TEST(plainServiceIsServed);
   CPPUNIT_TEST(manyDaemonsDoNotHerd);
+  CPPUNIT_TEST(copyThatJustOpenedIsNotFlooded);
   CPPUNIT_TEST(overloadIsRefusedNotQueued);
   CPPUNIT_TEST_SUITE_END();
 
@@ -138,6 +140,22 @@
     CPPUNIT_ASSERT(!pool.pool_.isGone(state::VmId("new")));
   }
 
+  void copyMissingFromPartialDigestIsNotGone()
+  {
+    Pool pool(clock_);
+    const state::Instance open = head("b", state::MemberState::kOpen);
+    const state::InstanceMap instances{ { open.id_, open } };
+    pool.pool_.setView(config(),
+                       std::make_shared<state::InstanceMap>(instances));
+    ZoneDigest partial = digest(1, { { "a", 60 } }, clock_.now());
+    partial.whole_ = false;
+    pool.pool_.setDigest(partial);
+    CPPUNIT_ASSERT_EQUAL(open.id_, pool.pool_.choose(need()).vm_);
+    CPPUNIT_ASSERT(!pool.pool_.isGone(open.id_));
+    pool.pool_.setDigest(digest(2, { { "a", 60 } }, clock_.now()));
+    CPPUNIT_ASSERT(pool.pool_.isGone(open.id_));
+  }
+
   void oldDigestCountsNoMore()
   {
     Pool pool(clock_);
@@ -277,6 +295,29 @@
                            played.worstLoad_ <= 26);
   }
 
+  void copyThatJustOpenedIsNotFlooded()
+  {
+    // Seven copies at a quarter of their slots and one that has just opened:
+    // it reads prompts no faster than they do, and the loads are 0.6 s old.
+    Pool pool(clock_);
+    std::map<std::string, std::uint32_t> loads;
+    for (const char* name : { "a", "b", "c", "d", "e", "f", "g" }) {
+      loads[name] = 7;
+    }
+    loads["new"] = 0;
+    constexpr std::uint32_t kRequests = 4000;
+    std::uint32_t drawn = 0;
+    for (std::uint32_t request = 0; request < kRequests; ++request) {
+      clock_.advance(1s);
+      pool.pool_.setDigest(digest(request + 1, loads, clock_.now()));
+      const TargetDecision target = pool.pool_.choose(need());
+      drawn += target.vm_ == state::VmId("new") ? 1 : 0;
+      pool.pool_.finish(target.vm_, SendResult::kAnswered);
+    }
+    const double even = double(kRequests) / double(loads.size());
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(drawn), drawn < 1.2 * even);
+  }
+
   void overloadIsRefusedNotQueued()
   {
     // 1.6 times what the copies can serve. Sharing the room serves more callers
--- a/tests/protocol/zone_digest_test.cpp
+++ b/tests/protocol/zone_digest_test.cpp
@@ -18,9 +18,14 @@
 coordination::ZoneDigest
 digest(int aCopies, state::TimePoint aNow)
 {
-  coordination::ZoneDigest result{
-    state::ZoneId("z"), state::ServiceId("s"), 7, 9, state::Revision(33), {}
-  };
+  coordination::ZoneDigest result{ state::ZoneId("z"),
+                                   state::ServiceId("s"),
+                                   7,
+                                   9,
+                                   state::Revision(33),
+                                   {},
+                                   true,
+                                   true };
   for (int index = 0; index < aCopies; ++index) {
     result.copies_.push_back({ state::VmId("vm" + std::to_string(index)),
                                { "10.0.0.1", 80 },
@@ -79,7 +84,11 @@
     const std::string datagram =
       protocol::encodeZoneDigest(digest(100, now), now);
     CPPUNIT_ASSERT(datagram.size() <= protocol::kMaxDigestBytes);
-    CPPUNIT_ASSERT(protocol::decodeZoneDigest(datagram, now).has_value());
+    const auto taken = protocol::decodeZoneDigest(datagram, now);
+    CPPUNIT_ASSERT(taken.has_value());
+    // More than the copies of 60 VMs; what does not fit is not said to be gone.
+    CPPUNIT_ASSERT(taken->copies_.size() >= 20);
+    CPPUNIT_ASSERT(!taken->whole_);
   }
 
   void garbageIsNoDigest()
