--- a/tools/world.sh
+++ b/tools/world.sh
@@ -22,7 +22,7 @@
   for pid in "${pids[@]}"; do
     kill -KILL "$pid" 2>/dev/null || true
   done
-  rm -rf "$work"
+  [ -n "${KEEP_WORK:-}" ] || rm -rf "$work"
 }
 
 any_alive() {
