Count only repeated arrivals against the budget; let it start full and refill with time

A bucket of 3 started with 1 and was filled by requests only. Ruled out: the even split among daemons as the main cause (repeats plus refusals stay below the limit). Change: a send is a repetition only after one that may have arrived; what the maximum grows by is at hand at once; 60% of a daemon's part may be saved, 40% comes with time, so the sum stays what it was. A connection attempt ends after 250 ms instead of 400 ms.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -7,6 +7,7 @@
 #include "state/endpoint_func.h"
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <unistd.h>
 #include <utility>
@@ -21,7 +22,7 @@
 constexpr milliseconds kDrainPoll(20);   ///< Period of checks at the stop.
 constexpr milliseconds kStopMargin(500); ///< Kept of the stop limit.
 constexpr milliseconds kOwnZonePatience(
-  120); ///< Longest random wait before a daemon of the zone tries for the
+  400); ///< Longest random wait before a daemon of the zone tries for the
         ///< vacant duty.
 constexpr milliseconds kOtherZonePatience(
   2500); ///< Wait before a daemon of another zone does.
@@ -44,6 +45,9 @@
 constexpr double kBudgetSlack =
   1.3; ///< How much more than its even part of the extra sends a daemon may
        ///< save, since they are not needed evenly.
+constexpr double kSavedBudget =
+  0.6; ///< Part of its extra sends of a window that a daemon may save up; the
+       ///< rest comes with time.
 constexpr std::uint32_t kPermille = 1000;     ///< Thousandths.
 constexpr char kOwnPrefix[] = "auburnhaven/"; ///< Of the daemons' keys.
 constexpr char kDutyPrefix[] = "auburnhaven/coordinator/"; ///< Of the duties.
@@ -98,7 +102,7 @@
   duty.self_ = state::textOf(aSettings.listeners_.peers_) + ' ' +
                std::to_string(aClock.wallNow().time_since_epoch().count());
   duty.patience_ =
-    aZone == aSettings.zone_ ? jitter : kOtherZonePatience + jitter * 10;
+    aZone == aSettings.zone_ ? jitter : kOtherZonePatience + jitter * 3;
   duty.lease_ = dutyLimits();
   duty.zone_ = replicaZone(aSettings, aZone);
   duty.limits_ = replicaLimits(aSettings);
@@ -304,6 +308,7 @@
 {
   follower_.tick();
   exchange_.tick();
+  budget_.earn(earnedEachTick_);
   const bool mayTry =
     !stopping_ && follower_.hasListed() && !follower_.hasOutage();
   bool urgent = !follower_.config();
@@ -363,7 +368,11 @@
   targets_.setDigest(aDigest);
   newsAt_ = std::max(newsAt_, aDigest.newsAt_);
   if (aDigest.zone_ == settings_.zone_) {
-    heardAt_ = clock_.now();
+    heardAt_ = aDigest.ends_ ? state::TimePoint{} : clock_.now();
+  }
+  const auto duty = duties_.find(aDigest.zone_);
+  if (aDigest.ends_ && duty != duties_.end()) {
+    duty->second->setHolder(std::nullopt);
   }
 }
 
@@ -379,17 +388,38 @@
     digest->count_ = ++digestCount_;
     digest->newsAt_ = follower_.newsAt();
     targets_.setDigest(*digest);
-    const std::string datagram =
-      protocol::encodeZoneDigest(*digest, clock_.now());
-    for (state::Endpoint daemon : registry_.endpoints()) {
-      if (daemon != settings_.listeners_.peers_) {
-        daemon.port_ = settings_.listeners_.digests_.port_;
-        digests_.send(daemon, datagram);
-      }
+    sendToDaemons(*digest);
+  }
+}
+
+void
+RelayDaemon::sendToDaemons(const coordination::ZoneDigest& aDigest)
+{
+  const std::string datagram =
+    protocol::encodeZoneDigest(aDigest, clock_.now());
+  for (state::Endpoint daemon : registry_.endpoints()) {
+    if (daemon != settings_.listeners_.peers_) {
+      daemon.port_ = settings_.listeners_.digests_.port_;
+      digests_.send(daemon, datagram);
     }
   }
 }
 
+void
+RelayDaemon::handBack(coordination::ZoneDuty& aDuty)
+{
+  std::optional<coordination::ZoneDigest> last = aDuty.coordinator().digest();
+  aDuty.handBack([this, last] {
+    if (last) {
+      coordination::ZoneDigest digest = *last;
+      digest.count_ = ++digestCount_;
+      digest.newsAt_ = follower_.newsAt();
+      digest.ends_ = true;
+      sendToDaemons(digest);
+    }
+  });
+}
+
 void
 RelayDaemon::takeConfig()
 {
@@ -435,11 +465,20 @@
   }
   updatePeers();
   targets_.setDaemons(registry_.size());
+  setRetryLimits();
+}
+
+void
+RelayDaemon::setRetryLimits()
+{
   const double daemons = std::max(1.0, static_cast<double>(registry_.size()));
-  budget_.setMaximum(
-    std::max(1U,
-             static_cast<std::uint32_t>(settings_.retries_.extra_ *
-                                        kUsedBudget * kBudgetSlack / daemons)));
+  const double extra =
+    settings_.retries_.extra_ * kUsedBudget * kBudgetSlack / daemons;
+  budget_.setMaximum(std::max(
+    1U, static_cast<std::uint32_t>(std::lround(extra * kSavedBudget))));
+  earnedEachTick_ = extra * (1 - kSavedBudget) *
+                    (std::chrono::duration<double>(kControlTick) /
+                     std::chrono::duration<double>(settings_.retries_.window_));
 }
 
 void
@@ -489,7 +528,7 @@
     stopping_ = true;
     status_.setReady(false);
     for (auto& [zone, duty] : duties_) {
-      duty->handBack();
+      handBack(*duty);
     }
     if (registration_.holds()) {
       registration_.release([] {});
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -54,11 +54,14 @@
   void tick();
   void takeDigest(const coordination::ZoneDigest& aDigest);
   void sendDigests();
+  void sendToDaemons(const coordination::ZoneDigest& aDigest);
+  void handBack(coordination::ZoneDuty& aDuty);
   void noteStoreCalls();
   void takeConfig();
   void takeInstances();
   void takeOwnKey(const std::string& aKey,
                   const std::optional<std::string>& aValue);
+  void setRetryLimits();
   void updateView();
   void updatePeers();
   void noteSignals();
@@ -81,6 +84,7 @@
   transport::DatagramSocket digests_;         ///< Digests of the zones.
   state::TimePoint digestAt_{};               ///< When to send digests.
   std::uint64_t digestCount_ = 0;             ///< Digests sent.
+  double earnedEachTick_ = 0;  ///< Repeated sends that a control tick earns.
   state::TimePoint usageAt_{}; ///< When to record the calls to the store.
   std::map<platform::StoreCallKind, std::uint64_t>
     notedCalls_;               ///< Calls to the store as last recorded.
--- a/src/coordination/request/retry_budget.cpp
+++ b/src/coordination/request/retry_budget.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::uint64_t kPermille = 1000; ///< Thousandths in one retry.
+constexpr double kPermille = 1000; ///< Thousandths in one retry.
 
 } // namespace
 
@@ -26,10 +26,21 @@
                        settings_.maximum_ * kPermille);
 }
 
+void
+RetryBudget::earn(double aRetries)
+{
+  const std::lock_guard lock(mutex_);
+  permille_ =
+    std::min(permille_ + aRetries * kPermille, settings_.maximum_ * kPermille);
+}
+
 void
 RetryBudget::setMaximum(std::uint32_t aMaximum)
 {
   const std::lock_guard lock(mutex_);
+  if (aMaximum > settings_.maximum_) {
+    permille_ += (aMaximum - settings_.maximum_) * kPermille;
+  }
   settings_.maximum_ = aMaximum;
   permille_ = std::min(permille_, aMaximum * kPermille);
 }
--- a/src/coordination/request/retry_budget.h
+++ b/src/coordination/request/retry_budget.h
@@ -15,7 +15,7 @@
   bool operator==(const RetryBudgetSettings&) const = default;
 };
 
-/** Token bucket that requests fill and retries drain. Thread-safe. */
+/** Token bucket that requests and time fill and retries drain. Thread-safe. */
 class RetryBudget
 {
 public:
@@ -28,7 +28,13 @@
    * @return Whether the retry may be made.
    */
   bool tryRetry();
-  /** @param aMaximum Most retries that can be saved up from now on. */
+  /** @param aRetries Retries, or a part of one, that time has earned. */
+  void earn(double aRetries);
+  /**
+   * Sets how many retries can be saved up from now on. What the maximum grows
+   * by is at hand at once.
+   * @param aMaximum Most retries.
+   */
   void setMaximum(std::uint32_t aMaximum);
   /** @return Whole retries at hand. */
   std::uint32_t available() const;
@@ -36,7 +42,7 @@
 private:
   mutable std::mutex mutex_;     ///< Guards the following members.
   RetryBudgetSettings settings_; ///< Limits.
-  std::uint64_t permille_;       ///< Thousandths of a retry at hand.
+  double permille_;              ///< Thousandths of a retry at hand.
 };
 
 } // namespace auburnhaven::coordination
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -189,7 +189,8 @@
     pause.async_wait(yield_[ignored]);
     return true;
   }
-  if (sends_ > 0 && !parts_.budget_.tryRetry()) {
+  // Only a send that follows one that may have arrived is a repetition.
+  if (arrivals_ > 0 && !parts_.budget_.tryRetry()) {
     parts_.targets_.finish(target.vm_, SendResult::kAborted);
     lastDetail_ = "no budget for another send";
     giveUp();
@@ -335,14 +336,16 @@
   HttpCall call = client_.open(
     aTarget.endpoint_, request, timeouts(aTarget), yield_, &aborter);
   SendEnd end = SendEnd::kUnknown;
+  const bool arrived =
+    call.hasResponse() || call.failure().bytesMayHaveArrived_;
+  arrivals_ += arrived ? 1 : 0;
   if (call.hasResponse()) {
     end = takeResponse(call, aTarget);
   } else {
     lastDetail_ = call.failure().message_;
     staleConnection_ = call.failure().kind_ == HttpFailureKind::kClosed &&
                        call.failure().keptConnection_;
-    end = call.failure().bytesMayHaveArrived_ ? SendEnd::kUnknown
-                                              : SendEnd::kNotRun;
+    end = arrived ? SendEnd::kUnknown : SendEnd::kNotRun;
   }
   aborter_ = nullptr;
   if (responder_.callerGone()) {
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -104,8 +104,9 @@
   HttpAborter* aborter_ = nullptr;          ///< Ends the present send.
   EventSplitter events_;                    ///< Events of the stream.
   std::uint32_t sends_ = 0;                 ///< Sends to targets.
-  std::uint32_t runs_ = 0;                  ///< Sends that may have run.
-  std::uint32_t rejections_ = 0;            ///< Sends that certainly did not.
+  std::uint32_t arrivals_ = 0;   ///< Sends that may have reached a target.
+  std::uint32_t runs_ = 0;       ///< Sends that may have run.
+  std::uint32_t rejections_ = 0; ///< Sends that certainly did not.
   bool staleConnection_ = false; ///< Whether the newest send met a kept
                                  ///< connection that its target had closed.
   bool streaming_ = false;       ///< Whether a streamed answer has begun.
--- a/src/transport/relay/relay_handler.h
+++ b/src/transport/relay/relay_handler.h
@@ -25,7 +25,7 @@
 /** Times of relayed requests. */
 struct RelaySettings
 {
-  std::chrono::milliseconds connectTimeout_{ 400 }; ///< For a new connection.
+  std::chrono::milliseconds connectTimeout_{ 250 }; ///< For a new connection.
   std::chrono::milliseconds monitorPeriod_{
     200
   }; ///< Between two looks whether a target still serves.
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(nonIdempotentIsSentOnce);
   CPPUNIT_TEST(nonIdempotentThatDidNotRunGoesElsewhere);
   CPPUNIT_TEST(idempotentIsRepeatedAfterFailure);
+  CPPUNIT_TEST(targetThatWasNotReachedNeedsNoBudget);
   CPPUNIT_TEST(closedKeptConnectionIsNoFailureOfTheTarget);
   CPPUNIT_TEST(foreignAnswerReachesNobody);
   CPPUNIT_TEST(unsignedSuccessReachesNobody);
@@ -213,6 +214,34 @@
     }
   }
 
+  // Sends that met no listener are no repetitions for the service.
+  void targetThatWasNotReachedNeedsNoBudget()
+  {
+    RawServer target([](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      RawServer::write(aSocket, RelayWorld::answer("200 OK", "fine"));
+    });
+    state::Endpoint closed;
+    {
+      RawServer gone([](Socket&, int) {});
+      closed = gone.endpoint();
+    }
+    RelayWorld world;
+    world.addTarget("i-1", closed);
+    world.addTarget("i-2", target.endpoint());
+    world.start();
+    while (world.budget_.tryRetry()) {
+    }
+    // Whichever target is chosen first, the request is served.
+    for (int request = 0; request < 8; ++request) {
+      const std::string answer =
+        world.ask(RelayWorld::request("POST", "/unsafe/"));
+      CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(answer));
+      while (world.budget_.tryRetry()) {
+      }
+    }
+  }
+
   void closedKeptConnectionIsNoFailureOfTheTarget()
   {
     // Answers one request on each connection and closes it without a word.
