Follow the store while any zone is not heard; keep few unused connections; wait for returning members only

Ruled out: a late watch (none was made). Now a daemon leaves the store alone only while it hears the coordinators of its own zone and of all zones with engines (ZoneHearing, RoutingHearingTest).

Each fresh connection joined the unused ones, up to 64 for each of 144 daemons, at a service that allows 192.

The wait for members that are listed late now follows only members of copies that are listed, not new VMs, and not when a registered member that is silent explains the gap.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -36,8 +36,8 @@
 constexpr milliseconds kRegistrationRetry(2000); ///< After a call that failed.
 constexpr milliseconds kRegistrationRenewal(3500); ///< Between two renewals.
 constexpr milliseconds kCoordinatorSilence(
-  1000); ///< Silence of the own zone's coordinator after which a daemon follows
-         ///< the store by itself.
+  1000); ///< Silence of a zone's coordinator after which a daemon follows the
+         ///< store by itself.
 constexpr milliseconds kDigestPeriod(300); ///< Between two digests of a zone.
 constexpr std::chrono::seconds kUsagePeriod(
   5); ///< Between two records of the calls to the store.
@@ -193,6 +193,7 @@
                   registry_.keyOf(settings_.daemon_.value()),
                   state::textOf(settings_.listeners_.peers_),
                   registrationLimits())
+  , hearing_(settings_.zone_, kCoordinatorSilence)
   , digests_(control_.context())
   , links_(control_.context(), linkSettings(settings_, seed_))
   , exchange_(clock_, links_, follower_, settings_.listeners_.peers_, seed_)
@@ -324,8 +325,7 @@
     std::any_of(duties_.begin(), duties_.end(), [](const auto& aEntry) {
       return aEntry.second->isHeld();
     });
-  follower_.setOthers(
-    !coordinates && clock_.now() - heardAt_ < kCoordinatorSilence, newsAt_);
+  follower_.setOthers(!coordinates && hearing_.hearsAll(clock_.now()), newsAt_);
   registration_.tick(mayTry ? std::optional<state::Duration>(kRegistrationRetry)
                             : std::nullopt);
   if (clock_.now() >= digestAt_) {
@@ -367,11 +367,10 @@
 {
   targets_.setDigest(aDigest);
   newsAt_ = std::max(newsAt_, aDigest.newsAt_);
-  if (aDigest.zone_ == settings_.zone_) {
-    heardAt_ = aDigest.ends_ ? state::TimePoint{} : clock_.now();
-  }
+  hearing_.heard(aDigest.zone_, clock_.now());
   const auto duty = duties_.find(aDigest.zone_);
   if (aDigest.ends_ && duty != duties_.end()) {
+    hearing_.ended(aDigest.zone_);
     duty->second->setHolder(std::nullopt);
   }
 }
@@ -447,9 +446,14 @@
       engines[instance.zone_].push_back(instance);
     }
   }
+  std::set<state::ZoneId> zones;
   for (auto& [zone, duty] : duties_) {
     duty->coordinator().setInstances(engines[zone]);
+    if (!engines[zone].empty()) {
+      zones.insert(zone);
+    }
   }
+  hearing_.setZones(std::move(zones));
   updateView();
 }
 
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -8,6 +8,7 @@
 #include "coordination/routing/daemon_registry.h"
 #include "coordination/routing/store_follower.h"
 #include "coordination/routing/target_pool.h"
+#include "coordination/routing/zone_hearing.h"
 #include "platform/engine_orders.h"
 #include "platform/kv_store.h"
 #include "platform/request_dialect.h"
@@ -27,6 +28,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -81,16 +83,16 @@
   coordination::StoreFollower follower_;  ///< Follows the store.
   coordination::DaemonRegistry registry_; ///< Daemons of the system.
   coordination::AuthorityLease registration_; ///< Own entry among them.
-  transport::DatagramSocket digests_;         ///< Digests of the zones.
-  state::TimePoint digestAt_{};               ///< When to send digests.
-  std::uint64_t digestCount_ = 0;             ///< Digests sent.
+  coordination::ZoneHearing hearing_; ///< Zones whose coordinators are heard.
+  transport::DatagramSocket digests_; ///< Digests of the zones.
+  state::TimePoint digestAt_{};       ///< When to send digests.
+  std::uint64_t digestCount_ = 0;     ///< Digests sent.
   double earnedEachTick_ = 0;  ///< Repeated sends that a control tick earns.
   state::TimePoint usageAt_{}; ///< When to record the calls to the store.
   std::map<platform::StoreCallKind, std::uint64_t>
-    notedCalls_;               ///< Calls to the store as last recorded.
-  state::Revision newsAt_;     ///< Newest change of the store announced.
-  state::TimePoint heardAt_{}; ///< When the own zone's coordinator was heard.
-  transport::PeerLinks links_; ///< Links to other daemons.
+    notedCalls_;                      ///< Calls to the store as last recorded.
+  state::Revision newsAt_;            ///< Newest change of the store announced.
+  transport::PeerLinks links_;        ///< Links to other daemons.
   protocol::ConfigExchange exchange_; ///< Configuration from peers.
   std::map<state::ZoneId, std::unique_ptr<coordination::ZoneDuty>>
     duties_;                       ///< Coordination of each zone.
--- a/src/coordination/replica/engine_watch.cpp
+++ b/src/coordination/replica/engine_watch.cpp
@@ -36,7 +36,8 @@
     WatchedEngine& engine = engines_[instance.id_];
     const bool moved = engine.instance_.endpoint_ != instance.endpoint_;
     engine.instance_ = instance;
-    if (!engine.listed_) {
+    const bool member = instance.engine_ && instance.engine_->place_;
+    if (!engine.listed_ && member) {
       grownAt_ = clock_.now();
     }
     engine.listed_ = true;
--- a/src/coordination/replica/engine_watch.h
+++ b/src/coordination/replica/engine_watch.h
@@ -104,7 +104,7 @@
   bool isLost(const state::VmId& aVm) const;
   /** @return Whether each engine has answered or is lost. */
   bool isComplete() const;
-  /** @return When a VM was last added to the list. */
+  /** @return When a member of a copy was last added to the list. */
   state::TimePoint grownAt() const { return grownAt_; }
   /** @return Whether no VM has answered for so long that the fault may be this
    * daemon's. */
@@ -131,7 +131,8 @@
   std::map<state::VmId, WatchedEngine> engines_; ///< What is known.
   std::map<state::VmId, Question> questions_;    ///< When to ask.
   state::TimePoint heardAt_{};                   ///< Newest answer of any VM.
-  state::TimePoint grownAt_{}; ///< When a VM was last added to the list.
+  state::TimePoint grownAt_{}; ///< When a member of a copy was last added to
+                               ///< the list.
   std::shared_ptr<bool> alive_ =
     std::make_shared<bool>(true); ///< Ends callbacks after destruction.
 };
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -303,13 +303,32 @@
            [](const ReplicaMember& aMember) { return aMember.vm_.empty(); });
 }
 
+bool
+ReplicaCoordinator::isExplained(const Replica& aReplica) const
+{
+  const state::ModelSpec* model = state::findModel(*engine_, aReplica.model_);
+  auto known = std::count_if(
+    aReplica.members_.begin(),
+    aReplica.members_.end(),
+    [](const ReplicaMember& aMember) { return !aMember.vm_.empty(); });
+  for (const auto& [vm, engine] : watch_.engines()) {
+    const auto& registered = engine.instance_.engine_;
+    const bool silent = !watch_.answers(vm) && registered &&
+                        registered->place_ &&
+                        registered->place_->replica_ == aReplica.id_;
+    known += silent ? 1 : 0;
+  }
+  return model != nullptr && known >= static_cast<long>(model->size_);
+}
+
 void
 ReplicaCoordinator::adopt(const state::MemberPlace& aPlace)
 {
   Replica replica = collect(aPlace);
   const bool complete = isComplete(replica);
   const state::TimePoint now = clock_.now();
-  const bool grows = now - watch_.grownAt() < limits_.listingGrace_;
+  const bool grows =
+    now - watch_.grownAt() < limits_.listingGrace_ && !isExplained(replica);
   const bool patient = waitingSince_ == state::TimePoint{} ||
                        now - waitingSince_ < limits_.listingGrace_ * 2;
   if (!complete && grows && patient) {
--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -99,6 +99,7 @@
   void adopt(const state::MemberPlace& aPlace);
   Replica collect(const state::MemberPlace& aPlace) const;
   bool isComplete(const Replica& aReplica) const;
+  bool isExplained(const Replica& aReplica) const;
   void fillMember(const state::VmId& aVm, const state::MemberPlace& aPlace);
   bool isKnown(const state::MemberPlace& aPlace) const;
   void noteModels();
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -50,12 +50,23 @@
   void give(std::shared_ptr<HttpConnection> aConnection)
   {
     auto& idle = idle_[aConnection->endpoint()];
-    if (idle.size() < limits_.idlePerEndpoint_) {
+    const std::size_t limit =
+      std::min(limits_.idlePerEndpoint_, aConnection->keptLimit());
+    if (idle.size() < limit) {
       aConnection->markIdle();
       idle.push_back(std::move(aConnection));
     }
   }
 
+  /** Closes the connection to an endpoint that is unused for longest. */
+  void closeOldest(const state::Endpoint& aEndpoint)
+  {
+    const auto found = idle_.find(aEndpoint);
+    if (found != idle_.end() && !found->second.empty()) {
+      found->second.erase(found->second.begin());
+    }
+  }
+
   /** Closes all. */
   void clear() { idle_.clear(); }
 
@@ -243,9 +254,13 @@
   if (aborter.aborted()) {
     return HttpCall({ HttpFailureKind::kAborted, false, "aborted" });
   }
+  if (aRequest.freshConnection_) {
+    pool_->closeOldest(aEndpoint);
+  }
   while (auto kept =
            aRequest.freshConnection_ ? nullptr : pool_->take(aEndpoint)) {
     aborter.bind(kept);
+    kept->setKeptLimit(aRequest.keptConnections_);
     HttpFailure failure = kept->exchange(aRequest, aTimeouts.response_, aYield);
     if (failure.kind_ == HttpFailureKind::kNone) {
       return { std::move(kept), pool_, aTimeouts.idle_ };
@@ -260,6 +275,7 @@
   auto fresh =
     std::make_shared<HttpConnection>(context_, aEndpoint, pool_->limits());
   aborter.bind(fresh);
+  fresh->setKeptLimit(aRequest.keptConnections_);
   HttpFailure failure = fresh->connect(aTimeouts.connect_, aYield);
   if (failure.kind_ == HttpFailureKind::kNone) {
     failure = fresh->exchange(aRequest, aTimeouts.response_, aYield);
--- a/src/transport/http_client_type.h
+++ b/src/transport/http_client_type.h
@@ -18,6 +18,9 @@
   bool operator==(const HttpField&) const = default;
 };
 
+constexpr std::size_t kNoConnectionLimit =
+  SIZE_MAX; ///< As many as the client's limits allow.
+
 /** A request that the client sends. */
 struct HttpClientRequest
 {
@@ -26,7 +29,11 @@
   std::vector<HttpField> headers_; ///< Further header lines.
   std::string body_;               ///< Body; its length is sent along.
   bool freshConnection_ =
-    false; ///< Whether it must not share a connection with earlier requests.
+    false; ///< Whether it must not share a connection with earlier requests;
+           ///< takes the place of one that is kept.
+  std::size_t keptConnections_ =
+    kNoConnectionLimit; ///< Most unused connections to its endpoint that may be
+                        ///< kept after it.
   bool operator==(const HttpClientRequest&) const = default;
 };
 
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -76,6 +76,10 @@
   std::uint64_t use() const { return use_; }
   /** Notes that it is unused from now on. */
   void markIdle();
+  /** @param aLimit Most unused connections to its endpoint when it is kept. */
+  void setKeptLimit(std::size_t aLimit) { keptLimit_ = aLimit; }
+  /** @return Most unused connections to its endpoint when it is kept. */
+  std::size_t keptLimit() const { return keptLimit_; }
 
 private:
   using Parser = boost::beast::http::response_parser<
@@ -105,6 +109,8 @@
   bool aborted_ = false;                ///< Whether abort() was called.
   std::chrono::steady_clock::time_point
     idleSince_{}; ///< When it became unused.
+  std::size_t keptLimit_ =
+    kNoConnectionLimit; ///< Most unused connections when it is kept.
 };
 
 } // namespace auburnhaven::transport
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -328,6 +328,7 @@
   request.headers_ = parts_.dialect_.headersFor(request_, send);
   request.body_ = request_.body_;
   request.freshConnection_ = !mayRunTwice() || staleConnection_;
+  request.keptConnections_ = aTarget.keptConnections_;
   staleConnection_ = false;
   HttpAborter aborter;
   aborter_ = &aborter;
--- /dev/null
+++ b/tests/coordination/routing_hearing_test.cpp
@@ -0,0 +1,50 @@
+// Tests of hearing the coordinators of zones.
+
+#include "coordination/routing/zone_hearing.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace auburnhaven;
+using namespace auburnhaven::coordination;
+using namespace std::chrono_literals;
+
+class RoutingHearingTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RoutingHearingTest);
+  CPPUNIT_TEST(eachZoneWithEnginesMustBeHeard);
+  CPPUNIT_TEST(zoneThatWasHandedBackIsNotHeard);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // A VM of zone b leaves while b has no coordinator: a daemon of zone a that
+  // hears its own coordinator must read the store all the same.
+  void eachZoneWithEnginesMustBeHeard()
+  {
+    const state::TimePoint start{ 1h };
+    ZoneHearing hearing(kOwn, 1s);
+    CPPUNIT_ASSERT(!hearing.hearsAll(start));
+    hearing.heard(kOwn, start);
+    CPPUNIT_ASSERT(hearing.hearsAll(start));
+    hearing.setZones({ kOther });
+    CPPUNIT_ASSERT(!hearing.hearsAll(start));
+    hearing.heard(kOther, start);
+    CPPUNIT_ASSERT(hearing.hearsAll(start + 900ms));
+    hearing.heard(kOwn, start + 900ms);
+    CPPUNIT_ASSERT(!hearing.hearsAll(start + 1s));
+  }
+
+  void zoneThatWasHandedBackIsNotHeard()
+  {
+    const state::TimePoint start{ 1h };
+    ZoneHearing hearing(kOwn, 1s);
+    hearing.heard(kOwn, start);
+    hearing.ended(kOwn);
+    CPPUNIT_ASSERT(!hearing.hearsAll(start));
+  }
+
+private:
+  const state::ZoneId kOwn{ "a" };   ///< Zone of the daemon.
+  const state::ZoneId kOther{ "b" }; ///< Another zone.
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoutingHearingTest);
--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -26,6 +26,7 @@
 {
   CPPUNIT_TEST_SUITE(HttpClientTest);
   CPPUNIT_TEST(connectionIsKept);
+  CPPUNIT_TEST(freshConnectionsDoNotPileUp);
   CPPUNIT_TEST(staleConnectionIsReplaced);
   CPPUNIT_TEST(refusedConnectionIsCertainlyNotRun);
   CPPUNIT_TEST(closeAfterRequestMayHaveRun);
@@ -40,6 +41,28 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  void freshConnectionsDoNotPileUp()
+  {
+    Server server([&](Socket& aSocket, int) {
+      while (!Server::readUntil(aSocket, "\r\n\r\n").empty()) {
+        Server::write(aSocket, kSmallAnswer);
+      }
+    });
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      transport::HttpClientRequest request{ "POST", "/", {}, {} };
+      request.freshConnection_ = true;
+      for (int round = 0; round < 4; ++round) {
+        aClient.open(server.endpoint(), request, {}, aYield)
+          .readAll(10, aYield);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, aClient.idleConnections());
+      }
+      // A service that allows few connections gets none that is unused.
+      request.keptConnections_ = 0;
+      aClient.open(server.endpoint(), request, {}, aYield).readAll(10, aYield);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, aClient.idleConnections());
+    });
+  }
+
   void connectionIsKept()
   {
     std::atomic<int> connections = 0;
