Let loads count less the older they are; judge room over all copies of a model

Believed load 6.7, true 38 of 25 slots; next digest the other way round. Ruled out: the weights (even below 30%, 0.33 at full), too few copies alone (20 of 24 were open). All three kept: the first two remove the thresholds that the third would meet at overload (free up to 85%).

--- a/src/coordination/routing/target_pool.cpp
+++ b/src/coordination/routing/target_pool.cpp
@@ -5,6 +5,7 @@
 #include "state/routing_func.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace auburnhaven::coordination {
@@ -13,6 +14,7 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::uint32_t kUnlimitedConnections = 64; ///< Where none is stated.
 constexpr milliseconds kShortRetryAfter(100); ///< Least wait that is told.
 constexpr milliseconds kNoTargetRetryAfter(
   700); ///< Wait that is told while no target serves.
@@ -148,9 +150,8 @@
   daemons_ = std::max<std::size_t>(1, aDaemons);
 }
 
-double
-TargetPool::leavingOf(const Target& aTarget,
-                      const state::TargetLoad& aLoad) const
+std::optional<state::FloatMs>
+TargetPool::slotTimeOf(const Target& aTarget) const
 {
   const state::ServiceSpec* service =
     state::findService(*config_, aTarget.service_);
@@ -159,11 +160,39 @@
       ? state::findModel(*service->engine_, aTarget.model_)
       : nullptr;
   if (model == nullptr) {
-    return 0;
+    return std::nullopt;
+  }
+  return usualSlotTime(*service->engine_, *model) * aTarget.slowness_;
+}
+
+double
+TargetPool::leavingOf(const Target& aTarget,
+                      const state::TargetLoad& aLoad) const
+{
+  const auto slotTime = slotTimeOf(aTarget);
+  return slotTime ? aLoad.running_ *
+                      (state::FloatMs(settings_.digestPeriod_) / *slotTime)
+                  : 0;
+}
+
+state::TargetLoad
+TargetPool::presentLoad(const Target& aTarget,
+                        double aFill,
+                        state::TimePoint aNow) const
+{
+  const state::TargetLoad reported = loadOf(aTarget, aNow);
+  const auto slotTime = slotTimeOf(aTarget);
+  if (!slotTime) {
+    return reported;
   }
-  const state::FloatMs slotTime =
-    usualSlotTime(*service->engine_, *model) * aTarget.slowness_;
-  return aLoad.running_ * (state::FloatMs(settings_.digestPeriod_) / slotTime);
+  const state::FloatMs age = aNow - aTarget.reportedAt_;
+  const double stays = std::clamp(1 - age / *slotTime, 0.0, 1.0);
+  const double total = reported.running_ + reported.waiting_;
+  const double mean = aFill * aTarget.slots_;
+  const auto now =
+    static_cast<std::uint32_t>(std::lround(total * stays + mean * (1 - stays)));
+  const std::uint32_t running = std::min(now, aTarget.slots_);
+  return { running, now - running, aTarget.slots_ };
 }
 
 double
@@ -192,6 +221,17 @@
   return filled * filled / slowness;
 }
 
+std::uint32_t
+TargetPool::keptConnections(const state::ServiceId& aService) const
+{
+  const state::ServiceSpec* service = state::findService(*config_, aService);
+  if (service == nullptr || service->maxConnections_ == 0) {
+    return kUnlimitedConnections;
+  }
+  // The other half is for connections in use.
+  return static_cast<std::uint32_t>(service->maxConnections_ / 2 / daemons_);
+}
+
 void
 TargetPool::shareRoom(const state::ZoneId& aZone)
 {
@@ -208,20 +248,35 @@
     const double part =
       room / static_cast<double>(daemons_) * settings_.quotaSlack_;
     const double luck = static_cast<double>(random_() >> 11U) / kRandomRange;
-    quotas_[{ aZone, model }] = static_cast<std::uint32_t>(part + luck);
+    double& quota = quotas_[{ aZone, model }];
+    // Parts of less than one request are saved up, or most would be lost.
+    quota = part >= 1 ? std::floor(part + luck) : std::min(1.0, quota + part);
+  }
+}
+
+double
+TargetPool::fillOf(const TargetNeed& aNeed, state::TimePoint aNow) const
+{
+  double requests = 0;
+  double slots = 1;
+  for (const auto& [vm, target] : targets_) {
+    if (fits(target, aNeed, aNow)) {
+      const state::TargetLoad load = loadOf(target, aNow);
+      requests += load.running_ + load.waiting_;
+      slots += target.slots_;
+    }
   }
+  return requests / slots;
 }
 
 bool
-TargetPool::mayEnter(const Target& aTarget,
-                     const state::TargetLoad& aLoad) const
+TargetPool::mayEnter(const Target& aTarget, double aFill) const
 {
-  const double total = aLoad.running_ + aLoad.waiting_;
-  if (aTarget.model_.empty() || total < settings_.freeLoad_ * aTarget.slots_) {
+  if (aTarget.model_.empty() || aFill < settings_.freeLoad_) {
     return true;
   }
   const auto quota = quotas_.find({ aTarget.zone_, aTarget.model_ });
-  return quota == quotas_.end() || quota->second > 0;
+  return quota == quotas_.end() || quota->second >= 1;
 }
 
 std::optional<bool>
@@ -323,6 +378,7 @@
              std::chrono::duration_cast<state::Duration>(
                std::chrono::duration<double, std::nano>(aNeed.latencyTarget_) *
                settings_.patience_));
+  const double fill = fillOf(aNeed, now);
   std::vector<Candidate> all;
   std::vector<Candidate> open;
   std::vector<Candidate> resting;
@@ -330,7 +386,7 @@
     if (!fits(target, aNeed, now)) {
       continue;
     }
-    Candidate candidate{ &vm, &target, loadOf(target, now), {}, 0 };
+    Candidate candidate{ &vm, &target, presentLoad(target, fill, now), {}, 0 };
     candidate.expected_ = expectedTime(
       target,
       aNeed,
@@ -339,8 +395,7 @@
     const bool tried =
       std::find(aNeed.excluded_.begin(), aNeed.excluded_.end(), vm) !=
       aNeed.excluded_.end();
-    const bool enters =
-      candidate.expected_ <= limit && mayEnter(target, candidate.load_);
+    const bool enters = candidate.expected_ <= limit && mayEnter(target, fill);
     if (!tried && enters) {
       candidate.weight_ = weightOf(target, candidate.load_);
       (target.restsUntil_ <= now ? open : resting).push_back(candidate);
@@ -355,8 +410,8 @@
   noteChange(*chosen.target_, now, 1);
   const auto quota =
     quotas_.find({ chosen.target_->zone_, chosen.target_->model_ });
-  if (quota != quotas_.end() && quota->second > 0) {
-    --quota->second;
+  if (quota != quotas_.end()) {
+    quota->second = std::max(0.0, quota->second - 1);
   }
   return { RefusalReason::kNone,
            *chosen.vm_,
@@ -365,7 +420,8 @@
            now - chosen.target_->reportedAt_,
            chosen.expected_,
            {},
-           static_cast<std::uint32_t>(all.size()) };
+           static_cast<std::uint32_t>(all.size()),
+           keptConnections(aNeed.service_) };
 }
 
 const TargetPool::Candidate&
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -60,6 +60,8 @@
   state::Duration expected_{};   ///< Expected time until the first event.
   state::Duration retryAfter_{}; ///< For a refusal: when there will be room.
   std::uint32_t candidates_ = 0; ///< Targets of the service and model.
+  std::uint32_t keptConnections_ =
+    0; ///< Unused connections to the target that this daemon may keep.
   bool operator==(const TargetDecision&) const = default;
 };
 
@@ -84,13 +86,14 @@
   state::Duration failurePause_ = std::chrono::milliseconds(
     800); ///< How long a target rests after a failure.
   state::Duration fullPause_ = std::chrono::milliseconds(
-    150);                 ///< How long a target rests after it was full.
-  double patience_ = 1.0; ///< Part of the latency target that the expected
-                          ///< first event may take.
-  double freeLoad_ = 0.7; ///< Part of its slots up to which a target takes any
-                          ///< request.
-  double evenRoom_ = 0.7; ///< Part of its slots beyond which more room draws
-                          ///< no more requests to a copy.
+    150);                   ///< How long a target rests after it was full.
+  double patience_ = 1.0;   ///< Part of the latency target that the expected
+                            ///< first event may take.
+  double freeLoad_ = 0.85;  ///< Part of all slots of a model up to which its
+                            ///< copies take any request. Not of one copy: what
+                            ///< the fuller half refuses would flood the other.
+  double evenRoom_ = 0.7;   ///< Part of its slots beyond which more room draws
+                            ///< no more requests to a copy.
   double quotaSlack_ = 1.2; ///< How much more than its part of the room of a
                             ///< zone a daemon may use, since callers are not
                             ///< shared evenly.
@@ -207,11 +210,17 @@
 
   std::optional<bool> isListed(const Target& aTarget,
                                state::TimePoint aNow) const;
+  std::optional<state::FloatMs> slotTimeOf(const Target& aTarget) const;
   double leavingOf(const Target& aTarget, const state::TargetLoad& aLoad) const;
+  state::TargetLoad presentLoad(const Target& aTarget,
+                                double aFill,
+                                state::TimePoint aNow) const;
   double roomOf(const Target& aTarget, const state::TargetLoad& aLoad) const;
   double weightOf(const Target& aTarget, const state::TargetLoad& aLoad) const;
+  std::uint32_t keptConnections(const state::ServiceId& aService) const;
   void shareRoom(const state::ZoneId& aZone);
-  bool mayEnter(const Target& aTarget, const state::TargetLoad& aLoad) const;
+  double fillOf(const TargetNeed& aNeed, state::TimePoint aNow) const;
+  bool mayEnter(const Target& aTarget, double aFill) const;
   bool isUsable(const Target& aTarget, state::TimePoint aNow) const;
   bool fits(const Target& aTarget,
             const TargetNeed& aNeed,
@@ -232,7 +241,7 @@
   state::RoutingConfigPtr config_;        ///< Configuration in force.
   std::map<state::VmId, Target> targets_; ///< Targets.
   std::map<state::ZoneId, DigestState> digests_; ///< Newest digests.
-  std::map<std::pair<state::ZoneId, state::ModelId>, std::uint32_t>
+  std::map<std::pair<state::ZoneId, state::ModelId>, double>
     quotas_;                ///< Requests that may still enter nearly full
                             ///< copies until the next digest.
   std::size_t daemons_ = 1; ///< Daemons that send to the same targets.
--- a/standins/http_host.cpp
+++ b/standins/http_host.cpp
@@ -118,6 +118,13 @@
   open_ = open_ && !error;
 }
 
+void
+Exchange::sendGarbage()
+{
+  send("these bytes are no answer\r\n\r\n");
+  drop();
+}
+
 void
 Exchange::beginChunks(std::string_view aContentType, const HeaderList& aHeaders)
 {
--- a/standins/http_host.h
+++ b/standins/http_host.h
@@ -73,8 +73,8 @@
   void replyWith(unsigned aStatus,
                  const std::string& aBody,
                  const HeaderList& aHeaders);
-  /** @param aBytes Bytes to write as they are. */
-  void sendRaw(const std::string& aBytes) { send(aBytes); }
+  /** Answers with bytes that are no answer and closes the connection. */
+  void sendGarbage();
   /** Closes the connection without an answer. */
   void drop() { open_ = false; }
   /**
--- a/standins/platform/model_worker.cpp
+++ b/standins/platform/model_worker.cpp
@@ -382,32 +382,34 @@
                            std::to_string(aMembership.epoch_));
 }
 
+template<class Predicate>
+bool
+ModelWorker::allMembers(Predicate aPredicate) const
+{
+  return membership_ && std::all_of(membership_->members_.begin(),
+                                    membership_->members_.end(),
+                                    [&](const std::string& aMember) {
+                                      const auto found = workers_.find(aMember);
+                                      return found != workers_.end() &&
+                                             aPredicate(*found->second);
+                                    });
+}
+
 bool
 ModelWorker::isWhole() const
 {
-  return membership_ &&
-         std::all_of(membership_->members_.begin(),
-                     membership_->members_.end(),
-                     [&](const std::string& aMember) {
-                       const auto found = workers_.find(aMember);
-                       return found != workers_.end() &&
-                              found->second->belongsTo(*membership_);
-                     });
+  return allMembers([this](const ModelWorker& aMember) {
+    return aMember.belongsTo(*membership_);
+  });
 }
 
 bool
 ModelWorker::wasWhole() const
 {
-  return membership_ &&
-         std::all_of(membership_->members_.begin(),
-                     membership_->members_.end(),
-                     [&](const std::string& aMember) {
-                       const auto found = workers_.find(aMember);
-                       // A life that has ended excuses what it was ready in.
-                       return found != workers_.end() &&
-                              (found->second->wasReady(*membership_) ||
-                               !found->second->belongsTo(*membership_));
-                     });
+  // A life that has ended excuses what it was ready in.
+  return allMembers([this](const ModelWorker& aMember) {
+    return aMember.wasReady(*membership_) || !aMember.belongsTo(*membership_);
+  });
 }
 
 bool
@@ -467,8 +469,7 @@
     aExchange.drop();
   } else if (garble_ > 0) {
     --garble_;
-    aExchange.sendRaw("these bytes are no answer\r\n\r\n");
-    aExchange.drop();
+    aExchange.sendGarbage();
   } else {
     stream(aExchange);
   }
--- a/standins/platform/model_worker.h
+++ b/standins/platform/model_worker.h
@@ -98,6 +98,8 @@
   void stream(Exchange& aExchange);
   bool waitWhole(Exchange& aExchange);
   bool refuses(Exchange& aExchange);
+  template<class Predicate>
+  bool allMembers(Predicate aPredicate) const;
   bool isWhole() const;
   bool wasWhole() const;
   bool belongsTo(const Membership& aMembership) const;
--- a/standins/platform/plain_worker.cpp
+++ b/standins/platform/plain_worker.cpp
@@ -76,8 +76,7 @@
     aExchange.drop();
   } else if (garble_ > 0) {
     --garble_;
-    aExchange.sendRaw("these bytes are no answer\r\n\r\n");
-    aExchange.drop();
+    aExchange.sendGarbage();
   } else {
     aExchange.replyWith(
       200,
--- a/standins/platform/platform_world.cpp
+++ b/standins/platform/platform_world.cpp
@@ -104,7 +104,7 @@
   const json runtime = {
     { "batch_slots", options_.pace_.slots_ },
     { "kv_capacity", 1000000 },
-    { "step_ms", options_.pace_.event_.count() / 5.0 },
+    { "step_ms", static_cast<double>(options_.pace_.event_.count()) / 5 },
     { "per_seq_ms", 0.0 },
     { "context_per_k", 0.0 },
     { "read_per_s", 46000.0 },
--- a/tests/coordination/routing_pool_test.cpp
+++ b/tests/coordination/routing_pool_test.cpp
@@ -108,8 +108,10 @@
   CPPUNIT_TEST(copyWithLeavingMemberGetsNothing);
   CPPUNIT_TEST(stragglerGetsLess);
   CPPUNIT_TEST(plainServiceIsServed);
+  CPPUNIT_TEST(connectionsOfAServiceAreShared);
   CPPUNIT_TEST(manyDaemonsDoNotHerd);
   CPPUNIT_TEST(copyThatJustOpenedIsNotFlooded);
+  CPPUNIT_TEST(fullerHalfDoesNotFloodTheOther);
   CPPUNIT_TEST(overloadIsRefusedNotQueued);
   CPPUNIT_TEST_SUITE_END();
 
@@ -268,6 +270,25 @@
     CPPUNIT_ASSERT(slow > 0 && slow < 50);
   }
 
+  void connectionsOfAServiceAreShared()
+  {
+    Pool pool(clock_);
+    state::Instance plain;
+    plain.id_ = state::VmId("p");
+    plain.service_ = state::ServiceId("plain");
+    plain.endpoint_ = { "p", 1 };
+    plain.slots_ = 6;
+    const state::InstanceMap instances{ { plain.id_, plain } };
+    pool.pool_.setView(config(),
+                       std::make_shared<state::InstanceMap>(instances));
+    const TargetNeed call{ plain.service_, {}, {}, 150ms, 1500ms, {} };
+    // 100 connections in all, half of them for use.
+    pool.pool_.setDaemons(20);
+    CPPUNIT_ASSERT_EQUAL(2U, pool.pool_.choose(call).keptConnections_);
+    pool.pool_.setDaemons(144);
+    CPPUNIT_ASSERT_EQUAL(0U, pool.pool_.choose(call).keptConnections_);
+  }
+
   void plainServiceIsServed()
   {
     Pool pool(clock_);
@@ -295,6 +316,19 @@
                            played.worstLoad_ <= 26);
   }
 
+  void fullerHalfDoesNotFloodTheOther()
+  {
+    // A hundred daemons, twenty copies, 70% of the slots in use. Each daemon's
+    // part of the room is less than one request a digest: when it closed the
+    // copies above 70%, all went to the others, which were overfull next.
+    const Played played = play(100, 20, 400, 0.9, {}, true);
+    const std::string figures =
+      std::to_string(played.inTime_) + " of " + std::to_string(played.asked_) +
+      ", worst load " + std::to_string(played.worstLoad_);
+    CPPUNIT_ASSERT_MESSAGE(figures, played.inTime_ > 0.97 * played.asked_);
+    CPPUNIT_ASSERT_MESSAGE(figures, played.worstLoad_ <= 2 * 26);
+  }
+
   void copyThatJustOpenedIsNotFlooded()
   {
     // Seven copies at a quarter of their slots and one that has just opened:
@@ -357,12 +391,14 @@
     state::VmId vm_;         ///< Its copy.
   };
 
-  /** Plays 20 s of requests to copies, each daemon choosing by itself. */
+  /** Plays 20 s of requests to copies, each daemon choosing by itself; with a
+   * lag, the loads that they hear of are 0.3 s old. */
   Played play(std::size_t aDaemons,
               int aCopies,
               double aPerSecond,
               double aHoldSeconds,
-              const TargetPoolSettings& aSettings = {})
+              const TargetPoolSettings& aSettings = {},
+              bool aLagged = false)
   {
     std::vector<std::unique_ptr<Pool>> pools;
     for (std::size_t index = 0; index < aDaemons; ++index) {
@@ -373,6 +409,7 @@
     for (int copy = 0; copy < aCopies; ++copy) {
       loads["c" + std::to_string(copy)] = 0;
     }
+    std::map<std::string, std::uint32_t> earlier = loads;
     std::mt19937_64 random(5);
     std::exponential_distribution<double> gap(aPerSecond / 1000);
     std::vector<Running> running;
@@ -380,8 +417,10 @@
     double nextAt = gap(random);
     for (int now = 0; now < 20000; ++now, clock_.advance(1ms)) {
       if (now % 300 == 0) {
-        const ZoneDigest news =
-          digest(static_cast<std::uint64_t>(now) + 1, loads, clock_.now());
+        const ZoneDigest news = digest(static_cast<std::uint64_t>(now) + 1,
+                                       aLagged ? earlier : loads,
+                                       clock_.now() - (aLagged ? 300ms : 0ms));
+        earlier = loads;
         for (const auto& pool : pools) {
           pool->pool_.setDigest(news);
         }
