Read the store less often where nothing is coordinated

A daemon that only sends requests now waits 0.8 s instead of 0.5 s between watches; a leaving worker is known after 1 s of silence or 0.8 s, within the bound of 2 s. Test: calmFollowerCallsLess.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -320,11 +320,13 @@
     duty->tick(mayTry);
     urgent = urgent || duty->coordinator().isChanging();
   }
-  follower_.setUrgent(urgent);
   const bool coordinates =
     std::any_of(duties_.begin(), duties_.end(), [](const auto& aEntry) {
       return aEntry.second->isHeld();
     });
+  const auto pace = coordinates ? coordination::FollowerPace::kUsual
+                                : coordination::FollowerPace::kCalm;
+  follower_.setPace(urgent ? coordination::FollowerPace::kUrgent : pace);
   follower_.setOthers(!coordinates && hearing_.hearsAll(clock_.now()), newsAt_);
   registration_.tick(mayTry ? std::optional<state::Duration>(kRegistrationRetry)
                             : std::nullopt);
--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/routing/store_follower.h"
 
+#include <array>
 #include <set>
 #include <utility>
 
@@ -11,6 +12,11 @@
 
 constexpr std::string_view kPart = "store"; ///< Part of the program in logs.
 
+/** Pauses by pace. */
+constexpr std::array kPauses = { &FollowerSettings::calmPause_,
+                                 &FollowerSettings::pause_,
+                                 &FollowerSettings::urgentPause_ };
+
 } // namespace
 
 StoreFollower::StoreFollower(const state::Clock& aClock,
@@ -193,7 +199,7 @@
   at_ = std::max(at_, aReply.at_);
   if (!aReply.changes_.empty()) {
     nextCall_ =
-      clock_.now() + (urgent_ ? settings_.urgentPause_ : settings_.pause_);
+      clock_.now() + settings_.*kPauses[static_cast<std::size_t>(pace_)];
   }
   publish();
 }
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -7,6 +7,7 @@
 #include "state/routing_type.h"
 #include "state/time_type.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -37,6 +38,14 @@
     const std::string& aText) const = 0;
 };
 
+/** How soon changes are wanted; sooner costs more calls. */
+enum class FollowerPace : std::uint8_t
+{
+  kCalm,   ///< By a daemon that only sends requests.
+  kUsual,  ///< By the coordinator of a zone.
+  kUrgent, ///< While copies change, or before there is a configuration.
+};
+
 /** Settings of the follower. */
 struct FollowerSettings
 {
@@ -47,8 +56,10 @@
     std::chrono::milliseconds(1500); ///< Longest wait of one watch.
   state::Duration outageWatchTimeout_ = std::chrono::milliseconds(
     100); ///< The same while the store does not answer, or others are heard.
-  state::Duration pause_ = std::chrono::milliseconds(
-    500); ///< From one answer to the next watch; changes gather meanwhile.
+  state::Duration calmPause_ = std::chrono::milliseconds(
+    800); ///< From one answer to the next watch; changes gather meanwhile.
+  state::Duration pause_ =
+    std::chrono::milliseconds(500); ///< The same for a coordinator.
   state::Duration urgentPause_ =
     std::chrono::milliseconds(250); ///< The same while changes are urgent.
   state::Duration failurePause_ =
@@ -121,9 +132,8 @@
   /** @return Revision of the newest change that all daemons must read: of the
    * configuration or of a plain instance. */
   state::Revision newsAt() const { return newsAt_; }
-  /** @param aUrgent Whether changes are wanted sooner, at the price of more
-   * calls. */
-  void setUrgent(bool aUrgent) { urgent_ = aUrgent; }
+  /** @param aPace How soon changes are wanted. */
+  void setPace(FollowerPace aPace) { pace_ = aPace; }
   /** Does what is due. Call each 50 ms or so. */
   void tick();
   /**
@@ -182,13 +192,13 @@
     missing_; ///< Instances that vanished in an outage, and when
               ///< they are dropped.
   std::set<std::string> ownKeys_; ///< The daemons' own keys that exist.
-  bool changed_ = false;     ///< Whether instances differ from the published.
-  bool listed_ = false;      ///< Whether the keys were listed.
-  bool mustList_ = true;     ///< Whether the keys must be listed next.
-  bool underWay_ = false;    ///< Whether a call is awaited.
-  bool urgent_ = false;      ///< Whether changes are wanted sooner.
-  bool inOutage_ = false;    ///< Whether an outage was noticed.
-  bool othersHeard_ = false; ///< Whether others that follow are heard.
+  bool changed_ = false;  ///< Whether instances differ from the published.
+  bool listed_ = false;   ///< Whether the keys were listed.
+  bool mustList_ = true;  ///< Whether the keys must be listed next.
+  bool underWay_ = false; ///< Whether a call is awaited.
+  FollowerPace pace_ = FollowerPace::kUsual; ///< How soon changes are wanted.
+  bool inOutage_ = false;                    ///< Whether an outage was noticed.
+  bool othersHeard_ = false;       ///< Whether others that follow are heard.
   state::Revision othersNewsAt_;   ///< Newest change that they announce.
   state::Revision newsAt_;         ///< Newest change that all must read.
   state::Revision at_;             ///< Revision from which the watch goes on.
--- a/tests/coordination/routing_follower_test.cpp
+++ b/tests/coordination/routing_follower_test.cpp
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(peerGivesConfiguration);
   CPPUNIT_TEST(newsOfOthersReplaceWatches);
   CPPUNIT_TEST(silentOthersAreReplacedByWatches);
+  CPPUNIT_TEST(calmFollowerCallsLess);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,6 +79,24 @@
     data_->put("vm/a", "plain");
   }
 
+  void calmFollowerCallsLess()
+  {
+    const auto callsOf = [&](FollowerPace aPace) {
+      follower_->setPace(aPace);
+      const std::uint64_t before = data_->reads_;
+      for (int change = 0; change < 80; ++change) {
+        data_->put("vm/b", change % 2 == 0 ? "plain" : "engine");
+        run(100ms);
+      }
+      return data_->reads_ - before;
+    };
+    run(1s);
+    const std::uint64_t usual = callsOf(FollowerPace::kUsual);
+    const std::uint64_t calm = callsOf(FollowerPace::kCalm);
+    CPPUNIT_ASSERT(calm <= 8s / 800ms + 1);
+    CPPUNIT_ASSERT(calm < usual);
+  }
+
   void listsThenWatches()
   {
     std::vector<std::string> own;
