--- a/tests/coordination/routing_hearing_test.cpp
+++ b/tests/coordination/routing_hearing_test.cpp
@@ -21,30 +21,30 @@
   void eachZoneWithEnginesMustBeHeard()
   {
     const state::TimePoint start{ 1h };
-    ZoneHearing hearing(kOwn, 1s);
+    ZoneHearing hearing(ownZone_, 1s);
     CPPUNIT_ASSERT(!hearing.hearsAll(start));
-    hearing.heard(kOwn, start);
+    hearing.heard(ownZone_, start);
     CPPUNIT_ASSERT(hearing.hearsAll(start));
-    hearing.setZones({ kOther });
+    hearing.setZones({ otherZone_ });
     CPPUNIT_ASSERT(!hearing.hearsAll(start));
-    hearing.heard(kOther, start);
+    hearing.heard(otherZone_, start);
     CPPUNIT_ASSERT(hearing.hearsAll(start + 900ms));
-    hearing.heard(kOwn, start + 900ms);
+    hearing.heard(ownZone_, start + 900ms);
     CPPUNIT_ASSERT(!hearing.hearsAll(start + 1s));
   }
 
   void zoneThatWasHandedBackIsNotHeard()
   {
     const state::TimePoint start{ 1h };
-    ZoneHearing hearing(kOwn, 1s);
-    hearing.heard(kOwn, start);
-    hearing.ended(kOwn);
+    ZoneHearing hearing(ownZone_, 1s);
+    hearing.heard(ownZone_, start);
+    hearing.ended(ownZone_);
     CPPUNIT_ASSERT(!hearing.hearsAll(start));
   }
 
 private:
-  const state::ZoneId kOwn{ "a" };   ///< Zone of the daemon.
-  const state::ZoneId kOther{ "b" }; ///< Another zone.
+  const state::ZoneId ownZone_{ "a" };   ///< Zone of the daemon.
+  const state::ZoneId otherZone_{ "b" }; ///< Another zone.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RoutingHearingTest);
