--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -54,15 +54,17 @@
 constexpr char kDaemonPrefix[] = "auburnhaven/daemon/"; ///< Of registrations.
 constexpr std::string_view kPart = "daemon"; ///< Part of the program in logs.
 
-/** @return Times of a zone's lease. */
+/** @return Times of a lease. */
 coordination::LeaseLimits
-dutyLimits()
+leaseLimits(milliseconds aTimeToLive,
+            milliseconds aRenewal,
+            milliseconds aRetryPause)
 {
   coordination::LeaseLimits limits;
-  limits.timeToLive_ = kLeaseTimeToLive;
-  limits.renewal_ = kLeaseRenewal;
+  limits.timeToLive_ = aTimeToLive;
+  limits.renewal_ = aRenewal;
   limits.margin_ = kLeaseMargin;
-  limits.retryPause_ = kLeaseRetry;
+  limits.retryPause_ = aRetryPause;
   return limits;
 }
 
@@ -103,7 +105,7 @@
                std::to_string(aClock.wallNow().time_since_epoch().count());
   duty.patience_ =
     aZone == aSettings.zone_ ? jitter : kOtherZonePatience + jitter * 3;
-  duty.lease_ = dutyLimits();
+  duty.lease_ = leaseLimits(kLeaseTimeToLive, kLeaseRenewal, kLeaseRetry);
   duty.zone_ = replicaZone(aSettings, aZone);
   duty.limits_ = replicaLimits(aSettings);
   return duty;
@@ -164,18 +166,6 @@
   return budget;
 }
 
-/** @return Times of a daemon's registration. */
-coordination::LeaseLimits
-registrationLimits()
-{
-  coordination::LeaseLimits limits;
-  limits.timeToLive_ = kRegistrationTimeToLive;
-  limits.renewal_ = kRegistrationRenewal;
-  limits.margin_ = kLeaseMargin;
-  limits.retryPause_ = kRegistrationRetry;
-  return limits;
-}
-
 } // namespace
 
 RelayDaemon::RelayDaemon(RelayDaemonSettings aSettings)
@@ -192,7 +182,9 @@
                   store_,
                   registry_.keyOf(settings_.daemon_.value()),
                   state::textOf(settings_.listeners_.peers_),
-                  registrationLimits())
+                  leaseLimits(kRegistrationTimeToLive,
+                              kRegistrationRenewal,
+                              kRegistrationRetry))
   , hearing_(settings_.zone_, kCoordinatorSilence)
   , digests_(control_.context())
   , links_(control_.context(), linkSettings(settings_, seed_))
--- a/src/app/toml_reader.cpp
+++ b/src/app/toml_reader.cpp
@@ -2,12 +2,12 @@
 
 #include "app/toml_reader.h"
 
-#include <sstream>
+#include "state/endpoint_func.h"
 
 #include <arpa/inet.h>
 
 #include <algorithm>
-#include <charconv>
+#include <sstream>
 
 namespace auburnhaven::app {
 
@@ -101,26 +101,17 @@
 std::optional<state::Endpoint>
 parseEndpoint(const std::string& aText)
 {
-  const std::size_t colon = aText.rfind(':');
-  if (colon == std::string::npos) {
+  std::optional<state::Endpoint> endpoint = state::endpointFrom(aText);
+  if (!endpoint) {
     return std::nullopt;
   }
-  std::string address = aText.substr(0, colon);
+  std::string& address = endpoint->address_;
   const bool bracketed =
     address.size() > 2 && address.front() == '[' && address.back() == ']';
   if (bracketed) {
     address = address.substr(1, address.size() - 2);
   }
-  state::Endpoint endpoint{ address, 0 };
-  const char* end = aText.data() + aText.size();
-  const auto parsed =
-    std::from_chars(aText.data() + colon + 1, end, endpoint.port_);
-  const bool portValid =
-    parsed.ec == std::errc() && parsed.ptr == end && endpoint.port_ != 0;
-  if (!portValid || !isIpNumber(address, bracketed)) {
-    return std::nullopt;
-  }
-  return endpoint;
+  return isIpNumber(address, bracketed) ? endpoint : std::nullopt;
 }
 
 void
--- a/src/coordination/fleet/link_clock.cpp
+++ b/src/coordination/fleet/link_clock.cpp
@@ -15,8 +15,7 @@
 std::uint32_t
 toMs(state::Duration aDuration)
 {
-  return static_cast<std::uint32_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+  return static_cast<std::uint32_t>(state::countMs(aDuration));
 }
 
 } // namespace
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -69,6 +69,16 @@
   return state::ModelId(namePart(aReplica, 2));
 }
 
+/** @return Members of a copy that are known. */
+std::size_t
+knownMembers(const Replica& aReplica)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aReplica.members_.begin(),
+    aReplica.members_.end(),
+    [](const ReplicaMember& aMember) { return !aMember.vm_.empty(); }));
+}
+
 } // namespace
 
 ReplicaCoordinator::ReplicaCoordinator(const state::Clock& aClock,
@@ -297,20 +307,14 @@
 {
   const state::ModelSpec* model = state::findModel(*engine_, aReplica.model_);
   return model != nullptr && aReplica.members_.size() == model->size_ &&
-         std::none_of(
-           aReplica.members_.begin(),
-           aReplica.members_.end(),
-           [](const ReplicaMember& aMember) { return aMember.vm_.empty(); });
+         knownMembers(aReplica) == model->size_;
 }
 
 bool
 ReplicaCoordinator::isExplained(const Replica& aReplica) const
 {
   const state::ModelSpec* model = state::findModel(*engine_, aReplica.model_);
-  auto known = std::count_if(
-    aReplica.members_.begin(),
-    aReplica.members_.end(),
-    [](const ReplicaMember& aMember) { return !aMember.vm_.empty(); });
+  std::size_t known = knownMembers(aReplica);
   for (const auto& [vm, engine] : watch_.engines()) {
     const auto& registered = engine.instance_.engine_;
     const bool silent = !watch_.answers(vm) && registered &&
@@ -318,7 +322,7 @@
                         registered->place_->replica_ == aReplica.id_;
     known += silent ? 1 : 0;
   }
-  return model != nullptr && known >= static_cast<long>(model->size_);
+  return model != nullptr && known >= model->size_;
 }
 
 void
@@ -335,10 +339,7 @@
     waitsForList_ = true;
     return;
   }
-  const auto present = std::count_if(
-    replica.members_.begin(),
-    replica.members_.end(),
-    [](const ReplicaMember& aMember) { return !aMember.vm_.empty(); });
+  const std::size_t present = knownMembers(replica);
   ReplicaMember& head = replica.members_.front();
   if (head.vm_.empty()) {
     head.vm_ = headOf(replica.id_);
@@ -849,10 +850,10 @@
   const std::uint32_t loads = loadsInProgress();
   if (loadsAreQuick()) {
     // A whole copy may start to load as soon as the weight store has room.
-    std::uint32_t largest = 1;
-    for (const state::ModelSpec& model : engine_->models_) {
-      largest = std::max(largest, model.size_);
-    }
+    const std::uint32_t largest =
+      engine_->models_.empty()
+        ? 1
+        : std::max(1U, state::largestModel(engine_->models_).size_);
     return loads < share ? largest : 0;
   }
   return share - std::min(share, loads);
--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -3,11 +3,11 @@
 
 #include "coordination/authority_lease.h"
 #include "coordination/replica/engine_watch.h"
-#include "coordination/replica/load_limiter.h"
 #include "coordination/replica/replica_plan_func.h"
 #include "coordination/replica/replica_type.h"
 #include "coordination/routing/zone_digest_type.h"
 #include "state/event_log.h"
+#include "state/rate_limiter.h"
 
 #include <cstdint>
 #include <map>
@@ -145,15 +145,15 @@
                 ReplicaOrderStatus aStatus);
   ReplicaOrder orderOf(const Replica& aReplica, ReplicaOrderKind aKind) const;
 
-  const state::Clock& clock_;   ///< Clock.
-  ReplicaEngines& engineCalls_; ///< The engines.
-  const AuthorityLease& lease_; ///< Authority over the zone.
-  state::EventLog& log_;        ///< Log.
-  ReplicaZone zone_;            ///< The zone.
-  ReplicaLimits limits_;        ///< Limits.
-  EngineWatch watch_;           ///< Reports of the engines.
-  LoadLimiter loadLimiter_;     ///< Rate of loads from the weight store.
-  state::ServiceId service_;    ///< Service of the engines.
+  const state::Clock& clock_;      ///< Clock.
+  ReplicaEngines& engineCalls_;    ///< The engines.
+  const AuthorityLease& lease_;    ///< Authority over the zone.
+  state::EventLog& log_;           ///< Log.
+  ReplicaZone zone_;               ///< The zone.
+  ReplicaLimits limits_;           ///< Limits.
+  EngineWatch watch_;              ///< Reports of the engines.
+  state::RateLimiter loadLimiter_; ///< Rate of loads from the weight store.
+  state::ServiceId service_;       ///< Service of the engines.
   std::optional<state::EngineSpec> engine_;      ///< Engine service in force.
   std::map<state::ReplicaId, Replica> replicas_; ///< Copies known.
   std::set<state::ReplicaId> dissolved_; ///< Copies whose members are free.
--- a/src/coordination/replica/replica_layout_func.cpp
+++ b/src/coordination/replica/replica_layout_func.cpp
@@ -2,6 +2,8 @@
 
 #include "coordination/replica/replica_layout_func.h"
 
+#include "state/routing_func.h"
+
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -139,15 +141,9 @@
    * copy. */
   std::uint32_t reserveOf(const ReplicaCounts& aCounts) const
   {
-    const auto largest =
-      std::max_element(models_.begin(),
-                       models_.end(),
-                       [](const auto& aLeft, const auto& aRight) {
-                         return aLeft.size_ < aRight.size_;
-                       });
-    const auto index =
-      static_cast<std::size_t>(std::distance(models_.begin(), largest));
-    const std::uint32_t used = aCounts[index] * largest->size_;
+    const state::ModelSpec& largest = state::largestModel(models_);
+    const auto index = static_cast<std::size_t>(&largest - models_.data());
+    const std::uint32_t used = aCounts[index] * largest.size_;
     return used == 0 ? 0 : vmCount(domain_) - used;
   }
 
--- a/src/coordination/replica/replica_plan_func.cpp
+++ b/src/coordination/replica/replica_plan_func.cpp
@@ -3,6 +3,7 @@
 #include "coordination/replica/replica_plan_func.h"
 
 #include "coordination/replica/replica_layout_func.h"
+#include "state/routing_func.h"
 
 #include <algorithm>
 
@@ -45,11 +46,7 @@
   explicit Planner(const ZoneFacts& aFacts)
     : facts_(aFacts)
     , layout_(chooseLayout(aFacts))
-    , largest_(*std::max_element(aFacts.models_.begin(),
-                                 aFacts.models_.end(),
-                                 [](const auto& aLeft, const auto& aRight) {
-                                   return aLeft.size_ < aRight.size_;
-                                 }))
+    , largest_(state::largestModel(aFacts.models_))
     , loadsLeft_(aFacts.loads_)
   {
   }
@@ -88,6 +85,16 @@
                     }));
   }
 
+  /** @return Copies of a model that a domain has or gets by the moves so far.
+   */
+  std::uint32_t haveOf(const state::DomainId& aDomain,
+                       const state::ModelId& aModel) const
+  {
+    const auto formed = formed_.find({ aDomain, aModel });
+    return presentOf(facts_.domains_.at(aDomain), aModel) +
+           (formed == formed_.end() ? 0 : formed->second);
+  }
+
   /** Gives up copies that a domain has too many, when another model lacks one
    * there; first those whose members have the largest model on their hosts. */
   void giveUpSurplus(const state::DomainId& aId, const DomainFacts& aDomain)
@@ -159,10 +166,7 @@
     for (const auto& [id, free] : free_) {
       for (std::size_t index = 0; index < facts_.models_.size(); ++index) {
         const state::ModelSpec& model = facts_.models_[index];
-        const std::uint32_t have =
-          presentOf(facts_.domains_.at(id), model.id_) +
-          formed_[{ id, model.id_ }];
-        if (have >= layout_.at(id)[index]) {
+        if (haveOf(id, model.id_) >= layout_.at(id)[index]) {
           continue;
         }
         std::optional<Lack> lack = membersFor(id, model);
@@ -193,9 +197,7 @@
   {
     std::uint32_t copies = 0;
     for (const auto& [id, domain] : facts_.domains_) {
-      copies += presentOf(domain, aModel.id_);
-      const auto formed = formed_.find({ id, aModel.id_ });
-      copies += formed == formed_.end() ? 0 : formed->second;
+      copies += haveOf(id, aModel.id_);
     }
     return aModel.workShare_ / (copies + 1.0) / std::max(1U, aModel.size_);
   }
@@ -269,11 +271,8 @@
     for (const auto& [id, free] : free_) {
       for (std::size_t index = 0; index < facts_.models_.size(); ++index) {
         const state::ModelSpec& model = facts_.models_[index];
-        const std::uint32_t have =
-          presentOf(facts_.domains_.at(id), model.id_) +
-          formed_[{ id, model.id_ }];
         std::optional<Lack> lack;
-        if (have < layout_.at(id)[index]) {
+        if (haveOf(id, model.id_) < layout_.at(id)[index]) {
           lack = membersFor(id, model, true);
         }
         if (lack && (!best || lack->loads_ < best->loads_)) {
@@ -307,7 +306,7 @@
   void stageReserves()
   {
     for (const auto& [id, domain] : facts_.domains_) {
-      if (!domain.settled_ || lacksCopy(id, domain)) {
+      if (!domain.settled_ || lacksCopy(id)) {
         continue;
       }
       std::uint32_t ready = stageSpares(free_[id]);
@@ -320,15 +319,11 @@
   }
 
   /** @return Whether a domain is to get a copy that it does not have yet. */
-  bool lacksCopy(const state::DomainId& aId, const DomainFacts& aDomain) const
+  bool lacksCopy(const state::DomainId& aId) const
   {
     const ReplicaCounts& wanted = layout_.at(aId);
     for (std::size_t index = 0; index < wanted.size(); ++index) {
-      const state::ModelId& model = facts_.models_[index].id_;
-      const auto formed = formed_.find({ aId, model });
-      const std::uint32_t have = presentOf(aDomain, model) +
-                                 (formed == formed_.end() ? 0 : formed->second);
-      if (have < wanted[index]) {
+      if (haveOf(aId, facts_.models_[index].id_) < wanted[index]) {
         return true;
       }
     }
--- a/src/coordination/routing/target_pool.cpp
+++ b/src/coordination/routing/target_pool.cpp
@@ -150,64 +150,68 @@
   daemons_ = std::max<std::size_t>(1, aDaemons);
 }
 
-std::optional<state::FloatMs>
-TargetPool::slotTimeOf(const Target& aTarget) const
+std::optional<TargetPool::Pace>
+TargetPool::paceOf(const state::ServiceId& aService,
+                   const state::ModelId& aModel) const
 {
-  const state::ServiceSpec* service =
-    state::findService(*config_, aTarget.service_);
+  const state::ServiceSpec* service = state::findService(*config_, aService);
   const state::ModelSpec* model =
     service != nullptr && service->engine_
-      ? state::findModel(*service->engine_, aTarget.model_)
+      ? state::findModel(*service->engine_, aModel)
       : nullptr;
   if (model == nullptr) {
     return std::nullopt;
   }
-  return usualSlotTime(*service->engine_, *model) * aTarget.slowness_;
+  return Pace{ &*service->engine_,
+               model,
+               usualSlotTime(*service->engine_, *model) };
 }
 
 double
 TargetPool::leavingOf(const Target& aTarget,
-                      const state::TargetLoad& aLoad) const
+                      const state::TargetLoad& aLoad,
+                      const std::optional<Pace>& aPace) const
 {
-  const auto slotTime = slotTimeOf(aTarget);
-  return slotTime ? aLoad.running_ *
-                      (state::FloatMs(settings_.digestPeriod_) / *slotTime)
-                  : 0;
+  return aPace ? aLoad.running_ * (state::FloatMs(settings_.digestPeriod_) /
+                                   (aPace->slotTime_ * aTarget.slowness_))
+               : 0;
 }
 
 state::TargetLoad
 TargetPool::presentLoad(const Target& aTarget,
-                        double aFill,
-                        state::TimePoint aNow) const
+                        const state::TargetLoad& aReported,
+                        const Surroundings& aAround)
 {
-  const state::TargetLoad reported = loadOf(aTarget, aNow);
-  const auto slotTime = slotTimeOf(aTarget);
-  if (!slotTime) {
-    return reported;
+  if (!aAround.pace_) {
+    return aReported;
   }
-  const state::FloatMs age = aNow - aTarget.reportedAt_;
-  const double stays = std::clamp(1 - age / *slotTime, 0.0, 1.0);
-  const double total = reported.running_ + reported.waiting_;
-  const double mean = aFill * aTarget.slots_;
-  const auto now =
+  const state::FloatMs age = aAround.now_ - aTarget.reportedAt_;
+  const double stays = std::clamp(
+    1 - age / (aAround.pace_->slotTime_ * aTarget.slowness_), 0.0, 1.0);
+  const double total = aReported.running_ + aReported.waiting_;
+  const double mean = aAround.fill_ * aTarget.slots_;
+  const auto present =
     static_cast<std::uint32_t>(std::lround(total * stays + mean * (1 - stays)));
-  const std::uint32_t running = std::min(now, aTarget.slots_);
-  return { running, now - running, aTarget.slots_ };
+  const std::uint32_t running = std::min(present, aTarget.slots_);
+  return { running, present - running, aTarget.slots_ };
 }
 
 double
-TargetPool::roomOf(const Target& aTarget, const state::TargetLoad& aLoad) const
+TargetPool::roomOf(const Target& aTarget,
+                   const state::TargetLoad& aLoad,
+                   double aLeaving) const
 {
   const double limit = aTarget.slots_ + settings_.queueRoom_;
   const double total = aLoad.running_ + aLoad.waiting_;
-  return std::max(0.0, limit - total + leavingOf(aTarget, aLoad));
+  return std::max(0.0, limit - total + aLeaving);
 }
 
 double
 TargetPool::weightOf(const Target& aTarget,
-                     const state::TargetLoad& aLoad) const
+                     const state::TargetLoad& aLoad,
+                     double aLeaving) const
 {
-  const double room = roomOf(aTarget, aLoad);
+  const double room = roomOf(aTarget, aLoad, aLeaving);
   const double slowness = aTarget.slowness_ * aTarget.slowness_;
   if (aTarget.model_.empty()) {
     const double idle =
@@ -240,7 +244,10 @@
   for (const auto& [vm, target] : targets_) {
     if (target.zone_ == aZone && !target.model_.empty() &&
         isUsable(target, now)) {
-      rooms[target.model_] += roomOf(target, loadOf(target, now));
+      const state::TargetLoad load = loadOf(target, now);
+      const auto pace = paceOf(target.service_, target.model_);
+      rooms[target.model_] +=
+        roomOf(target, load, leavingOf(target, load, pace));
     }
   }
   constexpr double kRandomRange = 1ULL << 53U;
@@ -254,17 +261,26 @@
   }
 }
 
+std::vector<TargetPool::Candidate>
+TargetPool::candidatesFor(const TargetNeed& aNeed, state::TimePoint aNow)
+{
+  std::vector<Candidate> candidates;
+  for (auto& [vm, target] : targets_) {
+    if (fits(target, aNeed, aNow)) {
+      candidates.push_back({ &vm, &target, loadOf(target, aNow), {}, 0 });
+    }
+  }
+  return candidates;
+}
+
 double
-TargetPool::fillOf(const TargetNeed& aNeed, state::TimePoint aNow) const
+TargetPool::fillOf(const std::vector<Candidate>& aCandidates)
 {
   double requests = 0;
   double slots = 1;
-  for (const auto& [vm, target] : targets_) {
-    if (fits(target, aNeed, aNow)) {
-      const state::TargetLoad load = loadOf(target, aNow);
-      requests += load.running_ + load.waiting_;
-      slots += target.slots_;
-    }
+  for (const Candidate& candidate : aCandidates) {
+    requests += candidate.load_.running_ + candidate.load_.waiting_;
+    slots += candidate.target_->slots_;
   }
   return requests / slots;
 }
@@ -350,17 +366,13 @@
 state::Duration
 TargetPool::expectedTime(const Target& aTarget,
                          const TargetNeed& aNeed,
-                         const state::TargetLoad& aLoad) const
+                         const state::TargetLoad& aLoad,
+                         const std::optional<Pace>& aPace)
 {
-  const state::ServiceSpec* service =
-    state::findService(*config_, aNeed.service_);
-  const state::ModelSpec* model =
-    service != nullptr && service->engine_
-      ? state::findModel(*service->engine_, aTarget.model_)
-      : nullptr;
-  if (model != nullptr) {
+  if (aPace) {
     return std::chrono::duration_cast<state::Duration>(
-      firstEventTime(*service->engine_, *model, aLoad, aNeed.tokens_.prompt_) *
+      firstEventTime(
+        *aPace->engine_, *aPace->model_, aLoad, aNeed.tokens_.prompt_) *
       aTarget.slowness_);
   }
   // Plain services state no pace: an equal part of the aim for each request.
@@ -378,26 +390,25 @@
              std::chrono::duration_cast<state::Duration>(
                std::chrono::duration<double, std::nano>(aNeed.latencyTarget_) *
                settings_.patience_));
-  const double fill = fillOf(aNeed, now);
-  std::vector<Candidate> all;
+  std::vector<Candidate> all = candidatesFor(aNeed, now);
+  const Surroundings around{ now,
+                             fillOf(all),
+                             paceOf(aNeed.service_, aNeed.model_) };
   std::vector<Candidate> open;
   std::vector<Candidate> resting;
-  for (auto& [vm, target] : targets_) {
-    if (!fits(target, aNeed, now)) {
-      continue;
-    }
-    Candidate candidate{ &vm, &target, presentLoad(target, fill, now), {}, 0 };
+  for (Candidate& candidate : all) {
+    const Target& target = *candidate.target_;
+    candidate.load_ = presentLoad(target, candidate.load_, around);
+    const double leaving = leavingOf(target, candidate.load_, around.pace_);
     candidate.expected_ = expectedTime(
-      target,
-      aNeed,
-      drained(candidate.load_, leavingOf(target, candidate.load_)));
-    all.push_back(candidate);
-    const bool tried =
-      std::find(aNeed.excluded_.begin(), aNeed.excluded_.end(), vm) !=
-      aNeed.excluded_.end();
-    const bool enters = candidate.expected_ <= limit && mayEnter(target, fill);
+      target, aNeed, drained(candidate.load_, leaving), around.pace_);
+    const bool tried = std::find(aNeed.excluded_.begin(),
+                                 aNeed.excluded_.end(),
+                                 *candidate.vm_) != aNeed.excluded_.end();
+    const bool enters =
+      candidate.expected_ <= limit && mayEnter(target, around.fill_);
     if (!tried && enters) {
-      candidate.weight_ = weightOf(target, candidate.load_);
+      candidate.weight_ = weightOf(target, candidate.load_, leaving);
       (target.restsUntil_ <= now ? open : resting).push_back(candidate);
     }
   }
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -198,6 +198,20 @@
     state::TimePoint takenAt_{};  ///< When it was taken.
     bool whole_ = true;           ///< Whether it has all open copies.
   };
+  /** How fast the copies of a model work. */
+  struct Pace
+  {
+    const state::EngineSpec* engine_; ///< Their service.
+    const state::ModelSpec* model_;   ///< The model.
+    state::FloatMs slotTime_; ///< Time that a usual request holds a slot.
+  };
+  /** What all targets of one choice have in common. */
+  struct Surroundings
+  {
+    state::TimePoint now_;     ///< Present time.
+    double fill_;              ///< Part of their slots that is in use.
+    std::optional<Pace> pace_; ///< Pace of the model; none for plain services.
+  };
   /** A target that may take a request. */
   struct Candidate
   {
@@ -210,16 +224,25 @@
 
   std::optional<bool> isListed(const Target& aTarget,
                                state::TimePoint aNow) const;
-  std::optional<state::FloatMs> slotTimeOf(const Target& aTarget) const;
-  double leavingOf(const Target& aTarget, const state::TargetLoad& aLoad) const;
-  state::TargetLoad presentLoad(const Target& aTarget,
-                                double aFill,
-                                state::TimePoint aNow) const;
-  double roomOf(const Target& aTarget, const state::TargetLoad& aLoad) const;
-  double weightOf(const Target& aTarget, const state::TargetLoad& aLoad) const;
+  std::optional<Pace> paceOf(const state::ServiceId& aService,
+                             const state::ModelId& aModel) const;
+  double leavingOf(const Target& aTarget,
+                   const state::TargetLoad& aLoad,
+                   const std::optional<Pace>& aPace) const;
+  static state::TargetLoad presentLoad(const Target& aTarget,
+                                       const state::TargetLoad& aReported,
+                                       const Surroundings& aAround);
+  double roomOf(const Target& aTarget,
+                const state::TargetLoad& aLoad,
+                double aLeaving) const;
+  double weightOf(const Target& aTarget,
+                  const state::TargetLoad& aLoad,
+                  double aLeaving) const;
   std::uint32_t keptConnections(const state::ServiceId& aService) const;
   void shareRoom(const state::ZoneId& aZone);
-  double fillOf(const TargetNeed& aNeed, state::TimePoint aNow) const;
+  std::vector<Candidate> candidatesFor(const TargetNeed& aNeed,
+                                       state::TimePoint aNow);
+  static double fillOf(const std::vector<Candidate>& aCandidates);
   bool mayEnter(const Target& aTarget, double aFill) const;
   bool isUsable(const Target& aTarget, state::TimePoint aNow) const;
   bool fits(const Target& aTarget,
@@ -227,9 +250,10 @@
             state::TimePoint aNow) const;
   static void noteChange(Target& aTarget, state::TimePoint aNow, int aChange);
   state::TargetLoad loadOf(const Target& aTarget, state::TimePoint aNow) const;
-  state::Duration expectedTime(const Target& aTarget,
-                               const TargetNeed& aNeed,
-                               const state::TargetLoad& aLoad) const;
+  static state::Duration expectedTime(const Target& aTarget,
+                                      const TargetNeed& aNeed,
+                                      const state::TargetLoad& aLoad,
+                                      const std::optional<Pace>& aPace);
   const Candidate& pick(const std::vector<Candidate>& aCandidates);
   TargetDecision refuse(const std::vector<Candidate>& aCandidates,
                         const TargetNeed& aNeed) const;
--- a/src/protocol/store_codec.cpp
+++ b/src/protocol/store_codec.cpp
@@ -15,14 +15,6 @@
 
 constexpr char kSource[] = "store"; ///< Origin named in error messages.
 
-/** @return A duration in whole milliseconds, rounded down. */
-std::int64_t
-toMilliseconds(state::Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
-    .count();
-}
-
 } // namespace
 
 std::string
@@ -51,7 +43,7 @@
   return Json{
     { "key", aKey },
     { "after", aAfter.value() },
-    { "timeout_ms", toMilliseconds(aTimeout) }
+    { "timeout_ms", state::countMs(aTimeout) }
   }.dump();
 }
 
@@ -63,7 +55,7 @@
   return Json{
     { "name", aName },
     { "holder", aHolder },
-    { "ttl_ms", toMilliseconds(aTimeToLive) }
+    { "ttl_ms", state::countMs(aTimeToLive) }
   }.dump();
 }
 
--- a/src/protocol/zone_digest_codec.cpp
+++ b/src/protocol/zone_digest_codec.cpp
@@ -13,12 +13,6 @@
 constexpr std::size_t kHeadBytes = 160; ///< Bound of all but the copies.
 constexpr std::size_t kCopyFields = 9;  ///< Fields of an encoded copy.
 
-std::int64_t
-ageMs(state::Duration aAge)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aAge).count();
-}
-
 coordination::CopyLoad
 decodeCopy(const Json& aCopy, state::TimePoint aNow)
 {
@@ -44,11 +38,15 @@
   Json copies = Json::array();
   std::size_t bytesLeft = kMaxDigestBytes - kHeadBytes;
   for (const coordination::CopyLoad& copy : aDigest.copies_) {
-    Json row = { copy.head_.value(),      copy.endpoint_.address_,
-                 copy.endpoint_.port_,    copy.model_.value(),
-                 copy.running_,           copy.waiting_,
-                 copy.slowness_,          copy.finishing_,
-                 ageMs(aNow - copy.asOf_) };
+    Json row = { copy.head_.value(),
+                 copy.endpoint_.address_,
+                 copy.endpoint_.port_,
+                 copy.model_.value(),
+                 copy.running_,
+                 copy.waiting_,
+                 copy.slowness_,
+                 copy.finishing_,
+                 state::countMs(aNow - copy.asOf_) };
     const std::size_t size = Json::to_cbor(row).size();
     if (size > bytesLeft) {
       break;
--- a/src/state/routing_func.cpp
+++ b/src/state/routing_func.cpp
@@ -3,6 +3,7 @@
 #include "state/routing_func.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace auburnhaven::state {
 
@@ -34,4 +35,15 @@
   return findById(aEngine.models_, aModel);
 }
 
+const ModelSpec&
+largestModel(const std::vector<ModelSpec>& aModels)
+{
+  assert(!aModels.empty());
+  return *std::max_element(aModels.begin(),
+                           aModels.end(),
+                           [](const ModelSpec& aLeft, const ModelSpec& aRight) {
+                             return aLeft.size_ < aRight.size_;
+                           });
+}
+
 } // namespace auburnhaven::state
--- a/src/state/routing_func.h
+++ b/src/state/routing_func.h
@@ -21,4 +21,11 @@
 const ModelSpec*
 findModel(const EngineSpec& aEngine, const ModelId& aModel);
 
+/**
+ * @param aModels Models, at least one.
+ * @return The first one of those with the most VMs to a copy. Thread-safe.
+ */
+const ModelSpec&
+largestModel(const std::vector<ModelSpec>& aModels);
+
 } // namespace auburnhaven::state
--- a/src/state/routing_type.h
+++ b/src/state/routing_type.h
@@ -46,8 +46,7 @@
   bool resumable_ = false;    ///< Whether a stream may go on at another target.
   bool public_ = false;       ///< Whether requests need no key.
   Milliseconds timeout_{ 0 }; ///< Longest time for one request.
-  Milliseconds latencyTarget_{ 0 };  ///< Aim for the answer or first event.
-  Milliseconds eventGapTarget_{ 0 }; ///< Aim for the pause between events.
+  Milliseconds latencyTarget_{ 0 }; ///< Aim for the answer or first event.
   std::uint32_t maxAttempts_ = 1; ///< Most targets that one request may run on.
   std::uint32_t priority_ = 0;    ///< Rank; 0 is the highest.
   std::vector<WeightedService> services_; ///< Services; not empty.
@@ -69,10 +68,9 @@
 /** How the engines of a service work. */
 struct EngineSpec
 {
-  std::uint32_t batchSlots_ = 1;   ///< Requests that run at once in a copy.
-  std::uint64_t memoryTokens_ = 0; ///< Tokens that fit into a copy's memory.
-  FloatMs step_{ 0 };              ///< Time of a token step.
-  FloatMs stepPerRequest_{ 0 };    ///< Added for each request that writes.
+  std::uint32_t batchSlots_ = 1; ///< Requests that run at once in a copy.
+  FloatMs step_{ 0 };            ///< Time of a token step.
+  FloatMs stepPerRequest_{ 0 };  ///< Added for each request that writes.
   FloatMs stepPerThousandContext_{
     0
   }; ///< Added for 1,000 tokens of context of each such request.
@@ -81,7 +79,6 @@
   std::uint32_t usualPrompt_ = 0; ///< Mean prompt, in tokens.
   std::uint32_t usualAnswer_ = 0; ///< Mean answer, in tokens.
   Milliseconds reportLag_{ 0 };   ///< How old what a report states may be.
-  Milliseconds openTime_{ 0 };    ///< From the order to open to serving.
   double loadsPerSecond_ = 1;     ///< Loads that may start in a second.
   std::uint32_t loadsAtOnce_ = 1; ///< Loads that run at full speed at once.
   std::vector<ModelSpec> models_; ///< Models of the service.
--- a/src/state/time_type.h
+++ b/src/state/time_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace auburnhaven::state {
 
@@ -14,6 +15,15 @@
                                                       ///< people, schedules and
                                                       ///< retention.
 
+/** @return Whole milliseconds of a duration, rounded towards zero. Thread-safe.
+ */
+inline std::int64_t
+countMs(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
 /** Source of time. Implementations are safe to call from any thread. */
 class Clock
 {
--- a/src/transport/event_log_writer.cpp
+++ b/src/transport/event_log_writer.cpp
@@ -7,8 +7,6 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include <algorithm>
-
 namespace auburnhaven::transport {
 
 EventLogWriter::EventLogWriter(const state::Clock& aClock,
@@ -16,10 +14,8 @@
                                EventLogLimits aLimits)
   : clock_(aClock)
   , descriptor_(aDescriptor)
-  , limits_(aLimits)
-  , routine_(aLimits.routinePerSecond_)
-  , changes_(aLimits.changesPerSecond_)
-  , refilledAt_(aClock.now())
+  , routine_(aClock, aLimits.routinePerSecond_, aLimits.routinePerSecond_)
+  , changes_(aClock, aLimits.changesPerSecond_, aLimits.changesPerSecond_)
 {
   const int flags = fcntl(descriptor_, F_GETFL);
   if (flags >= 0) {
@@ -34,25 +30,6 @@
   return leftOut_;
 }
 
-bool
-EventLogWriter::take(state::LogWeight aWeight)
-{
-  const state::TimePoint now = clock_.now();
-  const double seconds =
-    std::chrono::duration<double>(now - refilledAt_).count();
-  refilledAt_ = now;
-  routine_ = std::min(limits_.routinePerSecond_,
-                      routine_ + seconds * limits_.routinePerSecond_);
-  changes_ = std::min(limits_.changesPerSecond_,
-                      changes_ + seconds * limits_.changesPerSecond_);
-  double& left = aWeight == state::LogWeight::kRoutine ? routine_ : changes_;
-  if (left < 1) {
-    return false;
-  }
-  left -= 1;
-  return true;
-}
-
 void
 EventLogWriter::write(state::LogWeight aWeight,
                       std::string_view aPart,
@@ -60,7 +37,8 @@
                       std::initializer_list<state::LogField> aFields)
 {
   const std::lock_guard lock(mutex_);
-  if (!take(aWeight)) {
+  const bool routine = aWeight == state::LogWeight::kRoutine;
+  if (!(routine ? routine_ : changes_).take()) {
     ++leftOut_;
     return;
   }
--- a/src/transport/event_log_writer.h
+++ b/src/transport/event_log_writer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "state/event_log.h"
+#include "state/rate_limiter.h"
 #include "state/time_type.h"
 
 #include <cstdint>
@@ -44,19 +45,16 @@
   std::uint64_t leftOut() const;
 
 private:
-  bool take(state::LogWeight aWeight);
   void put(const std::string& aLine);
 
-  const state::Clock& clock_;   ///< Clock.
-  const int descriptor_;        ///< Where to write.
-  const EventLogLimits limits_; ///< Bounds.
-  mutable std::mutex mutex_;    ///< Guards the following members.
-  double routine_ = 0;          ///< Records of routine that may be written.
-  double changes_ = 0;          ///< Records of changes that may be written.
-  state::TimePoint refilledAt_; ///< When these were counted.
-  std::uint64_t leftOut_ = 0;   ///< Records left out.
-  std::uint64_t told_ = 0;      ///< Records left out as told by a line.
-  std::string rest_;            ///< Rest of a line that was taken in part.
+  const state::Clock& clock_;  ///< Clock.
+  const int descriptor_;       ///< Where to write.
+  mutable std::mutex mutex_;   ///< Guards the following members.
+  state::RateLimiter routine_; ///< Records of routine that may be written.
+  state::RateLimiter changes_; ///< Records of changes that may be written.
+  std::uint64_t leftOut_ = 0;  ///< Records left out.
+  std::uint64_t told_ = 0;     ///< Records left out as told by a line.
+  std::string rest_;           ///< Rest of a line that was taken in part.
 };
 
 } // namespace auburnhaven::transport
--- a/src/transport/forward_codec.cpp
+++ b/src/transport/forward_codec.cpp
@@ -3,6 +3,7 @@
 #include "transport/forward_codec.h"
 
 #include "transport/peer_session.h"
+#include "transport/service_caller.h"
 
 #include <boost/endian/conversion.hpp>
 
@@ -64,24 +65,9 @@
   std::string text(std::string_view aName)
   {
     const std::string value = fieldOf(fields_, aName);
-    std::string result;
-    for (std::size_t at = 0; at < value.size(); ++at) {
-      if (value[at] != '%') {
-        result += value[at];
-        continue;
-      }
-      unsigned int byte = 0;
-      const char* from = value.data() + at + 1;
-      const bool fits = at + 2 < value.size();
-      good_ = good_ && fits &&
-              std::from_chars(from, from + 2, byte, 16).ptr == from + 2;
-      if (!good_) {
-        return {};
-      }
-      result += static_cast<char>(byte);
-      at += 2;
-    }
-    return result;
+    const std::optional<std::string> result = percentDecode(value);
+    good_ = good_ && result;
+    return good_ ? *result : std::string();
   }
 
   /** @return Value of a number. */
@@ -104,14 +90,6 @@
   bool good_ = true;       ///< Whether all were well formed.
 };
 
-/** @return A duration in milliseconds. */
-std::int64_t
-toMilliseconds(state::Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
-    .count();
-}
-
 } // namespace
 
 H2Fields
@@ -137,7 +115,7 @@
     { "x-resume", std::to_string(call.resumeOffset_) },
     { "x-priority", std::to_string(call.priority_) },
     { "x-content-type", escape(call.contentType_) },
-    { "x-timeout-ms", std::to_string(toMilliseconds(call.timeout_)) },
+    { "x-timeout-ms", std::to_string(state::countMs(call.timeout_)) },
     { "x-vm", escape(aRequest.vm_.value()) },
     { "x-copy-group", escape(aRequest.copy_.group_.value()) },
     { "x-copy", std::to_string(aRequest.copy_.index_) },
--- a/src/transport/peer_auth.cpp
+++ b/src/transport/peer_auth.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/peer_auth.h"
 
+#include "state/endpoint_func.h"
+
 #include <boost/asio/ip/address.hpp>
 
 #include <openssl/crypto.h>
@@ -11,7 +13,6 @@
 
 #include <array>
 #include <cassert>
-#include <charconv>
 
 namespace auburnhaven::transport {
 
@@ -51,7 +52,7 @@
 {
   const std::string text =
     aSide + '\n' + std::to_string(aChallenge.version_) + '\n' +
-    aChallenge.purpose_ + '\n' + formatEndpoint(aChallenge.client_) + '\n' +
+    aChallenge.purpose_ + '\n' + state::textOf(aChallenge.client_) + '\n' +
     aChallenge.clientNonce_ + '\n' + aChallenge.serverNonce_;
   std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
   unsigned int size = 0;
@@ -76,26 +77,12 @@
 state::Endpoint
 parseEndpoint(const std::string& aText)
 {
-  const std::size_t colon = aText.rfind(':');
-  if (colon == std::string::npos) {
-    return {};
-  }
-  state::Endpoint endpoint{ aText.substr(0, colon), 0 };
-  const char* end = aText.data() + aText.size();
-  const auto [stop, error] =
-    std::from_chars(aText.data() + colon + 1, end, endpoint.port_);
-  boost::system::error_code addressError;
-  boost::asio::ip::make_address(endpoint.address_, addressError);
-  if (error != std::errc() || stop != end || addressError) {
-    return {};
+  const std::optional<state::Endpoint> endpoint = state::endpointFrom(aText);
+  boost::system::error_code error;
+  if (endpoint) {
+    boost::asio::ip::make_address(endpoint->address_, error);
   }
-  return endpoint;
-}
-
-std::string
-formatEndpoint(const state::Endpoint& aEndpoint)
-{
-  return aEndpoint.address_ + ':' + std::to_string(aEndpoint.port_);
+  return endpoint && !error ? *endpoint : state::Endpoint();
 }
 
 } // namespace auburnhaven::transport
--- a/src/transport/peer_auth.h
+++ b/src/transport/peer_auth.h
@@ -46,8 +46,4 @@
 state::Endpoint
 parseEndpoint(const std::string& aText);
 
-/** @param aEndpoint An endpoint. @return "address:port". Thread-safe. */
-std::string
-formatEndpoint(const state::Endpoint& aEndpoint);
-
 } // namespace auburnhaven::transport
--- a/src/transport/peer_listener.cpp
+++ b/src/transport/peer_listener.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/peer_listener.h"
 
+#include "state/endpoint_func.h"
+
 #include <boost/asio.hpp>
 
 #include <sys/socket.h>
@@ -82,7 +84,7 @@
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
   }
   if (error) {
-    return formatEndpoint(settings_.listen_) + ": " + error.message();
+    return state::textOf(settings_.listen_) + ": " + error.message();
   }
   settings_.listen_.port_ = port();
   accept();
--- a/src/transport/peer_session.cpp
+++ b/src/transport/peer_session.cpp
@@ -3,6 +3,7 @@
 #include "transport/peer_session.h"
 
 #include "protocol/protocol_type.h"
+#include "state/endpoint_func.h"
 
 #include <utility>
 
@@ -72,7 +73,7 @@
   H2Fields fields = requestFields(kHelloPath);
   fields.push_back({ "x-version", std::to_string(challenge_.version_) });
   fields.push_back({ "x-purpose", challenge_.purpose_ });
-  fields.push_back({ "x-endpoint", formatEndpoint(challenge_.client_) });
+  fields.push_back({ "x-endpoint", state::textOf(challenge_.client_) });
   fields.push_back({ "x-nonce", challenge_.clientNonce_ });
   h2_->request(fields, false);
 }
--- a/src/transport/service_caller.cpp
+++ b/src/transport/service_caller.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 
 #include <cassert>
+#include <charconv>
 #include <utility>
 
 namespace auburnhaven::transport {
@@ -121,4 +122,27 @@
   return result;
 }
 
+std::optional<std::string>
+percentDecode(const std::string& aText)
+{
+  std::string result;
+  for (std::size_t at = 0; at < aText.size(); ++at) {
+    if (aText[at] != '%') {
+      result += aText[at];
+      continue;
+    }
+    unsigned int byte = 0;
+    const char* from = aText.data() + at + 1;
+    const bool valid =
+      at + 2 < aText.size() &&
+      std::from_chars(from, from + 2, byte, 16).ptr == from + 2;
+    if (!valid) {
+      return std::nullopt;
+    }
+    result += static_cast<char>(byte);
+    at += 2;
+  }
+  return result;
+}
+
 } // namespace auburnhaven::transport
--- a/src/transport/service_caller.h
+++ b/src/transport/service_caller.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -80,6 +81,14 @@
   HttpClient& client_;               ///< Makes the calls.
 };
 
+/**
+ * @param aText A text with percent codes.
+ * @return The text without them, or nothing when a code is malformed.
+ * Thread-safe.
+ */
+std::optional<std::string>
+percentDecode(const std::string& aText);
+
 /**
  * @param aPath Path of the call.
  * @param aBody JSON body.
--- a/standins/http_host.cpp
+++ b/standins/http_host.cpp
@@ -2,6 +2,8 @@
 
 #include "http_host.h"
 
+#include "transport/service_caller.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 
@@ -19,23 +21,6 @@
 
 constexpr std::size_t kMaxBodyBytes = 16UL * 1024 * 1024; ///< Largest body.
 
-/** @return A text with its percent codes replaced. */
-std::string
-decodePercent(const std::string& aText)
-{
-  std::string text;
-  for (std::size_t at = 0; at < aText.size(); ++at) {
-    unsigned value = 0;
-    const char* const code = aText.data() + at + 1;
-    const bool coded =
-      aText[at] == '%' && at + 2 < aText.size() &&
-      std::from_chars(code, code + 2, value, 16).ptr == code + 2;
-    text += coded ? static_cast<char>(value) : aText[at];
-    at += coded ? 2 : 0;
-  }
-  return text;
-}
-
 } // namespace
 
 Exchange::Exchange(tcp::socket& aSocket,
@@ -66,7 +51,8 @@
     return "";
   }
   const std::size_t from = found + aName.size() + 2;
-  return decodePercent(text.substr(from, text.find('&', from) - from));
+  const std::string value = text.substr(from, text.find('&', from) - from);
+  return transport::percentDecode(value).value_or(value);
 }
 
 std::string
--- a/standins/platform/model_worker.cpp
+++ b/standins/platform/model_worker.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/model_worker.h"
 
+#include "platform/answer_headers.h"
 #include "transport/scoped_count.h"
 
 #include <algorithm>
@@ -484,10 +485,7 @@
     numberOf(tokens.substr(tokens.find(',') + 1)) / kTokensOfEvent;
   aExchange.beginChunks(
     "text/event-stream",
-    { { "X-Attempt-Id", attempt },
-      { "X-Origin-Signature", "signed." + place_.id_ },
-      { "X-Backend-Load",
-        std::to_string(running_) + ",0," + std::to_string(pace_.slots_) } });
+    answerHeaders(aExchange, place_.id_, running_, pace_.slots_));
   const std::uint32_t first = numberOf(aExchange.header("Last-Event-Id")) + 1;
   for (std::uint32_t event = first; event <= events; ++event) {
     aExchange.wait(pace_.event_ * faults_.slowPermille_ / 1000);
--- a/standins/platform/plain_worker.cpp
+++ b/standins/platform/plain_worker.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/plain_worker.h"
 
+#include "platform/answer_headers.h"
 #include "transport/scoped_count.h"
 
 namespace auburnhaven::standins {
@@ -81,10 +82,7 @@
     aExchange.replyWith(
       200,
       json{ { "done", attempt }, { "body", aExchange.body() } }.dump(),
-      { { "X-Attempt-Id", attempt },
-        { "X-Origin-Signature", "signed." + place_.id_ },
-        { "X-Backend-Load",
-          std::to_string(running_) + ",0," + std::to_string(slots_) } });
+      answerHeaders(aExchange, place_.id_, running_, slots_));
   }
 }
 
--- a/tests/fakes/fake_replica_engines.h
+++ b/tests/fakes/fake_replica_engines.h
@@ -253,14 +253,21 @@
     }
   }
 
+  /** @return Whether a place is in the copy that an order names. */
+  static bool isIn(const std::optional<state::MemberPlace>& aPlace,
+                   const coordination::ReplicaOrder& aOrder)
+  {
+    return aPlace && aPlace->replica_ == aOrder.replica_ &&
+           aPlace->epoch_ == aOrder.epoch_;
+  }
+
   coordination::ReplicaOrderStatus join(
     FakeReplicaEngine& aEngine,
     const coordination::ReplicaOrder& aOrder)
   {
     using coordination::ReplicaOrderStatus;
     auto& place = aEngine.state_.place_;
-    const bool same = place && place->replica_ == aOrder.replica_ &&
-                      place->epoch_ == aOrder.epoch_;
+    const bool same = isIn(place, aOrder);
     if (same) {
       return ReplicaOrderStatus::kHolds;
     }
@@ -293,8 +300,7 @@
   {
     using coordination::ReplicaOrderStatus;
     const auto& place = aEngine.state_.place_;
-    const bool here = place && place->replica_ == aOrder.replica_ &&
-                      place->epoch_ == aOrder.epoch_;
+    const bool here = isIn(place, aOrder);
     if (here &&
         (aEngine.opening_ || place->state_ == state::MemberState::kOpen)) {
       return ReplicaOrderStatus::kHolds;
@@ -314,8 +320,7 @@
   {
     using coordination::ReplicaOrderStatus;
     auto& place = aEngine.state_.place_;
-    const bool here = place && place->replica_ == aOrder.replica_ &&
-                      place->epoch_ == aOrder.epoch_;
+    const bool here = isIn(place, aOrder);
     if (here) {
       place.reset();
       aEngine.opening_ = false;
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -39,6 +39,24 @@
   return aAnswer.find(aText) != std::string::npos;
 }
 
+/** @return A target's script: reads one request and gives an answer. */
+auto
+answering(std::string aAnswer)
+{
+  return [answer = std::move(aAnswer)](Socket& aSocket, int) {
+    RawServer::readRequest(aSocket);
+    RawServer::write(aSocket, answer);
+  };
+}
+
+/** @return An endpoint at which nobody listens. */
+state::Endpoint
+closedEndpoint()
+{
+  const RawServer gone([](Socket&, int) {});
+  return gone.endpoint();
+}
+
 } // namespace
 
 class RelayTest : public CppUnit::TestFixture
@@ -74,8 +92,7 @@
       RawServer::write(aSocket, RelayWorld::answer("200 OK", "fine"));
     });
     RelayWorld world;
-    world.addTarget("i-1", target.endpoint());
-    world.start();
+    world.startWith({ target.endpoint() });
     const std::string answer =
       world.ask(RelayWorld::request("POST", "/unsafe/x?y=1", "body!"));
     CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(answer));
@@ -95,14 +112,10 @@
 
   void answerPassesUnchanged()
   {
-    RawServer target([&](Socket& aSocket, int) {
-      RawServer::readRequest(aSocket);
-      RawServer::write(
-        aSocket, RelayWorld::answer("201 Made", "b\r\n\r\ny", "X-More: 1\r\n"));
-    });
+    RawServer target(
+      answering(RelayWorld::answer("201 Made", "b\r\n\r\ny", "X-More: 1\r\n")));
     RelayWorld world;
-    world.addTarget("i-1", target.endpoint());
-    world.start();
+    world.startWith({ target.endpoint() });
     const std::string answer = world.ask(RelayWorld::request("GET", "/safe/"));
     CPPUNIT_ASSERT_EQUAL(std::string("201"), statusOf(answer));
     CPPUNIT_ASSERT(has(answer, "X-Origin-Signature: s1\r\n"));
@@ -133,20 +146,12 @@
 
   void rejectedRequestGoesElsewhere()
   {
-    RawServer full([&](Socket& aSocket, int) {
-      RawServer::readRequest(aSocket);
-      RawServer::write(
-        aSocket, RelayWorld::answer("503 Full", "", "X-Not-Executed: 1\r\n"));
-    });
-    RawServer good([&](Socket& aSocket, int) {
-      RawServer::readRequest(aSocket);
-      RawServer::write(aSocket, RelayWorld::answer("200 OK", "fine"));
-    });
+    RawServer full(
+      answering(RelayWorld::answer("503 Full", "", "X-Not-Executed: 1\r\n")));
+    RawServer good(answering(RelayWorld::answer("200 OK", "fine")));
     for (const char* path : { "/safe/", "/unsafe/" }) {
       RelayWorld world;
-      world.addTarget("i-1", full.endpoint());
-      world.addTarget("i-2", good.endpoint());
-      world.start();
+      world.startWith({ full.endpoint(), good.endpoint() });
       for (int round = 0; round < 4; ++round) {
         CPPUNIT_ASSERT_EQUAL(
           std::string("200"),
@@ -164,9 +169,7 @@
     RawServer one(script);
     RawServer two(script);
     RelayWorld world;
-    world.addTarget("i-1", one.endpoint());
-    world.addTarget("i-2", two.endpoint());
-    world.start();
+    world.startWith({ one.endpoint(), two.endpoint() });
     const std::string answer =
       world.ask(RelayWorld::request("POST", "/unsafe/", "x"));
     CPPUNIT_ASSERT_EQUAL(std::string("502"), statusOf(answer));
@@ -175,19 +178,9 @@
 
   void nonIdempotentThatDidNotRunGoesElsewhere()
   {
-    RawServer good([&](Socket& aSocket, int) {
-      RawServer::readRequest(aSocket);
-      RawServer::write(aSocket, RelayWorld::answer("200 OK", "fine"));
-    });
-    state::Endpoint closed;
-    {
-      RawServer gone([](Socket&, int) {});
-      closed = gone.endpoint();
-    }
+    RawServer good(answering(RelayWorld::answer("200 OK", "fine")));
     RelayWorld world;
-    world.addTarget("i-1", closed);
-    world.addTarget("i-2", good.endpoint());
-    world.start();
+    world.startWith({ closedEndpoint(), good.endpoint() });
     for (int round = 0; round < 4; ++round) {
       CPPUNIT_ASSERT_EQUAL(
         std::string("200"),
@@ -199,14 +192,9 @@
   {
     RawServer bad(
       [&](Socket& aSocket, int) { RawServer::readRequest(aSocket); });
-    RawServer good([&](Socket& aSocket, int) {
-      RawServer::readRequest(aSocket);
-      RawServer::write(aSocket, RelayWorld::answer("200 OK", "fine"));
-    });
+    RawServer good(answering(RelayWorld::answer("200 OK", "fine")));
     RelayWorld world;
-    world.addTarget("i-1", bad.endpoint());
-    world.addTarget("i-2", good.endpoint());
-    world.start();
+    world.startWith({ bad.endpoint(), good.endpoint() });
     for (int round = 0; round < 4; ++round) {
       CPPUNIT_ASSERT_EQUAL(
         std::string("200"),
@@ -217,19 +205,9 @@
   // Sends that met no listener are no repetitions for the service.
   void targetThatWasNotReachedNeedsNoBudget()
   {
-    RawServer target([](Socket& aSocket, int) {
-      RawServer::readRequest(aSocket);
-      RawServer::write(aSocket, RelayWorld::answer("200 OK", "fine"));
-    });
-    state::Endpoint closed;
-    {
-      RawServer gone([](Socket&, int) {});
-      closed = gone.endpoint();
-    }
+    RawServer target(answering(RelayWorld::answer("200 OK", "fine")));
     RelayWorld world;
-    world.addTarget("i-1", closed);
-    world.addTarget("i-2", target.endpoint());
-    world.start();
+    world.startWith({ closedEndpoint(), target.endpoint() });
     while (world.budget_.tryRetry()) {
     }
     // Whichever target is chosen first, the request is served.
@@ -255,8 +233,7 @@
       }
     });
     RelayWorld world;
-    world.addTarget("i-1", target.endpoint());
-    world.start();
+    world.startWith({ target.endpoint() });
     for (int round = 0; round < 6; ++round) {
       CPPUNIT_ASSERT_EQUAL(
         std::string("200"),
@@ -266,15 +243,11 @@
 
   void foreignAnswerReachesNobody()
   {
-    RawServer target([&](Socket& aSocket, int) {
-      RawServer::readRequest(aSocket);
-      std::string foreign = RelayWorld::answer("200 OK", "secret");
-      foreign.replace(foreign.find("a1"), 2, "b2");
-      RawServer::write(aSocket, foreign);
-    });
+    std::string foreign = RelayWorld::answer("200 OK", "secret");
+    foreign.replace(foreign.find("a1"), 2, "b2");
+    RawServer target(answering(foreign));
     RelayWorld world;
-    world.addTarget("i-1", target.endpoint());
-    world.start();
+    world.startWith({ target.endpoint() });
     const std::string answer =
       world.ask(RelayWorld::request("POST", "/unsafe/", "x"));
     CPPUNIT_ASSERT_EQUAL(std::string("502"), statusOf(answer));
@@ -283,15 +256,11 @@
 
   void unsignedSuccessReachesNobody()
   {
-    RawServer target([&](Socket& aSocket, int) {
-      RawServer::readRequest(aSocket);
-      std::string plain = RelayWorld::answer("200 OK", "forged");
-      plain.replace(plain.find("X-Origin-Signature"), 18, "X-Other-Header-Abc");
-      RawServer::write(aSocket, plain);
-    });
+    std::string plain = RelayWorld::answer("200 OK", "forged");
+    plain.replace(plain.find("X-Origin-Signature"), 18, "X-Other-Header-Abc");
+    RawServer target(answering(plain));
     RelayWorld world;
-    world.addTarget("i-1", target.endpoint());
-    world.start();
+    world.startWith({ target.endpoint() });
     const std::string answer =
       world.ask(RelayWorld::request("POST", "/unsafe/", "x"));
     CPPUNIT_ASSERT_EQUAL(std::string("502"), statusOf(answer));
@@ -300,14 +269,10 @@
 
   void tornAnswerNeverLooksWhole()
   {
-    RawServer target([&](Socket& aSocket, int) {
-      RawServer::readRequest(aSocket);
-      std::string torn = RelayWorld::answer("200 OK", "a whole answer");
-      RawServer::write(aSocket, torn.substr(0, torn.size() - 3));
-    });
+    const std::string whole = RelayWorld::answer("200 OK", "a whole answer");
+    RawServer target(answering(whole.substr(0, whole.size() - 3)));
     RelayWorld world;
-    world.addTarget("i-1", target.endpoint());
-    world.start();
+    world.startWith({ target.endpoint() });
     CPPUNIT_ASSERT_EQUAL(
       std::string("502"),
       statusOf(world.ask(RelayWorld::request("POST", "/unsafe/", "x"))));
@@ -315,13 +280,9 @@
 
   void failureOfTargetIsPassedOn()
   {
-    RawServer target([&](Socket& aSocket, int) {
-      RawServer::readRequest(aSocket);
-      RawServer::write(aSocket, RelayWorld::answer("500 Oops", "broken"));
-    });
+    RawServer target(answering(RelayWorld::answer("500 Oops", "broken")));
     RelayWorld world;
-    world.addTarget("i-1", target.endpoint());
-    world.start();
+    world.startWith({ target.endpoint() });
     const std::string answer =
       world.ask(RelayWorld::request("POST", "/unsafe/", "x"));
     CPPUNIT_ASSERT_EQUAL(std::string("500"), statusOf(answer));
@@ -347,9 +308,7 @@
     RawServer one(script);
     RawServer two(script);
     RelayWorld world;
-    world.addTarget("i-1", one.endpoint());
-    world.addTarget("i-2", two.endpoint());
-    world.start();
+    world.startWith({ one.endpoint(), two.endpoint() });
     const std::string answer =
       world.ask(RelayWorld::request("POST", "/stream/", "x"));
     CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(answer));
@@ -363,13 +322,9 @@
 
   void streamThatCannotGoOnIsCut()
   {
-    RawServer target([&](Socket& aSocket, int) {
-      RawServer::readRequest(aSocket);
-      RawServer::write(aSocket, kStreamHead + chunk("id: 1\ndata: a\n\n"));
-    });
+    RawServer target(answering(kStreamHead + chunk("id: 1\ndata: a\n\n")));
     RelayWorld world;
-    world.addTarget("i-1", target.endpoint());
-    world.start(std::chrono::milliseconds(600));
+    world.startWith({ target.endpoint() }, std::chrono::milliseconds(600));
     const std::string answer =
       world.ask(RelayWorld::request("POST", "/stream/", "x"));
     CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(answer));
@@ -387,8 +342,7 @@
     });
     {
       RelayWorld world;
-      world.addTarget("i-1", target.endpoint());
-      world.start(std::chrono::milliseconds(300));
+      world.startWith({ target.endpoint() }, std::chrono::milliseconds(300));
       CPPUNIT_ASSERT_EQUAL(
         std::string("504"),
         statusOf(world.ask(RelayWorld::request("POST", "/unsafe/", "x"))));
--- a/tests/platform/relay_world.h
+++ b/tests/platform/relay_world.h
@@ -104,6 +104,16 @@
     routes_.set(std::make_shared<const coordination::RouteTable>(config));
   }
 
+  /** Adds targets i-1, i-2 and so on, and puts the configuration into force. */
+  void startWith(const std::vector<state::Endpoint>& aTargets,
+                 std::chrono::milliseconds aTimeout = std::chrono::seconds(3))
+  {
+    for (const state::Endpoint& target : aTargets) {
+      addTarget("i-" + std::to_string(instances_.size() + 1), target);
+    }
+    start(aTimeout);
+  }
+
   /** Sends a request and reads until the relay closes the connection. */
   std::string ask(const std::string& aRequest)
   {
