Bound answers by time and size; cut off no request at a planned stop; keep own calls apart

Cause: limits of a body were counted anew with each byte, so a target that trickled bytes held a request until its caller left; interim headers and bytes without a line end could come without end; a server that drained dropped connections that the system had accepted and idle sessions whose request was on its way; calls of the own interface shared kept connections, where a late copy of an answer can't be told from the next answer; an order could be sent after its sender's authority had ended while the process was suspended between connecting and writing. Ruled out: limits of the parser alone, they hold only for one header; closing idle sessions at once, their callers may just have sent. Conclusion: a whole answer, a line and an exchange have limits of their own; the server's last wait for a request is 200 ms. Calls of the own interface cost one connection each.

--- a/src/transport/gateway/target_stream.cpp
+++ b/src/transport/gateway/target_stream.cpp
@@ -32,6 +32,15 @@
   return { std::min(kConnectTimeout, limit), limit, limit };
 }
 
+/** Keeps a call apart from all others: a late copy of an answer on a kept
+ * connection could not be told from the answer of the next call. */
+void
+keepApart(HttpClientRequest& aRequest)
+{
+  aRequest.freshConnection_ = true;
+  aRequest.keptConnections_ = 0;
+}
+
 /** @return Name of an attempt, unique at its target. */
 std::string
 attemptName(const TargetCall& aCall)
@@ -97,6 +106,7 @@
                "/v1/generate",
                { { "Content-Type", "application/json" } },
                protocol::encodeGenerate(generate) };
+  keepApart(request_);
 }
 
 TargetEvent
@@ -120,7 +130,6 @@
     return failureEvent(call.failure());
   }
   if (call.status() != kOkStatus) {
-    call.readAll(kMaxServiceAnswer, aYield);
     return statusEvent(call.status());
   }
   call_ = std::make_unique<HttpCall>(std::move(call));
@@ -174,6 +183,8 @@
       { "Idempotency-Key", aCall.info_.idempotencyKey_ });
   }
   request_.body_ = aCall.payload_;
+  keepApart(request_);
+  timeouts_.whole_ = timeouts_.response_;
 }
 
 TargetEvent
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -206,6 +206,14 @@
   }
 }
 
+void
+HttpCall::limitTime(std::chrono::milliseconds aLimit)
+{
+  if (connection_) {
+    connection_->limitTime(aLimit);
+  }
+}
+
 void
 HttpCall::abort()
 {
@@ -261,7 +269,7 @@
            aRequest.freshConnection_ ? nullptr : pool_->take(aEndpoint)) {
     aborter.bind(kept);
     kept->setKeptLimit(aRequest.keptConnections_);
-    HttpFailure failure = kept->exchange(aRequest, aTimeouts.response_, aYield);
+    HttpFailure failure = kept->exchange(aRequest, aTimeouts, aYield);
     if (failure.kind_ == HttpFailureKind::kNone) {
       return { std::move(kept), pool_, aTimeouts.idle_ };
     }
@@ -278,7 +286,7 @@
   fresh->setKeptLimit(aRequest.keptConnections_);
   HttpFailure failure = fresh->connect(aTimeouts.connect_, aYield);
   if (failure.kind_ == HttpFailureKind::kNone) {
-    failure = fresh->exchange(aRequest, aTimeouts.response_, aYield);
+    failure = fresh->exchange(aRequest, aTimeouts, aYield);
   }
   if (failure.kind_ != HttpFailureKind::kNone) {
     return HttpCall(std::move(failure));
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -60,6 +60,8 @@
   {
     idleTimeout_ = aTimeout;
   }
+  /** Bounds the time for the rest of the body. @param aLimit From now. */
+  void limitTime(std::chrono::milliseconds aLimit);
   /**
    * Waits for the next piece of the body as it arrives.
    * @param aYield The coroutine.
--- a/src/transport/http_client_type.h
+++ b/src/transport/http_client_type.h
@@ -1,9 +1,12 @@
 // Requests, limits and failures of the HTTP client.
 #pragma once
 
+#include "state/time_type.h"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,6 +37,9 @@
   std::size_t keptConnections_ =
     kNoConnectionLimit; ///< Most unused connections to its endpoint that may be
                         ///< kept after it.
+  std::optional<state::TimePoint> sendBefore_ =
+    std::nullopt; ///< Boot time from which nothing of it may be sent any more,
+                  ///< since the right to send it has ended; none for no end.
   bool operator==(const HttpClientRequest&) const = default;
 };
 
@@ -44,6 +50,8 @@
   std::chrono::milliseconds response_{ 10000 }; ///< From the request to the
                                                 ///< response header.
   std::chrono::milliseconds idle_{ 10000 }; ///< Between two pieces of a body.
+  std::chrono::milliseconds whole_{ 0 }; ///< From the request to the end of the
+                                         ///< body; 0 for no limit.
   bool operator==(const HttpTimeouts&) const = default;
 };
 
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -2,9 +2,13 @@
 
 #include "transport/http_connection.h"
 
+#include "transport/system_clock.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -20,6 +24,9 @@
 namespace {
 
 constexpr unsigned int kHttpVersion = 11; ///< HTTP/1.1.
+constexpr int kMaxInterims = 8; ///< Interim headers before the final one.
+constexpr std::size_t kReadAhead =
+  std::size_t{ 64 } * 1024; ///< Bytes that may be read before they are parsed.
 
 /** Turns a request into the library's type. */
 http::request<http::string_body>
@@ -63,6 +70,7 @@
   : endpoint_(std::move(aEndpoint))
   , limits_(aLimits)
   , stream_(aContext.get_executor())
+  , buffer_(aLimits.maxHeaderBytes_ + kReadAhead)
 {
 }
 
@@ -112,26 +120,37 @@
 
 HttpFailure
 HttpConnection::exchange(const HttpClientRequest& aRequest,
-                         std::chrono::milliseconds aTimeout,
+                         const HttpTimeouts& aTimeouts,
                          const asio::yield_context& aYield)
 {
   ended_.reset();
   lines_.clear();
   linesTaken_ = 0;
+  deadline_ = Time::max();
+  if (aTimeouts.whole_.count() > 0) {
+    limitTime(aTimeouts.whole_);
+  }
   const http::request<http::string_body> request = encode(endpoint_, aRequest);
+  if (aRequest.sendBefore_ && SystemClock().now() >= *aRequest.sendBefore_) {
+    return { HttpFailureKind::kAborted, false, "the right to send has ended" };
+  }
   error_code error;
-  stream_.expires_after(aTimeout);
+  stream_.expires_at(limitOf(aTimeouts.response_));
   const std::size_t written =
     http::async_write(stream_, request, aYield[error]);
   if (error) {
     return failure(error, written > 0);
   }
+  int interims = 0;
   do {
     parser_.emplace();
     parser_->header_limit(limits_.maxHeaderBytes_);
     parser_->body_limit(boost::none);
     http::async_read_header(stream_, buffer_, *parser_, aYield[error]);
-  } while (!error && isInterim(status()));
+  } while (!error && isInterim(status()) && interims++ < kMaxInterims);
+  if (!error && isInterim(status())) {
+    error = http::error::bad_status;
+  }
   return error ? failure(error, true) : HttpFailure{};
 }
 
@@ -166,9 +185,27 @@
   return { status, {} };
 }
 
+void
+HttpConnection::limitTime(std::chrono::milliseconds aLimit)
+{
+  deadline_ = std::min(deadline_, std::chrono::steady_clock::now() + aLimit);
+}
+
+HttpConnection::Time
+HttpConnection::limitOf(std::chrono::milliseconds aTimeout) const
+{
+  return std::min(deadline_, std::chrono::steady_clock::now() + aTimeout);
+}
+
 HttpPiece
 HttpConnection::readChunk(std::chrono::milliseconds aTimeout,
                           const asio::yield_context& aYield)
+{
+  return readPiece(limitOf(aTimeout), aYield);
+}
+
+HttpPiece
+HttpConnection::readPiece(Time aUntil, const asio::yield_context& aYield)
 {
   while (!ended_) {
     if (parser_->is_done()) {
@@ -179,7 +216,7 @@
     body.size = piece_.size();
     body.more = true;
     error_code error;
-    stream_.expires_after(aTimeout);
+    stream_.expires_at(aUntil);
     http::async_read_some(stream_, buffer_, *parser_, aYield[error]);
     const std::size_t got = piece_.size() - body.size;
     if (error && error != http::error::need_buffer) {
@@ -209,6 +246,8 @@
                          const asio::yield_context& aYield)
 {
   std::size_t searched = linesTaken_;
+  // Bytes that come now and then make no line, so they don't move the limit.
+  const Time until = limitOf(aTimeout);
   for (;;) {
     const std::size_t end = lines_.find('\n', searched);
     if (end != std::string::npos) {
@@ -221,7 +260,7 @@
     }
     lines_.erase(0, std::exchange(linesTaken_, 0));
     searched = lines_.size();
-    const HttpPiece piece = readChunk(aTimeout, aYield);
+    const HttpPiece piece = readPiece(until, aYield);
     if (piece.status_ == HttpReadStatus::kData) {
       lines_.append(piece.data_);
     } else if (piece.status_ == HttpReadStatus::kEnd && !lines_.empty()) {
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -42,13 +42,15 @@
   /**
    * Sends a request and reads the response header.
    * @param aRequest The request.
-   * @param aTimeout Longest wait.
+   * @param aTimeouts Time limits.
    * @param aYield The coroutine.
    * @return kNone, or why there is no response.
    */
   HttpFailure exchange(const HttpClientRequest& aRequest,
-                       std::chrono::milliseconds aTimeout,
+                       const HttpTimeouts& aTimeouts,
                        const boost::asio::yield_context& aYield);
+  /** Bounds the rest of the exchange. @param aLimit Longest time from now. */
+  void limitTime(std::chrono::milliseconds aLimit);
   /** Reads a piece of the body; as HttpCall::readChunk(). */
   HttpPiece readChunk(std::chrono::milliseconds aTimeout,
                       const boost::asio::yield_context& aYield);
@@ -88,7 +90,11 @@
   static constexpr std::size_t kPieceBytes =
     std::size_t{ 16 } * 1024; ///< Most body bytes of one read.
 
+  using Time = std::chrono::steady_clock::time_point; ///< Time of a limit.
+
   void probeSilence();
+  Time limitOf(std::chrono::milliseconds aTimeout) const;
+  HttpPiece readPiece(Time aUntil, const boost::asio::yield_context& aYield);
   HttpPiece finish(const boost::system::error_code& aError);
   HttpPiece takeLine(std::size_t aEnd);
   HttpFailure failure(const boost::system::error_code& aError,
@@ -107,8 +113,8 @@
   std::optional<HttpReadStatus> ended_; ///< How the body ended.
   std::uint64_t use_ = 0;               ///< Calls that have given it back.
   bool aborted_ = false;                ///< Whether abort() was called.
-  std::chrono::steady_clock::time_point
-    idleSince_{}; ///< When it became unused.
+  Time deadline_ = Time::max();         ///< When the exchange must have ended.
+  Time idleSince_{};                    ///< When it became unused.
   std::size_t keptLimit_ =
     kNoConnectionLimit; ///< Most unused connections when it is kept.
 };
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -3,6 +3,7 @@
 #include "transport/http_server.h"
 
 #include "transport/http_session.h"
+#include "transport/scoped_count.h"
 
 #include <boost/asio.hpp>
 #include <glog/logging.h>
@@ -73,10 +74,13 @@
       });
   }
 
-  /** Stops accepting. */
+  /** Stops accepting, after the connections that callers already have. */
   void close()
   {
-    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+    const auto counted =
+      std::make_shared<ScopedCount<std::uint64_t>>(state_->inFlight_);
+    asio::post(acceptor_.get_executor(), [self = shared_from_this(), counted] {
+      self->acceptQueued();
       boost::system::error_code ignored;
       self->acceptor_.close(ignored);
     });
@@ -114,15 +118,33 @@
     accept();
   }
 
+  /** Accepts the connections that the system has queued. */
+  void acceptQueued()
+  {
+    boost::system::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+      const std::size_t thread = pool_.next();
+      tcp::socket socket(pool_.context(thread));
+      acceptor_.accept(socket, error);
+      if (!error) {
+        startSession(thread, std::move(socket));
+      }
+    }
+  }
+
   /** Hands a connection to its thread. */
   void startSession(std::size_t aThread, tcp::socket aSocket)
   {
     HttpSessionContext context{ aThread, limits_, &handler_, state_ };
-    asio::post(
-      pool_.context(aThread),
-      [socket = std::move(aSocket), context = std::move(context)]() mutable {
-        startHttpSession(std::move(socket), std::move(context));
-      });
+    const auto counted =
+      std::make_shared<ScopedCount<std::uint64_t>>(state_->inFlight_);
+    asio::post(pool_.context(aThread),
+               [socket = std::move(aSocket),
+                context = std::move(context),
+                counted]() mutable {
+                 startHttpSession(std::move(socket), std::move(context));
+               });
   }
 
   TrafficPool& pool_;                      ///< Threads for the sessions.
@@ -141,7 +163,7 @@
   , endpoint_(std::move(aEndpoint))
   , limits_(aLimits)
   , handler_(aHandler)
-  , state_(std::make_shared<HttpServerState>())
+  , state_(std::make_shared<HttpServerState>(aPool.size()))
 {
 }
 
@@ -162,9 +184,20 @@
 HttpServer::drain()
 {
   state_->draining_ = true;
+  state_->closing_ = true;
   if (listener_) {
     listener_->close();
   }
+  for (std::size_t thread = 0; thread < pool_.size(); ++thread) {
+    // Counted from now on, so that nobody takes the server for idle before.
+    const auto counted =
+      std::make_shared<ScopedCount<std::uint64_t>>(state_->inFlight_);
+    asio::post(pool_.context(thread), [state = state_, thread, counted] {
+      for (HttpWait* wait : std::set(state->waiting_[thread])) {
+        wait->shorten();
+      }
+    });
+  }
 }
 
 std::uint16_t
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -10,7 +10,9 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string_view>
+#include <vector>
 
 namespace auburnhaven::transport {
 
@@ -81,14 +83,36 @@
                       const boost::asio::yield_context& aYield) = 0;
 };
 
-/** What the sessions of a server share. Thread-safe. */
+/** A session that waits for a request. Used on its thread. */
+class HttpWait
+{
+public:
+  virtual ~HttpWait() = default;
+  /** Goes on only for the last wait before the session ends. */
+  virtual void shorten() = 0;
+};
+
+/** What the sessions of a server share. Thread-safe but for waiting_. */
 struct HttpServerState
 {
+  /** @param aThreads Number of traffic threads. */
+  explicit HttpServerState(std::size_t aThreads)
+    : waiting_(aThreads)
+  {
+  }
+
   std::atomic<bool> draining_{
     false
   }; ///< Sessions close after the present response.
-  std::atomic<std::uint64_t> inFlight_{ 0 };    ///< Requests being answered.
+  std::atomic<bool> closing_{
+    false
+  }; ///< Sessions wait only a moment for another request.
+  std::atomic<std::uint64_t> inFlight_{ 0 };    ///< Requests being answered,
+                                                ///< and last waits for one.
   std::atomic<std::uint64_t> connections_{ 0 }; ///< Open connections.
+  std::vector<std::set<HttpWait*>>
+    waiting_; ///< Sessions that wait for a request, by traffic thread; each set
+              ///< for its thread only.
 };
 
 /** Accepts connections and runs a session coroutine for each. */
@@ -117,10 +141,12 @@
   /** Goes on accepting, but ends each session after its present request. Safe
    * from any thread. */
   void closeAfterResponses() { state_->draining_ = true; }
-  /** Stops accepting; sessions end after their present request. Safe from any
+  /** Stops accepting; sessions end after their present request, or after a
+   * last short wait for one that is on its way. Call once; safe from any
    * thread. */
   void drain();
-  /** @return Requests being answered. Safe from any thread. */
+  /** @return Requests being answered, and sessions in their last wait for one.
+   * Safe from any thread. */
   std::uint64_t inFlight() const { return state_->inFlight_; }
   /** @return Port that the server listens on. */
   std::uint16_t port() const;
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -141,6 +141,7 @@
 /** Session of one connection; also the responder of its present request. */
 class HttpSession
   : public HttpResponder
+  , public HttpWait
   , public std::enable_shared_from_this<HttpSession>
 {
 public:
@@ -150,6 +151,9 @@
     , context_(std::move(aContext))
   {
     ++context_.state_->connections_;
+    if (context_.state_->closing_) {
+      shortened_.emplace(context_.state_->inFlight_);
+    }
   }
   ~HttpSession() override { --context_.state_->connections_; }
   HttpSession(const HttpSession&) = delete;
@@ -228,6 +232,12 @@
 
   bool callerGone() const override { return gone_; }
 
+  void shorten() override
+  {
+    shortened_.emplace(context_.state_->inFlight_);
+    stream_.cancel();
+  }
+
 private:
   /** Reads and answers one request. @return Whether to go on. */
   bool serveOne(const asio::yield_context& aYield)
@@ -235,10 +245,12 @@
     Parser parser;
     parser.header_limit(context_.limits_.maxHeaderBytes_);
     parser.body_limit(context_.limits_.maxBodyBytes_);
-    if (!waitForBytes(aYield)) {
+    const bool came = waitForBytes(aYield);
+    const ScopedCount counted(context_.state_->inFlight_);
+    shortened_.reset();
+    if (!came) {
       return false;
     }
-    const ScopedCount counted(context_.state_->inFlight_);
     const boost::system::error_code error = read(parser, aYield);
     if (error) {
       refuse(describe(error, buffer_.size() > 0 || parser.got_some()), aYield);
@@ -262,7 +274,27 @@
     if (buffer_.size() > 0) {
       return true;
     }
-    stream_.expires_after(context_.limits_.idleTimeout_);
+    if (!context_.state_->closing_) {
+      auto& waiting = context_.state_->waiting_[context_.thread_];
+      waiting.insert(this);
+      const bool came = readBytes(context_.limits_.idleTimeout_, aYield);
+      waiting.erase(this);
+      if (came || !shortened_) {
+        return came;
+      }
+    }
+    if (!shortened_) {
+      shortened_.emplace(context_.state_->inFlight_);
+    }
+    // The caller may have sent a request before it hears of the end.
+    return readBytes(kLastWait, aYield);
+  }
+
+  /** Reads some bytes. @return Whether any came in time. */
+  bool readBytes(std::chrono::milliseconds aLimit,
+                 const asio::yield_context& aYield)
+  {
+    stream_.expires_after(aLimit);
     boost::system::error_code error;
     const std::size_t size =
       stream_.async_read_some(buffer_.prepare(kReadBytes), aYield[error]);
@@ -395,6 +427,9 @@
   }
 
   static constexpr std::size_t kReadBytes = 4096; ///< Bytes asked for at once.
+  static constexpr std::chrono::milliseconds kLastWait{
+    200
+  }; ///< For a request that is on its way while the server closes.
   static constexpr std::size_t kMaxDrainReads =
     64; ///< Reads after the last response.
   static constexpr std::chrono::milliseconds kDrainTimeout{
@@ -407,7 +442,9 @@
     buffer_; ///< Bytes read but not parsed, pipelined requests included.
   std::array<char, 1> peek_{}; ///< Takes the byte that the watch peeks.
   std::function<void()>
-    goneHandler_;           ///< Told when the caller closes its connection.
+    goneHandler_; ///< Told when the caller closes its connection.
+  std::optional<ScopedCount<std::uint64_t>>
+    shortened_;             ///< Set in the last wait for a request.
   std::uint64_t watch_ = 0; ///< Number of the present watch.
   unsigned version_ = 11;   ///< HTTP version of the present request.
   bool keepAlive_ =
--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/http_client.h"
 #include "transport/loopback.h"
+#include "transport/system_clock.h"
 
 #include <atomic>
 
@@ -35,6 +36,9 @@
   CPPUNIT_TEST(cutBodyNeverLooksWhole);
   CPPUNIT_TEST(unframedBodyNeverLooksWhole);
   CPPUNIT_TEST(slowBodyTimesOut);
+  CPPUNIT_TEST(trickledLineTimesOut);
+  CPPUNIT_TEST(trickledBodyEndsAtItsLimit);
+  CPPUNIT_TEST(nothingIsSentAfterTheRightToSend);
   CPPUNIT_TEST(malformedResponseIsTold);
   CPPUNIT_TEST(abortEndsWait);
   CPPUNIT_TEST(longBodyAndLineAreRefused);
@@ -232,7 +236,68 @@
     });
   }
 
+  // Bytes that come now and then are no line of a stream.
+  void trickledLineTimesOut()
+  {
+    const Server server([](Socket& aSocket, int) { trickle(aSocket); });
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      transport::HttpCall call =
+        aClient.open(server.endpoint(), { "GET", "/", {}, {} }, {}, aYield);
+      call.setIdleTimeout(std::chrono::milliseconds(200));
+      const auto from = std::chrono::steady_clock::now();
+      CPPUNIT_ASSERT(call.readLine(aYield).status_ == HttpReadStatus::kTimeout);
+      CPPUNIT_ASSERT(std::chrono::steady_clock::now() - from <
+                     std::chrono::milliseconds(600));
+    });
+  }
+
+  void trickledBodyEndsAtItsLimit()
+  {
+    const Server server([](Socket& aSocket, int) { trickle(aSocket); });
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      transport::HttpTimeouts timeouts;
+      timeouts.whole_ = std::chrono::milliseconds(300);
+      const auto from = std::chrono::steady_clock::now();
+      transport::HttpCall call = aClient.open(
+        server.endpoint(), { "GET", "/", {}, {} }, timeouts, aYield);
+      CPPUNIT_ASSERT(call.readAll(1000000, aYield).status_ ==
+                     HttpReadStatus::kTimeout);
+      CPPUNIT_ASSERT(std::chrono::steady_clock::now() - from <
+                     std::chrono::milliseconds(700));
+    });
+  }
+
+  // A process that was suspended while it connected.
+  void nothingIsSentAfterTheRightToSend()
+  {
+    std::atomic<int> requests{ 0 };
+    const Server server([&](Socket& aSocket, int) {
+      requests += Server::readUntil(aSocket, "\r\n\r\n").empty() ? 0 : 1;
+    });
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      transport::HttpClientRequest request{ "POST", "/v1/order", {}, "x" };
+      request.sendBefore_ = transport::SystemClock().now();
+      const transport::HttpCall call =
+        aClient.open(server.endpoint(), request, {}, aYield);
+      CPPUNIT_ASSERT(!call.hasResponse());
+      CPPUNIT_ASSERT(!call.failure().bytesMayHaveArrived_);
+    });
+    CPPUNIT_ASSERT_EQUAL(0, requests.load());
+  }
+
 private:
+  /** Sends a body byte by byte until the client closes. */
+  static void trickle(Socket& aSocket)
+  {
+    Server::readUntil(aSocket, "\r\n\r\n");
+    Server::write(aSocket, "HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n");
+    boost::system::error_code error;
+    while (!error) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      boost::asio::write(aSocket, boost::asio::buffer("x", 1), error);
+    }
+  }
+
   /** Runs a test body as a coroutine with a client. */
   void run(std::function<void(transport::HttpClient&, const Yield&)> aBody)
   {
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -9,6 +9,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 
 using namespace auburnhaven;
 using boost::asio::ip::tcp;
@@ -124,6 +125,7 @@
   CPPUNIT_TEST(refusesSlowHeaders);
   CPPUNIT_TEST(noticesCallersThatLeave);
   CPPUNIT_TEST(drainClosesAfterTheResponse);
+  CPPUNIT_TEST(drainCutsOffNoRequestThatIsOnItsWay);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -229,6 +231,37 @@
     CPPUNIT_ASSERT(contains(second, "/b?"));
     CPPUNIT_ASSERT(contains(second, "Connection: close"));
   }
+
+  // The server ends once nothing is in flight; its threads stop then, as at the
+  // end of the process.
+  void drainCutsOffNoRequestThatIsOnItsWay()
+  {
+    for (int round = 0; round < 20; ++round) {
+      ServerWorld world;
+      tcp::socket accepted = world.connect();
+      tcp::socket used = world.connect();
+      const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+      std::string first;
+      boost::asio::write(used, boost::asio::buffer(request));
+      boost::asio::read_until(used, boost::asio::dynamic_buffer(first), "/a?");
+      std::thread stop([&] {
+        world.server_.drain();
+        while (world.server_.inFlight() > 0) {
+          std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        world.pool_.stop();
+      });
+      std::this_thread::sleep_for(std::chrono::milliseconds(round * 3));
+      for (tcp::socket* socket : { &accepted, &used }) {
+        boost::system::error_code error;
+        boost::asio::write(*socket, boost::asio::buffer(request), error);
+        std::string answer;
+        boost::asio::read(*socket, boost::asio::dynamic_buffer(answer), error);
+        CPPUNIT_ASSERT(contains(answer, "/a?"));
+      }
+      stop.join();
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
