Send no order after the authority that it rests on has ended

Cause: authority was checked when an order was decided; connecting could end after a suspension. Ruled out: the timeout of the call, whose clock stands still during a suspension. Conclusion: each order carries the end of its sender's authority by the boot-time clock, and the connection looks at it last.

--- a/src/coordination/authority_lease.h
+++ b/src/coordination/authority_lease.h
@@ -59,6 +59,8 @@
   void tick(std::optional<state::Duration> aPeriod);
   /** @return Whether this process has the authority now. */
   bool holds() const;
+  /** @return When the present authority ends, unless it is renewed. */
+  state::TimePoint holdsUntil() const { return until_; }
   /** @return When the present authority began. Precondition: holds(). */
   state::TimePoint heldSince() const;
   /** @return Number under which the lease was last held; grows with each change
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -979,6 +979,7 @@
   state.begun_ = std::max(state.begun_, reported.orders_);
   ReplicaOrder order = aOrder;
   order.expectedOrders_ = state.begun_;
+  order.sendBefore_ = lease_.holdsUntil();
   state.underWay_ = true;
   state.notBefore_ = now + limits_.orderRetry_;
   const std::weak_ptr<bool> alive = alive_;
--- a/src/coordination/replica/replica_engine_port.h
+++ b/src/coordination/replica/replica_engine_port.h
@@ -29,6 +29,9 @@
   std::vector<state::VmId> members_; ///< Members, head first; for kJoin.
   std::uint64_t expectedOrders_ =
     0; ///< Orders that the engine must have begun; else it refuses.
+  state::TimePoint sendBefore_ =
+    state::TimePoint::max(); ///< End of the sender's authority; from then on
+                             ///< the order may not go out.
   bool operator==(const ReplicaOrder&) const = default;
 };
 
@@ -73,7 +76,8 @@
 
   virtual ~ReplicaEngines() = default;
   /**
-   * Sends an order.
+   * Sends an order, unless its time is over before it can be sent: the process
+   * may have been suspended since it was decided.
    * @param aTo The engine.
    * @param aOrder The order.
    * @param aTimeout Longest wait; the answer is then kUnknown.
