Read nothing before the first configuration; list from lagging copies and catch up by a watch

Ruled out: using a lagging list as it is: a target that has left or a withdrawn key would be in use again after a restart (test listThatLagsIsNotUsedBeforeItHasCaughtUp). Conclusion: a list is applied together with the changes since its oldest page; where the history is gone, the newest list is read. A relisted coordinator announces news, since it can't know what was removed meanwhile.

--- a/src/coordination/prefix_store_port.h
+++ b/src/coordination/prefix_store_port.h
@@ -29,6 +29,13 @@
   bool operator==(const ListReply&) const = default;
 };
 
+/** How recent a list must be. */
+enum class ListAge : std::uint8_t
+{
+  kNewest, ///< As of the call.
+  kMayLag, ///< May be seconds old; costs the store far less.
+};
+
 /** One change of a key. */
 struct StoreChange
 {
@@ -67,9 +74,13 @@
   /**
    * Reads all keys of a prefix.
    * @param aPrefix The prefix; empty for all keys.
+   * @param aAge How recent it must be. A watch from the list's revision tells
+   * all that it lacks.
    * @param aHandler Takes kOk or kUnavailable.
    */
-  virtual void list(const std::string& aPrefix, ListHandler aHandler) = 0;
+  virtual void list(const std::string& aPrefix,
+                    ListAge aAge,
+                    ListHandler aHandler) = 0;
   /**
    * Waits for changes below a prefix; counts as one call while it waits.
    * @param aPrefix The prefix; empty for all keys.
--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -11,12 +11,33 @@
 namespace {
 
 constexpr std::string_view kPart = "store"; ///< Part of the program in logs.
+constexpr std::chrono::milliseconds kCatchUpTimeout(
+  5); ///< Wait of the watch after a list; its changes are there already.
 
 /** Pauses by pace. */
 constexpr std::array kPauses = { &FollowerSettings::calmPause_,
                                  &FollowerSettings::pause_,
                                  &FollowerSettings::urgentPause_ };
 
+/** @return A list with the changes made since. */
+ListReply
+caughtUp(ListReply aList, const std::vector<StoreChange>& aChanges)
+{
+  std::map<std::string, const StoreChange*> newest;
+  for (const StoreChange& change : aChanges) {
+    newest[change.key_] = &change;
+  }
+  std::erase_if(aList.items_, [&](const StoreItem& aItem) {
+    return newest.contains(aItem.key_);
+  });
+  for (const auto& [key, change] : newest) {
+    if (change->value_) {
+      aList.items_.push_back({ key, *change->value_, change->revision_ });
+    }
+  }
+  return aList;
+}
+
 } // namespace
 
 StoreFollower::StoreFollower(const state::Clock& aClock,
@@ -39,7 +60,9 @@
   dropMissing();
   if (!underWay_ && clock_.now() >= nextCall_ && (mustList_ || mustCall())) {
     underWay_ = true;
-    if (mustList_) {
+    if (awaitsConfig_) {
+      awaitConfig();
+    } else if (mustList_) {
       list();
     } else {
       watch();
@@ -50,6 +73,9 @@
 bool
 StoreFollower::mustCall() const
 {
+  if (lagging_) {
+    return true;
+  }
   const bool fed = othersHeard_ && !inOutage_ && at_ >= othersNewsAt_;
   return !fed || clock_.now() - answeredAt_ >= settings_.refreshPeriod_;
 }
@@ -74,11 +100,39 @@
   return known != present_.end() && !known->second.engine_;
 }
 
+void
+StoreFollower::awaitConfig()
+{
+  const std::weak_ptr<bool> alive = alive_;
+  store_.watchPrefix(settings_.configKey_,
+                     state::Revision(),
+                     settings_.firstWatchTimeout_,
+                     [this, alive](const WatchReply& aReply) {
+                       if (!alive.expired()) {
+                         takeFirst(aReply);
+                       }
+                     });
+}
+
+void
+StoreFollower::takeFirst(const WatchReply& aReply)
+{
+  underWay_ = false;
+  if (aReply.status_ == WatchStatus::kUnavailable) {
+    failed("watch for the first configuration");
+    return;
+  }
+  answered();
+  // Without the history from the start, it may have been written before.
+  awaitsConfig_ = aReply.status_ == WatchStatus::kChanges &&
+                  aReply.changes_.empty() && !config_;
+}
+
 void
 StoreFollower::list()
 {
   const std::weak_ptr<bool> alive = alive_;
-  store_.list("", [this, alive](const ListReply& aReply) {
+  store_.list("", listAge_, [this, alive](const ListReply& aReply) {
     if (!alive.expired()) {
       takeList(aReply);
     }
@@ -90,9 +144,8 @@
 {
   const std::weak_ptr<bool> alive = alive_;
   store_.watchPrefix("",
-                     at_,
-                     inOutage_ || othersHeard_ ? settings_.outageWatchTimeout_
-                                               : settings_.watchTimeout_,
+                     lagging_ ? lagging_->at_ : at_,
+                     watchTimeout(),
                      [this, alive](const WatchReply& aReply) {
                        if (!alive.expired()) {
                          takeChanges(aReply);
@@ -100,6 +153,16 @@
                      });
 }
 
+state::Duration
+StoreFollower::watchTimeout() const
+{
+  if (lagging_) {
+    return kCatchUpTimeout;
+  }
+  return inOutage_ || othersHeard_ ? settings_.outageWatchTimeout_
+                                   : settings_.watchTimeout_;
+}
+
 void
 StoreFollower::answered()
 {
@@ -143,6 +206,19 @@
     return;
   }
   answered();
+  mustList_ = false;
+  if (listAge_ == ListAge::kMayLag) {
+    lagging_ = aReply;
+    return;
+  }
+  listAge_ = ListAge::kMayLag;
+  applyList(aReply);
+  publish();
+}
+
+void
+StoreFollower::applyList(const ListReply& aReply)
+{
   std::set<std::string> seen;
   for (const StoreItem& item : aReply.items_) {
     seen.insert(item.key_);
@@ -150,9 +226,11 @@
   }
   removeMissing(seen);
   at_ = aReply.at_;
+  if (listed_) {
+    // Which keys were removed meanwhile is not known: others must read too.
+    newsAt_ = std::max(newsAt_, at_);
+  }
   listed_ = true;
-  mustList_ = false;
-  publish();
 }
 
 void
@@ -182,19 +260,26 @@
 StoreFollower::takeChanges(const WatchReply& aReply)
 {
   underWay_ = false;
+  const std::optional<ListReply> list = std::exchange(lagging_, std::nullopt);
   if (aReply.status_ == WatchStatus::kUnavailable) {
+    mustList_ = mustList_ || list;
     failed("watch");
     return;
   }
   answered();
   if (aReply.status_ == WatchStatus::kCompacted) {
     mustList_ = true;
+    listAge_ = list ? ListAge::kNewest : ListAge::kMayLag;
     log_.write(
       state::LogWeight::kChange, kPart, "history is gone, listing again", {});
     return;
   }
-  for (const StoreChange& change : aReply.changes_) {
-    apply(change.key_, change.value_, change.revision_);
+  if (list) {
+    applyList(caughtUp(*list, aReply.changes_));
+  } else {
+    for (const StoreChange& change : aReply.changes_) {
+      apply(change.key_, change.value_, change.revision_);
+    }
   }
   at_ = std::max(at_, aReply.at_);
   if (!aReply.changes_.empty()) {
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -54,6 +54,9 @@
   std::string ownPrefix_;      ///< Prefix of the daemons' own keys.
   state::Duration watchTimeout_ =
     std::chrono::milliseconds(1500); ///< Longest wait of one watch.
+  state::Duration firstWatchTimeout_ =
+    std::chrono::milliseconds(5000); ///< Longest wait of the watch for the
+                                     ///< first configuration.
   state::Duration outageWatchTimeout_ = std::chrono::milliseconds(
     100); ///< The same while the store does not answer, or others are heard.
   state::Duration calmPause_ = std::chrono::milliseconds(
@@ -154,9 +157,13 @@
   bool hasListed() const { return listed_; }
 
 private:
+  void awaitConfig();
+  void takeFirst(const WatchReply& aReply);
   void list();
   void watch();
+  state::Duration watchTimeout() const;
   void takeList(const ListReply& aReply);
+  void applyList(const ListReply& aReply);
   void takeChanges(const WatchReply& aReply);
   void answered();
   void failed(std::string_view aCall);
@@ -192,9 +199,15 @@
     missing_; ///< Instances that vanished in an outage, and when
               ///< they are dropped.
   std::set<std::string> ownKeys_; ///< The daemons' own keys that exist.
-  bool changed_ = false;  ///< Whether instances differ from the published.
-  bool listed_ = false;   ///< Whether the keys were listed.
-  bool mustList_ = true;  ///< Whether the keys must be listed next.
+  bool changed_ = false;     ///< Whether instances differ from the published.
+  bool listed_ = false;      ///< Whether the keys were listed.
+  bool awaitsConfig_ = true; ///< Whether the store may not have the first
+                             ///< configuration yet, so that nothing else is
+                             ///< worth reading.
+  bool mustList_ = true;     ///< Whether the keys must be listed next.
+  ListAge listAge_ = ListAge::kMayLag; ///< How recent the next list must be.
+  std::optional<ListReply>
+    lagging_;             ///< A list that lacks changes until the next watch.
   bool underWay_ = false; ///< Whether a call is awaited.
   FollowerPace pace_ = FollowerPace::kUsual; ///< How soon changes are wanted.
   bool inOutage_ = false;                    ///< Whether an outage was noticed.
--- a/tests/coordination/routing_follower_test.cpp
+++ b/tests/coordination/routing_follower_test.cpp
@@ -62,6 +62,9 @@
   CPPUNIT_TEST(newsOfOthersReplaceWatches);
   CPPUNIT_TEST(silentOthersAreReplacedByWatches);
   CPPUNIT_TEST(calmFollowerCallsLess);
+  CPPUNIT_TEST(nothingIsReadBeforeThereIsAConfiguration);
+  CPPUNIT_TEST(listThatLagsIsNotUsedBeforeItHasCaughtUp);
+  CPPUNIT_TEST(listThatCannotCatchUpIsReadAnew);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -97,6 +100,64 @@
     CPPUNIT_ASSERT(calm < usual);
   }
 
+  // Many daemons start at once, some time before the first configuration, while
+  // their VMs register one after the other.
+  void nothingIsReadBeforeThereIsAConfiguration()
+  {
+    data_ = std::make_shared<fakes::FakeStoreData>();
+    store_ = std::make_unique<fakes::FakeStore>(clock_, data_);
+    FollowerSettings settings;
+    settings.configKey_ = "config";
+    settings.instancePrefix_ = "vm/";
+    follower_ =
+      std::make_unique<StoreFollower>(clock_, *store_, codec_, log_, settings);
+    for (int vm = 0; vm < 40; ++vm) {
+      data_->put("vm/" + std::to_string(vm), "engine");
+      run(100ms);
+    }
+    CPPUNIT_ASSERT(data_->reads_ <= 2);
+    data_->put("config", "5");
+    run(100ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 5 }, version());
+    run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 40 }, follower_->instances()->size());
+  }
+
+  // A daemon that starts again reads a copy of the store that is seconds old:
+  // with a target that has left, and a configuration that has been replaced.
+  void listThatLagsIsNotUsedBeforeItHasCaughtUp()
+  {
+    data_->oldList_ = data_->listNow();
+    data_->remove("vm/a");
+    data_->put("vm/b", "plain");
+    data_->put("config", "4");
+    std::vector<std::uint64_t> versions;
+    follower_->onConfig([&](const state::RoutingConfigPtr& aConfig) {
+      versions.push_back(aConfig->version_.value());
+    });
+    std::size_t listed = 0;
+    follower_->onInstances([&](const state::InstanceMapPtr& aInstances) {
+      ++listed;
+      CPPUNIT_ASSERT(!aInstances->contains(state::VmId("a")));
+      CPPUNIT_ASSERT(aInstances->contains(state::VmId("b")));
+    });
+    run(1s);
+    CPPUNIT_ASSERT(listed > 0);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 4 }, versions.back());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, versions.size());
+  }
+
+  void listThatCannotCatchUpIsReadAnew()
+  {
+    data_->oldList_ = data_->listNow();
+    data_->remove("vm/a");
+    data_->compact();
+    run(1s);
+    CPPUNIT_ASSERT(follower_->hasListed());
+    CPPUNIT_ASSERT(follower_->instances()->empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, version());
+  }
+
   void listsThenWatches()
   {
     std::vector<std::string> own;
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -52,7 +52,20 @@
   std::uint64_t nextRevision_ = 1; ///< Revision of the next write.
   std::vector<coordination::StoreChange> history_; ///< Changes in order.
   state::Revision compactedAt_; ///< Newest change that was dropped.
+  std::optional<coordination::ListReply>
+    oldList_; ///< What lists that may lag tell; none to tell the newest.
 
+  /** @return All keys as they are. */
+  coordination::ListReply listNow() const
+  {
+    coordination::ListReply reply;
+    reply.status_ = coordination::StoreStatus::kOk;
+    reply.at_ = state::Revision(nextRevision_ - 1);
+    for (const auto& [key, item] : items_) {
+      reply.items_.push_back({ key, item.value_, item.revision_ });
+    }
+    return reply;
+  }
   /** Writes a key without a condition. @return Its revision. */
   state::Revision put(const std::string& aKey, std::string aValue)
   {
@@ -205,19 +218,20 @@
     answer(std::move(aHandler), reply);
   }
 
-  void list(const std::string& aPrefix, ListHandler aHandler) override
+  void list(const std::string& aPrefix,
+            coordination::ListAge aAge,
+            ListHandler aHandler) override
   {
     coordination::ListReply reply;
+    const bool lags =
+      aAge == coordination::ListAge::kMayLag && data_->oldList_.has_value();
     if (!faults_.down_) {
-      ++data_->reads_;
-      reply.status_ = coordination::StoreStatus::kOk;
-      reply.at_ = state::Revision(data_->nextRevision_ - 1);
-      for (const auto& [key, item] : data_->items_) {
-        if (key.starts_with(aPrefix)) {
-          reply.items_.push_back({ key, item.value_, item.revision_ });
-        }
-      }
+      data_->reads_ += lags ? 0 : 1;
+      reply = lags ? *data_->oldList_ : data_->listNow();
     }
+    std::erase_if(reply.items_, [&](const coordination::StoreItem& aItem) {
+      return !aItem.key_.starts_with(aPrefix);
+    });
     answer(std::move(aHandler), reply);
   }
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -239,20 +239,25 @@
     ScriptedStore world(
       { { "200 OK",
           R"({"entries":[{"key":"a","data":"MQ==","mod_revision":3,
-              "created_revision":3,"lease_id":0}],"has_more":true,"at":9})" },
+              "created_revision":3,"lease_id":0}],"has_more":true,"at":11})" },
         { "200 OK",
           R"({"entries":[{"key":"b","data":"Mg==","mod_revision":8,
-              "created_revision":8,"lease_id":0}],"has_more":false,"at":11})" } });
+              "created_revision":8,"lease_id":0}],"has_more":false,"at":9})" } });
     bool done = false;
-    world.store_.list("", [&](const coordination::ListReply& aReply) {
+    const auto take = [&](const coordination::ListReply& aReply) {
       CPPUNIT_ASSERT(aReply.status_ == StoreStatus::kOk);
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, aReply.items_.size());
       CPPUNIT_ASSERT_EQUAL(std::string("2"), aReply.items_.at(1).value_);
+      // Of the oldest page: the newer ones are told again by the watch.
       CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, aReply.at_.value());
       done = true;
-    });
+    };
+    world.store_.list("", coordination::ListAge::kMayLag, take);
     world.await(done);
     CPPUNIT_ASSERT(world.requests_.at(1).find("after=a") != std::string::npos);
+    for (const std::string& request : world.requests_) {
+      CPPUNIT_ASSERT(request.find("serializable=1") != std::string::npos);
+    }
   }
 
   void watchTellsChangesAndCompaction()
