--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -3,6 +3,7 @@
 #include "app/relay_daemon.h"
 
 #include "app/command_line.h"
+#include "protocol/placement_codec.h"
 #include "protocol/zone_digest_codec.h"
 #include "state/endpoint_func.h"
 
@@ -22,8 +23,12 @@
 constexpr milliseconds kDrainPoll(20);   ///< Period of checks at the stop.
 constexpr milliseconds kStopMargin(500); ///< Kept of the stop limit.
 constexpr milliseconds kOwnZonePatience(
-  400); ///< Longest random wait before a daemon of the zone tries for the
+  150); ///< Longest random wait before a daemon of the zone tries for the
         ///< vacant duty.
+constexpr double kPatienceOfACore =
+  30; ///< Milliseconds that a daemon with a whole core waits before; one with
+      ///< half a core twice as long.
+constexpr double kLongestPatience = 200; ///< Most milliseconds of that wait.
 constexpr milliseconds kOtherZonePatience(
   2500); ///< Wait before a daemon of another zone does.
 constexpr milliseconds kLeaseTimeToLive(1500); ///< Of a zone's duty.
@@ -32,9 +37,9 @@
                                           ///< the store's lease.
 constexpr milliseconds kLeaseRetry(150);  ///< After a renewal that failed.
 constexpr std::chrono::seconds kProbeAfter(1); ///< Silence before TCP probes.
-constexpr milliseconds kRegistrationTimeToLive(10000); ///< Of a daemon's entry.
+constexpr milliseconds kRegistrationTimeToLive(30000); ///< Of a daemon's entry.
 constexpr milliseconds kRegistrationRetry(2000); ///< After a call that failed.
-constexpr milliseconds kRegistrationRenewal(3500); ///< Between two renewals.
+constexpr milliseconds kRegistrationRenewal(10000); ///< Between two renewals.
 constexpr milliseconds kCoordinatorSilence(
   1000); ///< Silence of a zone's coordinator after which a daemon follows the
          ///< store by itself.
@@ -103,8 +108,12 @@
   duty.key_ = kDutyPrefix + aZone.value();
   duty.self_ = state::textOf(aSettings.listeners_.peers_) + ' ' +
                std::to_string(aClock.wallNow().time_since_epoch().count());
+  const auto rank = milliseconds(std::lround(
+    std::min(kLongestPatience,
+             kPatienceOfACore / std::max(0.001, aSettings.processorShare_))));
   duty.patience_ =
-    aZone == aSettings.zone_ ? jitter : kOtherZonePatience + jitter * 3;
+    rank +
+    (aZone == aSettings.zone_ ? jitter : kOtherZonePatience + jitter * 3);
   duty.lease_ = leaseLimits(kLeaseTimeToLive, kLeaseRenewal, kLeaseRetry);
   duty.zone_ = replicaZone(aSettings, aZone);
   duty.limits_ = replicaLimits(aSettings);
@@ -166,6 +175,15 @@
   return budget;
 }
 
+/** @return Settings of the choice of targets. */
+coordination::TargetPoolSettings
+poolSettings(const RelayDaemonSettings& aSettings)
+{
+  coordination::TargetPoolSettings pool;
+  pool.zone_ = aSettings.zone_;
+  return pool;
+}
+
 } // namespace
 
 RelayDaemon::RelayDaemon(RelayDaemonSettings aSettings)
@@ -191,8 +209,12 @@
   , exchange_(clock_, links_, follower_, settings_.listeners_.peers_, seed_)
   , traffic_(1)
   , targets_(clock_,
-             {},
+             poolSettings(settings_),
              [engine = std::mt19937_64(seed_)]() mutable { return engine(); })
+  , placements_(traffic_.context(0),
+                clock_,
+                targets_,
+                settings_.listeners_.digests_)
   , budget_(budgetSettings(settings_.retries_))
   , relay_({ clock_,
              targets_,
@@ -201,7 +223,8 @@
              routes_,
              trafficClients_,
              log_,
-             metrics_ },
+             metrics_,
+             &placements_ },
            {})
   , status_(settings_.readyPath_, metrics_)
 {
@@ -269,15 +292,19 @@
     return "cannot listen for status: " + fault;
   }
   fault = digests_.start(
-    settings_.listeners_.digests_, [this](const std::string& aDatagram) {
-      const auto digest = protocol::decodeZoneDigest(aDatagram, clock_.now());
-      if (digest) {
-        takeDigest(*digest);
-      }
+    settings_.listeners_.digests_,
+    [this](const state::Endpoint& aFrom, const std::string& aDatagram) {
+      takeDatagram(aFrom, aDatagram);
     });
   if (!fault.empty()) {
     return "cannot listen for digests: " + fault;
   }
+  state::Endpoint places = settings_.listeners_.digests_;
+  ++places.port_;
+  fault = placements_.start(places);
+  if (!fault.empty()) {
+    return "cannot listen for places: " + fault;
+  }
   fault = links_.start();
   return fault.empty() ? fault : "cannot listen for peers: " + fault;
 }
@@ -320,8 +347,10 @@
                                 : coordination::FollowerPace::kCalm;
   follower_.setPace(urgent ? coordination::FollowerPace::kUrgent : pace);
   follower_.setOthers(!coordinates && hearing_.hearsAll(clock_.now()), newsAt_);
-  registration_.tick(mayTry ? std::optional<state::Duration>(kRegistrationRetry)
-                            : std::nullopt);
+  const bool mayRegister = !stopping_ && !follower_.hasOutage();
+  registration_.tick(mayRegister
+                       ? std::optional<state::Duration>(kRegistrationRetry)
+                       : std::nullopt);
   if (clock_.now() >= digestAt_) {
     digestAt_ = clock_.now() + kDigestPeriod;
     sendDigests();
@@ -356,6 +385,26 @@
   }
 }
 
+void
+RelayDaemon::takeDatagram(const state::Endpoint& aFrom,
+                          const std::string& aDatagram)
+{
+  if (const auto question = protocol::decodeQuestion(aDatagram)) {
+    const coordination::TargetDecision place = targets_.place(question->need_);
+    digests_.send(aFrom,
+                  protocol::encodeAnswer({ question->number_,
+                                           place.reason_,
+                                           place.vm_,
+                                           place.expected_,
+                                           place.retryAfter_,
+                                           place.candidates_ }));
+  } else if (const auto digest =
+               protocol::decodeZoneDigest(aDatagram, clock_.now())) {
+    targets_.setDispatcher(digest->zone_, aFrom);
+    takeDigest(*digest);
+  }
+}
+
 void
 RelayDaemon::takeDigest(const coordination::ZoneDigest& aDigest)
 {
@@ -381,6 +430,7 @@
     digest->count_ = ++digestCount_;
     digest->newsAt_ = follower_.newsAt();
     targets_.setDigest(*digest);
+    targets_.setDispatcher(digest->zone_, settings_.listeners_.digests_);
     sendToDaemons(*digest);
   }
 }
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -54,6 +54,7 @@
   std::string startServers();
   void connectParts();
   void tick();
+  void takeDatagram(const state::Endpoint& aFrom, const std::string& aDatagram);
   void takeDigest(const coordination::ZoneDigest& aDigest);
   void sendDigests();
   void sendToDaemons(const coordination::ZoneDigest& aDigest);
@@ -98,10 +99,11 @@
     duties_;                       ///< Coordination of each zone.
   transport::TrafficPool traffic_; ///< Traffic thread.
   std::vector<std::unique_ptr<transport::HttpClient>>
-    trafficClients_;                 ///< HTTP of each traffic thread.
-  coordination::TargetPool targets_; ///< Choice of targets.
-  coordination::RetryBudget budget_; ///< Budget of repeated sends.
-  platform::RequestDialect dialect_; ///< Request headers.
+    trafficClients_;                      ///< HTTP of each traffic thread.
+  coordination::TargetPool targets_;      ///< Choice of targets.
+  transport::PlacementClient placements_; ///< Asks for places at copies.
+  coordination::RetryBudget budget_;      ///< Budget of repeated sends.
+  platform::RequestDialect dialect_;      ///< Request headers.
   transport::SnapshotHolder<coordination::RouteTable> routes_; ///< Routes.
   transport::RelayHandler relay_;                   ///< Answers callers.
   transport::StatusHandler status_;                 ///< Answers the balancer.
--- a/src/app/relay_settings_file.cpp
+++ b/src/app/relay_settings_file.cpp
@@ -15,6 +15,7 @@
 constexpr FieldRange kMilliseconds{ 0, 3600000 }; ///< Up to one hour.
 constexpr FieldRange kSeconds{ 1, 3600 };         ///< Up to one hour.
 constexpr FieldRange kRatio{ 0, 10 };             ///< Repeated sends a request.
+constexpr FieldRange kProcessor{ 0, 1024 };       ///< Cores.
 constexpr FieldRange kCount{ 0, 1000000 };        ///< Repeated sends.
 
 constexpr auto kRequired = FieldNeed::kRequired;
@@ -108,6 +109,11 @@
                                           kOptional,
                                           kNonEmpty,
                                           "path of the question for readiness"),
+  field<&RelayDaemonSettings::processorShare_>("processor_share",
+                                               kOptional,
+                                               kProcessor,
+                                               "part of a core that the daemon "
+                                               "has"),
   field<&RelayDaemonSettings::firstStart_>(
     "first_start",
     kOptional,
--- a/src/app/relay_settings_type.h
+++ b/src/app/relay_settings_type.h
@@ -42,7 +42,9 @@
   std::vector<state::Endpoint> seedPeers_; ///< Peer listeners to ask first.
   std::string peerKey_;                    ///< Key shared by all daemons.
   std::string readyPath_ = "/readyz"; ///< Path of the question for readiness.
-  bool firstStart_ = false; ///< Whether the system starts for the first time.
+  double processorShare_ = 1; ///< Part of a core that the daemon has; those
+                              ///< with more try for duties first.
+  bool firstStart_ = false;   ///< Whether the system starts for the first time.
   std::chrono::milliseconds formationTime_{
     8000
   }; ///< After a first start: time before callers come.
--- a/src/coordination/routing/pace_func.cpp
+++ b/src/coordination/routing/pace_func.cpp
@@ -36,6 +36,28 @@
   return (aEngine.step_ + perRequest * aRunning) * aModel.pace_;
 }
 
+state::FloatMs
+passTime(const state::EngineSpec& aEngine,
+         const state::ModelSpec& aModel,
+         std::uint32_t aRunning)
+{
+  return aRunning == 0
+           ? state::FloatMs(0)
+           : stepTime(aEngine, aModel, aRunning) * aEngine.stepsPerPass_;
+}
+
+state::FloatMs
+readSpan(const state::EngineSpec& aEngine,
+         const state::ModelSpec& aModel,
+         std::uint32_t aRunning,
+         std::uint32_t aTokens)
+{
+  // A pass reads a limited number of tokens, then the others write.
+  const double passes = static_cast<double>(aTokens) / aEngine.passTokens_;
+  return readTime(aEngine, aModel, aTokens) +
+         passTime(aEngine, aModel, aRunning) * passes;
+}
+
 state::FloatMs
 usualSlotTime(const state::EngineSpec& aEngine, const state::ModelSpec& aModel)
 {
--- a/src/coordination/routing/pace_func.h
+++ b/src/coordination/routing/pace_func.h
@@ -38,6 +38,33 @@
          const state::ModelSpec& aModel,
          std::uint32_t aRunning);
 
+/**
+ * Time of the token steps of one pass of a copy over its requests. Pure.
+ * @param aEngine The service.
+ * @param aModel The model.
+ * @param aRunning Requests that write.
+ * @return The time; nothing when none writes.
+ */
+state::FloatMs
+passTime(const state::EngineSpec& aEngine,
+         const state::ModelSpec& aModel,
+         std::uint32_t aRunning);
+
+/**
+ * Time that a copy takes to read a prompt between the token steps of its
+ * requests. Pure.
+ * @param aEngine The service.
+ * @param aModel The model.
+ * @param aRunning Requests that write.
+ * @param aTokens Tokens of the prompt.
+ * @return The time.
+ */
+state::FloatMs
+readSpan(const state::EngineSpec& aEngine,
+         const state::ModelSpec& aModel,
+         std::uint32_t aRunning,
+         std::uint32_t aTokens);
+
 /**
  * Time that a usual request holds a slot of a full copy, with its share of the
  * other requests' prompts. Pure.
--- a/src/coordination/routing/target_pool.cpp
+++ b/src/coordination/routing/target_pool.cpp
@@ -69,6 +69,7 @@
   : clock_(aClock)
   , settings_(aSettings)
   , random_(std::move(aRandom))
+  , notices_(aClock)
 {
 }
 
@@ -83,6 +84,7 @@
     target.leaving_ = false;
   }
   for (const auto& [vm, instance] : *aInstances) {
+    notices_.noteLife(vm, instance.bornAtMs_);
     const bool takes =
       takesRequests(instance) && !losesMember(instance, *aInstances);
     const auto known = targets_.find(vm);
@@ -93,6 +95,7 @@
     target.service_ = instance.service_;
     target.zone_ = instance.zone_;
     target.endpoint_ = instance.endpoint_;
+    target.bornAtMs_ = instance.bornAtMs_;
     target.slots_ = std::max(1U, instance.slots_);
     target.registered_ = takes;
     target.leaving_ = instance.leaving_;
@@ -116,11 +119,11 @@
   if (!newer || !config_) {
     return;
   }
-  state = { aDigest.authority_,
-            aDigest.count_,
-            state.number_ + 1,
-            clock_.now(),
-            aDigest.whole_ };
+  state.authority_ = aDigest.authority_;
+  state.count_ = aDigest.count_;
+  ++state.number_;
+  state.takenAt_ = clock_.now();
+  state.whole_ = aDigest.whole_;
   const state::ServiceSpec* service =
     state::findService(*config_, aDigest.service_);
   const std::uint32_t slots =
@@ -250,23 +253,46 @@
         roomOf(target, load, leavingOf(target, load, pace));
     }
   }
-  constexpr double kRandomRange = 1ULL << 53U;
   for (const auto& [model, room] : rooms) {
     const double part =
       room / static_cast<double>(daemons_) * settings_.quotaSlack_;
-    const double luck = static_cast<double>(random_() >> 11U) / kRandomRange;
+    const double luck = randomPart();
     double& quota = quotas_[{ aZone, model }];
     // Parts of less than one request are saved up, or most would be lost.
     quota = part >= 1 ? std::floor(part + luck) : std::min(1.0, quota + part);
   }
 }
 
+bool
+TargetPool::mayTake(const state::VmId& aVm,
+                    const Target& aTarget,
+                    const TargetNeed& aNeed,
+                    state::TimePoint aNow) const
+{
+  return fits(aTarget, aNeed, aNow) && !notices_.isLeaving(aVm);
+}
+
+bool
+TargetPool::hasOther(const TargetNeed& aNeed, const state::VmId& aVm) const
+{
+  const std::lock_guard lock(mutex_);
+  const state::TimePoint now = clock_.now();
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& aEntry) {
+    const auto& [vm, target] = aEntry;
+    const bool tried =
+      std::find(aNeed.excluded_.begin(), aNeed.excluded_.end(), vm) !=
+      aNeed.excluded_.end();
+    return vm != aVm && !tried && mayTake(vm, target, aNeed, now) &&
+           notices_.restsUntil(vm) <= now;
+  });
+}
+
 std::vector<TargetPool::Candidate>
 TargetPool::candidatesFor(const TargetNeed& aNeed, state::TimePoint aNow)
 {
   std::vector<Candidate> candidates;
   for (auto& [vm, target] : targets_) {
-    if (fits(target, aNeed, aNow)) {
+    if (mayTake(vm, target, aNeed, aNow)) {
       candidates.push_back({ &vm, &target, loadOf(target, aNow), {}, 0 });
     }
   }
@@ -407,7 +433,8 @@
                                  *candidate.vm_) != aNeed.excluded_.end();
     const bool enters =
       candidate.expected_ <= limit && mayEnter(target, around.fill_);
-    if (!tried && enters) {
+    const bool rests = notices_.restsUntil(*candidate.vm_) > now;
+    if (!tried && enters && !rests) {
       candidate.weight_ = weightOf(target, candidate.load_, leaving);
       (target.restsUntil_ <= now ? open : resting).push_back(candidate);
     }
@@ -416,23 +443,37 @@
     return refuse(all, aNeed);
   }
   // A target that failed lately is still better than a refusal.
-  const Candidate& chosen = pick(open.empty() ? resting : open);
-  ++chosen.target_->own_;
-  noteChange(*chosen.target_, now, 1);
-  const auto quota =
-    quotas_.find({ chosen.target_->zone_, chosen.target_->model_ });
+  TargetDecision decision = enter(pick(open.empty() ? resting : open), now);
+  decision.candidates_ = static_cast<std::uint32_t>(all.size());
+  return decision;
+}
+
+TargetDecision
+TargetPool::enter(const Candidate& aChosen, state::TimePoint aNow)
+{
+  Target& target = *aChosen.target_;
+  ++target.own_;
+  noteChange(target, aNow, 1);
+  const auto quota = quotas_.find({ target.zone_, target.model_ });
   if (quota != quotas_.end()) {
     quota->second = std::max(0.0, quota->second - 1);
   }
-  return { RefusalReason::kNone,
-           *chosen.vm_,
-           chosen.target_->endpoint_,
-           chosen.load_,
-           now - chosen.target_->reportedAt_,
-           chosen.expected_,
-           {},
-           static_cast<std::uint32_t>(all.size()),
-           keptConnections(aNeed.service_) };
+  TargetDecision decision;
+  decision.reason_ = RefusalReason::kNone;
+  decision.vm_ = *aChosen.vm_;
+  decision.endpoint_ = target.endpoint_;
+  decision.load_ = aChosen.load_;
+  decision.loadAge_ = aNow - target.reportedAt_;
+  decision.expected_ = aChosen.expected_;
+  decision.keptConnections_ = keptConnections(target.service_);
+  return decision;
+}
+
+double
+TargetPool::randomPart()
+{
+  constexpr double kRandomRange = 1ULL << 53U;
+  return static_cast<double>(random_() >> 11U) / kRandomRange;
 }
 
 const TargetPool::Candidate&
@@ -442,8 +483,7 @@
   for (const Candidate& candidate : aCandidates) {
     sum += candidate.weight_;
   }
-  constexpr double kRandomRange = 1ULL << 53U;
-  double at = static_cast<double>(random_() >> 11U) / kRandomRange * sum;
+  double at = randomPart() * sum;
   for (const Candidate& candidate : aCandidates) {
     at -= candidate.weight_;
     if (at < 0) {
@@ -467,14 +507,22 @@
   if (aCandidates.empty()) {
     return decision;
   }
-  decision.reason_ = RefusalReason::kFull;
+  const state::TimePoint now = clock_.now();
+  state::Duration rest = state::Duration::max();
   decision.expected_ = state::Duration::max();
   for (const Candidate& candidate : aCandidates) {
+    rest = std::min(rest, notices_.restsUntil(*candidate.vm_) - now);
     if (candidate.expected_ < decision.expected_) {
       decision.expected_ = candidate.expected_;
       decision.load_ = candidate.load_;
     }
   }
+  if (rest > state::Duration{}) {
+    decision.reason_ = RefusalReason::kResting;
+    decision.retryAfter_ = std::max<state::Duration>(kShortRetryAfter, rest);
+    return decision;
+  }
+  decision.reason_ = RefusalReason::kFull;
   const state::Duration over = decision.expected_ - aNeed.latencyTarget_;
   decision.retryAfter_ = std::max<state::Duration>(kShortRetryAfter, over);
   return decision;
@@ -511,4 +559,25 @@
   found->second.reportedAt_ = clock_.now();
 }
 
+std::uint64_t
+TargetPool::bornAt(const state::VmId& aVm) const
+{
+  const auto found = targets_.find(aVm);
+  return found == targets_.end() ? 0 : found->second.bornAtMs_;
+}
+
+void
+TargetPool::noteLeaving(const state::VmId& aVm)
+{
+  const std::lock_guard lock(mutex_);
+  notices_.noteLeaving(aVm, bornAt(aVm));
+}
+
+void
+TargetPool::noteRest(const state::VmId& aVm, state::Duration aRest)
+{
+  const std::lock_guard lock(mutex_);
+  notices_.noteRest(aVm, bornAt(aVm), aRest);
+}
+
 } // namespace auburnhaven::coordination
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -2,11 +2,14 @@
 #pragma once
 
 #include "coordination/routing/pace_func.h"
+#include "coordination/routing/placement_book.h"
+#include "coordination/routing/target_notices.h"
 #include "coordination/routing/zone_digest_type.h"
 #include "state/instance_type.h"
 #include "state/routing_type.h"
 #include "state/time_type.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -37,6 +40,7 @@
   kNoTarget, ///< No target of the service and model is known to serve.
   kFull,     ///< Each target is full.
   kTooLate,  ///< No target can begin in time.
+  kResting,  ///< Each target wants no requests for some time.
 };
 
 /** @return Name of a reason for logs. */
@@ -44,7 +48,7 @@
 nameOf(RefusalReason aReason)
 {
   constexpr std::string_view kNames[] = {
-    "none", "no_target", "full", "too_late"
+    "none", "no_target", "full", "too_late", "resting"
   };
   return kNames[static_cast<std::size_t>(aReason)];
 }
@@ -77,6 +81,10 @@
 /** Settings of the choice. */
 struct TargetPoolSettings
 {
+  state::ZoneId zone_; ///< Zone of the daemon.
+  std::uint32_t pooledCopies_ =
+    24; ///< Copies of a model up to which one dispatcher gives the places of
+        ///< all zones; beyond, each zone has its own.
   state::Duration reportTrust_ =
     std::chrono::seconds(3); ///< Age at which a reported load no longer counts.
   state::Duration digestPeriod_ =
@@ -139,6 +147,37 @@
    * @param aDigest The copies.
    */
   void setDigest(const ZoneDigest& aDigest);
+  /**
+   * Notes who gives places at the copies of a zone.
+   * @param aZone The zone.
+   * @param aEndpoint Where its coordinator takes datagrams.
+   */
+  void setDispatcher(const state::ZoneId& aZone,
+                     const state::Endpoint& aEndpoint);
+  /**
+   * @param aNeed What a request needs.
+   * @return Who gives a place for it, or nothing when nobody is heard.
+   */
+  std::optional<state::Endpoint> dispatcherFor(const TargetNeed& aNeed);
+  /**
+   * Gives a place to a request of any daemon: at the copy that will have its
+   * first event soonest, by the places given so far. Answers the load of many
+   * daemons on few copies that read prompts one after the other: what delays a
+   * first event is how unevenly prompts arrive, which nobody sees who knows
+   * only the loads of some time ago.
+   * @param aNeed What the request needs.
+   * @return The decision; the place is the caller's, who doesn't give it back.
+   */
+  TargetDecision place(const TargetNeed& aNeed);
+  /**
+   * Takes a place that a dispatcher gave. As choose(), the request counts until
+   * finish() is called.
+   * @param aNeed What the request needs.
+   * @param aVm The target.
+   * @return The decision; a refusal when the target may not be used by what
+   * this daemon knows.
+   */
+  TargetDecision take(const TargetNeed& aNeed, const state::VmId& aVm);
   /** @param aDaemons Daemons that send requests to the same targets. */
   void setDaemons(std::size_t aDaemons);
   /**
@@ -160,12 +199,31 @@
    * request must go elsewhere.
    */
   bool isGone(const state::VmId& aVm) const;
+  /**
+   * @param aNeed What a request needs.
+   * @param aVm The target that it has now.
+   * @return Whether it could have another target.
+   */
+  bool hasOther(const TargetNeed& aNeed, const state::VmId& aVm) const;
   /**
    * Notes a reported load.
    * @param aVm The target.
    * @param aLoad The load; includes this daemon's own requests.
    */
   void noteLoad(const state::VmId& aVm, const state::TargetLoad& aLoad);
+  /**
+   * Notes that a target said that it leaves: it gets nothing more in this life,
+   * whatever the store or a digest tells of it.
+   * @param aVm The target.
+   */
+  void noteLeaving(const state::VmId& aVm);
+  /**
+   * Notes that a target wants no requests for some time. Until then it gets
+   * none, also where the alternative is a refusal.
+   * @param aVm The target.
+   * @param aRest How long.
+   */
+  void noteRest(const state::VmId& aVm, state::Duration aRest);
 
 private:
   /** What is known of a target. */
@@ -175,6 +233,7 @@
     state::ZoneId zone_;         ///< Its availability zone.
     state::ModelId model_;       ///< Model it serves; empty when plain.
     state::Endpoint endpoint_;   ///< Where it listens.
+    std::uint64_t bornAtMs_ = 0; ///< Start of its registered life.
     std::uint32_t slots_ = 1;    ///< Requests it runs at once.
     bool registered_ = false;    ///< Whether its registration takes requests.
     bool leaving_ = false;       ///< Whether it is registered as leaving.
@@ -197,6 +256,17 @@
     std::uint64_t number_ = 0;    ///< Digests taken of the zone.
     state::TimePoint takenAt_{};  ///< When it was taken.
     bool whole_ = true;           ///< Whether it has all open copies.
+    std::optional<state::Endpoint>
+      dispatcher_; ///< Who gives places at its copies.
+  };
+  /** How full the copies of a zone are. */
+  struct ZoneFill
+  {
+    std::uint32_t copies_ = 0; ///< Copies that take requests.
+    double slots_ = 0;         ///< Their slots.
+    double requests_ = 0;      ///< Requests at them.
+    /** @return Slots that are free. */
+    double room() const { return std::max(0.0, slots_ - requests_); }
   };
   /** How fast the copies of a model work. */
   struct Pace
@@ -240,6 +310,10 @@
                   double aLeaving) const;
   std::uint32_t keptConnections(const state::ServiceId& aService) const;
   void shareRoom(const state::ZoneId& aZone);
+  bool mayTake(const state::VmId& aVm,
+               const Target& aTarget,
+               const TargetNeed& aNeed,
+               state::TimePoint aNow) const;
   std::vector<Candidate> candidatesFor(const TargetNeed& aNeed,
                                        state::TimePoint aNow);
   static double fillOf(const std::vector<Candidate>& aCandidates);
@@ -255,6 +329,30 @@
                                       const state::TargetLoad& aLoad,
                                       const std::optional<Pace>& aPace);
   const Candidate& pick(const std::vector<Candidate>& aCandidates);
+  std::uint64_t bornAt(const state::VmId& aVm) const;
+  double randomPart();
+  TargetDecision enter(const Candidate& aChosen, state::TimePoint aNow);
+  std::map<state::ZoneId, ZoneFill> fillByZone(const TargetNeed& aNeed,
+                                               state::TimePoint aNow) const;
+  bool isPooled(const std::map<state::ZoneId, ZoneFill>& aZones) const;
+  bool hearsZone(const state::ZoneId& aZone, state::TimePoint aNow) const;
+  std::optional<state::ZoneId> poolingZone(const TargetNeed& aNeed,
+                                           state::TimePoint aNow) const;
+  std::optional<state::ZoneId> roomiestZone(
+    const std::map<state::ZoneId, ZoneFill>& aZones);
+  bool isFresh(const Candidate& aCandidate,
+               const TargetNeed& aNeed,
+               state::TimePoint aNow) const;
+  state::TargetLoad placedLoad(const Candidate& aCandidate,
+                               const Pace& aPace,
+                               state::TimePoint aNow) const;
+  static state::Duration readingOf(const Candidate& aCandidate,
+                                   const TargetNeed& aNeed,
+                                   const Pace& aPace);
+  state::Duration placedTime(const Candidate& aCandidate,
+                             const TargetNeed& aNeed,
+                             const Pace& aPace,
+                             state::TimePoint aNow) const;
   TargetDecision refuse(const std::vector<Candidate>& aCandidates,
                         const TargetNeed& aNeed) const;
 
@@ -264,6 +362,8 @@
   mutable std::mutex mutex_;              ///< Guards the following members.
   state::RoutingConfigPtr config_;        ///< Configuration in force.
   std::map<state::VmId, Target> targets_; ///< Targets.
+  TargetNotices notices_;                 ///< What targets told of themselves.
+  PlacementBook book_;                    ///< Places given to all daemons.
   std::map<state::ZoneId, DigestState> digests_; ///< Newest digests.
   std::map<std::pair<state::ZoneId, state::ModelId>, double>
     quotas_;                ///< Requests that may still enter nearly full
--- /dev/null
+++ b/src/protocol/placement_codec.cpp
@@ -0,0 +1,105 @@
+// Datagrams that ask for a place at a copy, and their answers.
+
+#include "protocol/placement_codec.h"
+
+#include "protocol/datagram_func.h"
+
+namespace auburnhaven::protocol {
+
+namespace {
+
+using Json = nlohmann::json;
+using coordination::RefusalReason;
+
+constexpr int kQuestionMark = 1; ///< First field of a question.
+constexpr int kAnswerMark = 2;   ///< First field of an answer.
+
+/** @return What a function reads of a message with a mark, or nothing. */
+template<class Read>
+auto
+decodeMarked(const std::string& aDatagram, int aMark, Read aRead)
+{
+  return decodeDatagram(aDatagram, [&](const Json& aMessage) {
+    if (aMessage.at(0).get<int>() != aMark) {
+      throw Json::other_error::create(501, "another message", &aMessage);
+    }
+    return aRead(aMessage);
+  });
+}
+
+} // namespace
+
+std::string
+encodeQuestion(const PlacementQuestion& aQuestion)
+{
+  const coordination::TargetNeed& need = aQuestion.need_;
+  Json excluded = Json::array();
+  for (const state::VmId& vm : need.excluded_) {
+    excluded.push_back(vm.value());
+  }
+  return encodeDatagram({ kQuestionMark,
+                          aQuestion.number_,
+                          need.service_.value(),
+                          need.model_.value(),
+                          need.tokens_.prompt_,
+                          need.tokens_.answer_,
+                          state::countMs(need.latencyTarget_),
+                          state::countMs(need.timeLeft_),
+                          std::move(excluded) });
+}
+
+std::optional<PlacementQuestion>
+decodeQuestion(const std::string& aDatagram)
+{
+  return decodeMarked(aDatagram, kQuestionMark, [](const Json& aMessage) {
+    PlacementQuestion question;
+    question.number_ = aMessage.at(1).get<std::uint64_t>();
+    coordination::TargetNeed& need = question.need_;
+    need.service_ = state::ServiceId(aMessage.at(2).get<std::string>());
+    need.model_ = state::ModelId(aMessage.at(3).get<std::string>());
+    need.tokens_.prompt_ = aMessage.at(4).get<std::uint32_t>();
+    need.tokens_.answer_ = aMessage.at(5).get<std::uint32_t>();
+    need.latencyTarget_ =
+      std::chrono::milliseconds(aMessage.at(6).get<std::int64_t>());
+    need.timeLeft_ =
+      std::chrono::milliseconds(aMessage.at(7).get<std::int64_t>());
+    for (const Json& vm : aMessage.at(8)) {
+      need.excluded_.emplace_back(vm.get<std::string>());
+    }
+    return question;
+  });
+}
+
+std::string
+encodeAnswer(const PlacementAnswer& aAnswer)
+{
+  return encodeDatagram({ kAnswerMark,
+                          aAnswer.number_,
+                          static_cast<unsigned>(aAnswer.reason_),
+                          aAnswer.vm_.value(),
+                          state::countMs(aAnswer.expected_),
+                          state::countMs(aAnswer.retryAfter_),
+                          aAnswer.candidates_ });
+}
+
+std::optional<PlacementAnswer>
+decodeAnswer(const std::string& aDatagram)
+{
+  return decodeMarked(aDatagram, kAnswerMark, [](const Json& aMessage) {
+    PlacementAnswer answer;
+    answer.number_ = aMessage.at(1).get<std::uint64_t>();
+    const auto reason = aMessage.at(2).get<unsigned>();
+    answer.reason_ = reason <= static_cast<unsigned>(RefusalReason::kResting)
+                       ? static_cast<RefusalReason>(reason)
+                       : RefusalReason::kNoTarget;
+    answer.vm_ = state::VmId(aMessage.at(3).get<std::string>());
+    answer.expected_ =
+      std::chrono::milliseconds(aMessage.at(4).get<std::int64_t>());
+    answer.retryAfter_ =
+      std::chrono::milliseconds(aMessage.at(5).get<std::int64_t>());
+    answer.candidates_ = aMessage.at(6).get<std::uint32_t>();
+    return answer;
+  });
+}
+
+} // namespace auburnhaven::protocol
--- a/src/protocol/zone_digest_codec.cpp
+++ b/src/protocol/zone_digest_codec.cpp
@@ -2,7 +2,7 @@
 
 #include "protocol/zone_digest_codec.h"
 
-#include <nlohmann/json.hpp>
+#include "protocol/datagram_func.h"
 
 namespace auburnhaven::protocol {
 
@@ -63,33 +63,26 @@
                         std::move(copies),
                         whole,
                         aDigest.ends_ };
-  const std::vector<std::uint8_t> bytes = Json::to_cbor(digest);
-  return { bytes.begin(), bytes.end() };
+  return encodeDatagram(digest);
 }
 
 std::optional<coordination::ZoneDigest>
 decodeZoneDigest(const std::string& aDatagram, state::TimePoint aNow)
 {
-  const Json digest = Json::from_cbor(aDatagram, true, false);
-  if (digest.is_discarded()) {
-    return std::nullopt;
-  }
-  try {
+  return decodeDatagram(aDatagram, [&](const Json& aMessage) {
     coordination::ZoneDigest result;
-    result.zone_ = state::ZoneId(digest.at(0).get<std::string>());
-    result.service_ = state::ServiceId(digest.at(1).get<std::string>());
-    result.authority_ = digest.at(2).get<std::uint64_t>();
-    result.count_ = digest.at(3).get<std::uint64_t>();
-    result.newsAt_ = state::Revision(digest.at(4).get<std::uint64_t>());
-    for (const Json& copy : digest.at(5)) {
+    result.zone_ = state::ZoneId(aMessage.at(0).get<std::string>());
+    result.service_ = state::ServiceId(aMessage.at(1).get<std::string>());
+    result.authority_ = aMessage.at(2).get<std::uint64_t>();
+    result.count_ = aMessage.at(3).get<std::uint64_t>();
+    result.newsAt_ = state::Revision(aMessage.at(4).get<std::uint64_t>());
+    for (const Json& copy : aMessage.at(5)) {
       result.copies_.push_back(decodeCopy(copy, aNow));
     }
-    result.whole_ = digest.at(6).get<bool>();
-    result.ends_ = digest.at(7).get<bool>();
+    result.whole_ = aMessage.at(6).get<bool>();
+    result.ends_ = aMessage.at(7).get<bool>();
     return result;
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
+  });
 }
 
 } // namespace auburnhaven::protocol
--- a/src/state/instance_type.h
+++ b/src/state/instance_type.h
@@ -70,6 +70,8 @@
   ServiceId service_;                 ///< Its service.
   Endpoint endpoint_;                 ///< Where it listens.
   ZoneId zone_;                       ///< Its availability zone.
+  std::uint64_t bornAtMs_ = 0;        ///< Wall time of its start; tells two
+                                      ///< lives of one identifier apart.
   bool leaving_ = false;              ///< Whether it is about to stop.
   std::uint32_t slots_ = 1;           ///< Requests that it runs at once.
   std::optional<EngineState> engine_; ///< Present for model engines.
--- a/src/state/routing_type.h
+++ b/src/state/routing_type.h
@@ -74,14 +74,16 @@
   FloatMs stepPerThousandContext_{
     0
   }; ///< Added for 1,000 tokens of context of each such request.
-  double promptTokensPerMs_ = 1;  ///< Prompt tokens read in a millisecond.
-  FloatMs perMillionPairs_{ 0 };  ///< Added for a million pairs of tokens.
-  std::uint32_t usualPrompt_ = 0; ///< Mean prompt, in tokens.
-  std::uint32_t usualAnswer_ = 0; ///< Mean answer, in tokens.
-  Milliseconds reportLag_{ 0 };   ///< How old what a report states may be.
-  double loadsPerSecond_ = 1;     ///< Loads that may start in a second.
-  std::uint32_t loadsAtOnce_ = 1; ///< Loads that run at full speed at once.
-  std::vector<ModelSpec> models_; ///< Models of the service.
+  std::uint32_t stepsPerPass_ = 1; ///< Token steps of a pass over all requests.
+  std::uint32_t passTokens_ = 1024; ///< Most prompt tokens read in a pass.
+  double promptTokensPerMs_ = 1;    ///< Prompt tokens read in a millisecond.
+  FloatMs perMillionPairs_{ 0 };    ///< Added for a million pairs of tokens.
+  std::uint32_t usualPrompt_ = 0;   ///< Mean prompt, in tokens.
+  std::uint32_t usualAnswer_ = 0;   ///< Mean answer, in tokens.
+  Milliseconds reportLag_{ 0 };     ///< How old what a report states may be.
+  double loadsPerSecond_ = 1;       ///< Loads that may start in a second.
+  std::uint32_t loadsAtOnce_ = 1;   ///< Loads that run at full speed at once.
+  std::vector<ModelSpec> models_;   ///< Models of the service.
   bool operator==(const EngineSpec&) const = default;
 };
 
--- a/src/transport/datagram_socket.cpp
+++ b/src/transport/datagram_socket.cpp
@@ -33,7 +33,9 @@
           return;
         }
         if (!aError) {
-          self->handler_(std::string(self->buffer_.data(), aSize));
+          self->handler_(
+            { self->from_.address().to_string(), self->from_.port() },
+            std::string(self->buffer_.data(), aSize));
         }
         self->receive();
       });
--- a/src/transport/datagram_socket.h
+++ b/src/transport/datagram_socket.h
@@ -18,7 +18,9 @@
 class DatagramSocket
 {
 public:
-  using Handler = std::function<void(const std::string&)>; ///< Takes one.
+  using Handler =
+    std::function<void(const state::Endpoint&,
+                       const std::string&)>; ///< Takes one and its sender.
 
   /** @param aContext Event loop; outlives this object. */
   explicit DatagramSocket(boost::asio::io_context& aContext);
--- a/src/transport/relay/event_splitter.cpp
+++ b/src/transport/relay/event_splitter.cpp
@@ -90,6 +90,7 @@
     if (end == std::string::npos) {
       return {};
     }
+    ++count_;
     if (isNew(std::string_view(pending_).substr(0, end))) {
       taken_ = end;
       return std::string_view(pending_).substr(0, end);
--- a/src/transport/relay/event_splitter.h
+++ b/src/transport/relay/event_splitter.h
@@ -1,6 +1,7 @@
 // Splits a stream of server-sent events into whole events.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,16 +28,21 @@
    */
   void dropPart();
   /** @return Whether a part of an event waits for its rest. */
-  bool hasPart() const { return pending_.size() > taken_; }
+  bool hasPart() const { return partBytes() > 0; }
+  /** @return Bytes that wait for the rest of their event. */
+  std::size_t partBytes() const { return pending_.size() - taken_; }
   /** @return Identifier of the last event handed out, when it had one. */
   const std::optional<std::string>& lastId() const { return lastId_; }
+  /** @return Events that came whole so far, those left out included. */
+  std::uint64_t count() const { return count_; }
 
 private:
   std::size_t endOfEvent(std::size_t aFrom) const;
   bool isNew(std::string_view aEvent);
 
   std::string pending_; ///< Bytes not yet handed out, and those that were last.
-  std::size_t taken_ = 0; ///< Bytes of pending_ that were handed out.
+  std::size_t taken_ = 0;   ///< Bytes of pending_ that were handed out.
+  std::uint64_t count_ = 0; ///< Events that came whole.
   std::optional<std::string> lastId_;       ///< Last identifier.
   std::optional<std::uint64_t> lastNumber_; ///< The same as a number.
 };
--- /dev/null
+++ b/src/transport/relay/placement_client.cpp
@@ -0,0 +1,124 @@
+// Asks dispatchers for places at copies.
+
+#include "transport/relay/placement_client.h"
+
+#include <utility>
+
+namespace auburnhaven::transport {
+
+using coordination::RefusalReason;
+using coordination::TargetDecision;
+using coordination::TargetNeed;
+using protocol::PlacementAnswer;
+
+PlacementClient::PlacementClient(boost::asio::io_context& aContext,
+                                 const state::Clock& aClock,
+                                 coordination::TargetPool& aTargets,
+                                 state::Endpoint aSelf,
+                                 PlacementSettings aSettings)
+  : context_(aContext)
+  , clock_(aClock)
+  , targets_(aTargets)
+  , self_(std::move(aSelf))
+  , settings_(aSettings)
+  , socket_(aContext)
+{
+}
+
+std::string
+PlacementClient::start(const state::Endpoint& aListen)
+{
+  return socket_.start(
+    aListen,
+    [this](const state::Endpoint& /*aFrom*/, const std::string& aDatagram) {
+      receive(aDatagram);
+    });
+}
+
+TargetDecision
+PlacementClient::choose(const TargetNeed& aNeed,
+                        const boost::asio::yield_context& aYield)
+{
+  const auto dispatcher = targets_.dispatcherFor(aNeed);
+  const auto answer =
+    dispatcher ? ask(*dispatcher, aNeed, aYield) : std::nullopt;
+  if (!answer || answer->candidates_ == 0) {
+    return targets_.choose(aNeed);
+  }
+  if (answer->reason_ != RefusalReason::kNone) {
+    TargetDecision refusal;
+    refusal.reason_ = answer->reason_;
+    refusal.expected_ = answer->expected_;
+    refusal.retryAfter_ = answer->retryAfter_;
+    refusal.candidates_ = answer->candidates_;
+    return refusal;
+  }
+  TargetDecision decision = targets_.take(aNeed, answer->vm_);
+  if (decision.reason_ != RefusalReason::kNone) {
+    return targets_.choose(aNeed);
+  }
+  decision.expected_ = answer->expected_;
+  decision.candidates_ = answer->candidates_;
+  return decision;
+}
+
+std::optional<PlacementAnswer>
+PlacementClient::ask(const state::Endpoint& aDispatcher,
+                     const TargetNeed& aNeed,
+                     const boost::asio::yield_context& aYield)
+{
+  if (aDispatcher == self_) {
+    const TargetDecision place = targets_.place(aNeed);
+    return PlacementAnswer{ 0,
+                            place.reason_,
+                            place.vm_,
+                            place.expected_,
+                            place.retryAfter_,
+                            place.candidates_ };
+  }
+  Dispatcher& dispatcher = dispatchers_[aDispatcher];
+  if (clock_.now() < dispatcher.silentUntil_) {
+    return std::nullopt;
+  }
+  const std::uint64_t number = ++questions_;
+  Waiting& waiting =
+    waiting_
+      .emplace(
+        number,
+        Waiting{ boost::asio::steady_timer(context_, settings_.answerLimit_),
+                 std::nullopt })
+      .first->second;
+  socket_.send(aDispatcher, protocol::encodeQuestion({ number, aNeed }));
+  boost::system::error_code ignored;
+  waiting.timer_.async_wait(aYield[ignored]);
+  const std::optional<PlacementAnswer> answer = waiting.answer_;
+  waiting_.erase(number);
+  if (answer) {
+    dispatcher.misses_ = 0;
+  } else {
+    noteMiss(dispatcher);
+  }
+  return answer;
+}
+
+void
+PlacementClient::noteMiss(Dispatcher& aDispatcher)
+{
+  if (++aDispatcher.misses_ >= settings_.misses_) {
+    aDispatcher.misses_ = 0;
+    aDispatcher.silentUntil_ = clock_.now() + settings_.silence_;
+  }
+}
+
+void
+PlacementClient::receive(const std::string& aDatagram)
+{
+  const auto answer = protocol::decodeAnswer(aDatagram);
+  const auto found = answer ? waiting_.find(answer->number_) : waiting_.end();
+  if (found != waiting_.end()) {
+    found->second.answer_ = answer;
+    found->second.timer_.cancel();
+  }
+}
+
+} // namespace auburnhaven::transport
--- a/src/transport/relay/relay_dialect.h
+++ b/src/transport/relay/relay_dialect.h
@@ -44,6 +44,9 @@
   bool notRun_ = false;  ///< Whether the target says that it did not run it.
   bool belongs_ = false; ///< Whether it answers this request.
   bool signed_ = false;  ///< Whether it carries the target's signature.
+  bool leaving_ = false; ///< Whether the target is about to stop.
+  std::optional<state::Duration>
+    rest_; ///< How long the target wants no requests; none when it doesn't say.
   std::optional<state::TargetLoad> load_; ///< Load of the target.
   bool operator==(const RelayAnswer&) const = default;
 };
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -26,6 +26,12 @@
   15); ///< Least time left in which a request is still sent on.
 constexpr std::size_t kMaxAnswerBytes =
   std::size_t{ 8 } * 1024 * 1024; ///< Largest answer that is not a stream.
+constexpr std::size_t kMaxEventBytes =
+  std::size_t{ 256 } * 1024; ///< Largest event of a stream.
+constexpr std::size_t kMaxRejectionBytes =
+  std::size_t{ 16 } * 1024; ///< Largest body of a rejection that is read.
+constexpr milliseconds kRejectionLimit(
+  100); ///< Time for the body of a rejection; it only spares a connection.
 
 constexpr std::uint32_t kUnauthorized = 401;   ///< No account has the key.
 constexpr std::uint32_t kNotFound = 404;       ///< There is no such route.
@@ -176,7 +182,9 @@
     giveUp();
     return false;
   }
-  const TargetDecision target = parts_.targets_.choose(need_);
+  const TargetDecision target = parts_.placements_ != nullptr
+                                  ? parts_.placements_->choose(need_, yield_)
+                                  : parts_.targets_.choose(need_);
   if (target.reason_ != RefusalReason::kNone) {
     if (!streaming_) {
       refuse(target);
@@ -249,12 +257,36 @@
 RelayExchange::timeouts(const TargetDecision& aTarget) const
 {
   const milliseconds left = std::max(milliseconds(1), timeLeft());
-  milliseconds response = left;
-  if (isStream() && mayRunTwice()) {
-    response = std::min(
-      left, std::max(settings_.firstEventLimit_, toMs(aTarget.expected_ * 3)));
-  }
-  return { std::min(settings_.connectTimeout_, left), response, response };
+  const milliseconds response =
+    isStream() ? eventPatience(aTarget, parts_.clock_.now(), false) : left;
+  return {
+    std::min(settings_.connectTimeout_, left), response, response, left
+  };
+}
+
+bool
+RelayExchange::couldGoElsewhere(const state::VmId& aTarget) const
+{
+  return mayRunTwice() && runs_ + 1 < route_->maxAttempts_ &&
+         parts_.budget_.available() > 0 &&
+         parts_.targets_.hasOther(need_, aTarget);
+}
+
+milliseconds
+RelayExchange::eventPatience(const TargetDecision& aTarget,
+                             state::TimePoint aSince,
+                             bool aStarted) const
+{
+  const milliseconds left = std::max(milliseconds(1), timeLeft());
+  // A slow target is better than none.
+  if (!couldGoElsewhere(aTarget.vm_)) {
+    return left;
+  }
+  const milliseconds limit = aStarted ? settings_.eventGapLimit_
+                                      : std::max(settings_.firstEventLimit_,
+                                                 toMs(aTarget.expected_ * 3));
+  const milliseconds waited = toMs(parts_.clock_.now() - aSince);
+  return std::clamp(limit - waited, milliseconds(1), left);
 }
 
 /** Ends a send when the target's coordinator says that it serves no more. */
@@ -373,10 +405,17 @@
   if (state.load_) {
     parts_.targets_.noteLoad(aTarget.vm_, *state.load_);
   }
+  if (state.leaving_) {
+    parts_.targets_.noteLeaving(aTarget.vm_);
+  }
+  if (state.rest_) {
+    parts_.targets_.noteRest(aTarget.vm_, *state.rest_);
+  }
   const bool success = isSuccess(aCall.status());
   if (state.notRun_ && !success) {
     lastDetail_ = "target rejected with " + std::to_string(aCall.status());
-    aCall.readAll(kMaxAnswerBytes, yield_);
+    aCall.limitTime(kRejectionLimit);
+    aCall.readAll(kMaxRejectionBytes, yield_);
     return SendEnd::kNotRun;
   }
   if (!state.belongs_ || (success && !state.signed_)) {
@@ -385,7 +424,7 @@
     return SendEnd::kUnknown;
   }
   if (success && isStream()) {
-    return takeStream(aCall);
+    return takeStream(aCall, aTarget);
   }
   return takeWhole(aCall, success);
 }
@@ -426,9 +465,13 @@
 }
 
 SendEnd
-RelayExchange::takeStream(HttpCall& aCall)
+RelayExchange::takeStream(HttpCall& aCall, const TargetDecision& aTarget)
 {
+  state::TimePoint eventAt = parts_.clock_.now();
+  bool started = false;
   for (;;) {
+    // Bytes that make no event don't move the limit.
+    aCall.setIdleTimeout(eventPatience(aTarget, eventAt, started));
     const HttpPiece piece = aCall.readChunk(yield_);
     if (responder_.callerGone()) {
       aCall.abort();
@@ -436,15 +479,22 @@
     }
     if (piece.status_ == HttpReadStatus::kData) {
       events_.add(piece.data_);
+      const std::uint64_t before = events_.count();
       const SendEnd passed = passEvents(aCall);
+      if (events_.count() > before) {
+        eventAt = parts_.clock_.now();
+        started = true;
+      }
       if (passed != SendEnd::kDelivered) {
         aCall.abort();
         return passed;
       }
-      const milliseconds left = std::max(milliseconds(1), timeLeft());
-      const bool started = streaming_ && mayRunTwice();
-      aCall.setIdleTimeout(started ? std::min(left, settings_.eventGapLimit_)
-                                   : left);
+      if (events_.partBytes() > kMaxEventBytes) {
+        lastDetail_ = "an event exceeds its limit";
+        aCall.abort();
+        events_.dropPart();
+        return SendEnd::kUnknown;
+      }
       continue;
     }
     const bool whole =
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -71,11 +71,17 @@
   SendEnd takeResponse(HttpCall& aCall,
                        const coordination::TargetDecision& aTarget);
   SendEnd takeWhole(HttpCall& aCall, bool aSuccess);
-  SendEnd takeStream(HttpCall& aCall);
+  SendEnd takeStream(HttpCall& aCall,
+                     const coordination::TargetDecision& aTarget);
   SendEnd passEvents(const HttpCall& aCall);
   bool mayRepeat(SendEnd aEnd) const;
   bool isStream() const;
   bool mayRunTwice() const;
+  bool couldGoElsewhere(const state::VmId& aTarget) const;
+  std::chrono::milliseconds eventPatience(
+    const coordination::TargetDecision& aTarget,
+    state::TimePoint aSince,
+    bool aStarted) const;
   HttpTimeouts timeouts(const coordination::TargetDecision& aTarget) const;
   std::chrono::milliseconds timeLeft() const;
   void refuse(const coordination::TargetDecision& aDecision);
--- a/src/transport/relay/relay_handler.h
+++ b/src/transport/relay/relay_handler.h
@@ -8,6 +8,7 @@
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/metrics.h"
+#include "transport/relay/placement_client.h"
 #include "transport/relay/relay_dialect.h"
 #include "transport/snapshot_holder.h"
 
@@ -25,7 +26,7 @@
 /** Times of relayed requests. */
 struct RelaySettings
 {
-  std::chrono::milliseconds connectTimeout_{ 250 }; ///< For a new connection.
+  std::chrono::milliseconds connectTimeout_{ 150 }; ///< For a new connection.
   std::chrono::milliseconds monitorPeriod_{
     200
   }; ///< Between two looks whether a target still serves.
@@ -57,6 +58,8 @@
   std::vector<std::unique_ptr<HttpClient>>& clients_; ///< One for each thread.
   state::EventLog& log_;                              ///< Log.
   Metrics& metrics_;                                  ///< Metrics.
+  PlacementClient* placements_ =
+    nullptr; ///< Asks dispatchers for targets; null to choose alone.
 };
 
 /** Passes callers' requests through to targets. */
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -5,60 +5,16 @@
 #include <atomic>
 
 using namespace auburnhaven;
+using fakes::answering;
+using fakes::chunk;
+using fakes::closedEndpoint;
+using fakes::has;
+using fakes::kStreamHead;
 using fakes::RawServer;
 using fakes::RelayWorld;
+using fakes::statusOf;
 using Socket = boost::asio::ip::tcp::socket;
 
-namespace {
-
-constexpr char kStreamHead[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
-                               "X-Origin-Signature: s1\r\n"
-                               "Content-Type: text/event-stream\r\n"
-                               "Transfer-Encoding: chunked\r\n\r\n";
-
-/** @return A chunk of a streamed body. */
-std::string
-chunk(const std::string& aData)
-{
-  std::ostringstream text;
-  text << std::hex << aData.size() << "\r\n" << aData << "\r\n";
-  return text.str();
-}
-
-/** @return Status code of an answer. */
-std::string
-statusOf(const std::string& aAnswer)
-{
-  return aAnswer.substr(0, aAnswer.find("\r\n")).substr(9, 3);
-}
-
-/** @return Whether an answer has a text. */
-bool
-has(const std::string& aAnswer, const std::string& aText)
-{
-  return aAnswer.find(aText) != std::string::npos;
-}
-
-/** @return A target's script: reads one request and gives an answer. */
-auto
-answering(std::string aAnswer)
-{
-  return [answer = std::move(aAnswer)](Socket& aSocket, int) {
-    RawServer::readRequest(aSocket);
-    RawServer::write(aSocket, answer);
-  };
-}
-
-/** @return An endpoint at which nobody listens. */
-state::Endpoint
-closedEndpoint()
-{
-  const RawServer gone([](Socket&, int) {});
-  return gone.endpoint();
-}
-
-} // namespace
-
 class RelayTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(RelayTest);
--- a/tests/platform/relay_world.h
+++ b/tests/platform/relay_world.h
@@ -14,11 +14,59 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <sstream>
 #include <string>
 #include <vector>
 
 namespace auburnhaven::fakes {
 
+inline constexpr char kStreamHead[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                                      "X-Origin-Signature: s1\r\n"
+                                      "Content-Type: text/event-stream\r\n"
+                                      "Transfer-Encoding: chunked\r\n\r\n";
+
+/** @return A chunk of a streamed body. */
+inline std::string
+chunk(const std::string& aData)
+{
+  std::ostringstream text;
+  text << std::hex << aData.size() << "\r\n" << aData << "\r\n";
+  return text.str();
+}
+
+/** @return Status code of an answer. */
+inline std::string
+statusOf(const std::string& aAnswer)
+{
+  return aAnswer.substr(0, aAnswer.find("\r\n")).substr(9, 3);
+}
+
+/** @return Whether an answer has a text. */
+inline bool
+has(const std::string& aAnswer, const std::string& aText)
+{
+  return aAnswer.find(aText) != std::string::npos;
+}
+
+/** @return A target's script: reads one request and gives an answer. */
+inline auto
+answering(std::string aAnswer)
+{
+  return
+    [answer = std::move(aAnswer)](boost::asio::ip::tcp::socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      RawServer::write(aSocket, answer);
+    };
+}
+
+/** @return An endpoint at which nobody listens. */
+inline state::Endpoint
+closedEndpoint()
+{
+  const RawServer gone([](boost::asio::ip::tcp::socket&, int) {});
+  return gone.endpoint();
+}
+
 /** Counts events by name; safe from any thread. */
 class LockedEventLog : public FakeEventLog
 {
@@ -130,11 +178,14 @@
   /** @return A request of a caller. */
   static std::string request(const std::string& aMethod,
                              const std::string& aPath,
-                             const std::string& aBody = "")
+                             const std::string& aBody = "",
+                             const std::string& aId = "a1")
   {
     return aMethod + ' ' + aPath +
            " HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n"
-           "X-Attempt-Id: a1\r\nX-Deadline-Ms: 2500\r\n"
+           "X-Attempt-Id: " +
+           aId +
+           "\r\nX-Deadline-Ms: 2500\r\n"
            "X-Custom: kept\r\nX-Tenant-Id: forged\r\n"
            "Authorization: Bearer key-1\r\nContent-Length: " +
            std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
--- a/tests/protocol/zone_digest_test.cpp
+++ b/tests/protocol/zone_digest_test.cpp
@@ -9,6 +9,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <random>
+
 using namespace auburnhaven;
 using namespace std::chrono_literals;
 
@@ -101,6 +103,14 @@
     }
     CPPUNIT_ASSERT(!protocol::decodeZoneDigest("hello", now).has_value());
     CPPUNIT_ASSERT(!protocol::decodeZoneDigest("\x81\x01", now).has_value());
+    std::mt19937 random(3);
+    for (int round = 0; round < 2000; ++round) {
+      std::string bytes(random() % 40, '\0');
+      for (char& byte : bytes) {
+        byte = static_cast<char>(random());
+      }
+      CPPUNIT_ASSERT(!protocol::decodeZoneDigest(bytes, now).has_value());
+    }
   }
 
   void cutOffDaemonLearnsFromPeer()
