--- a/standins/http_host.cpp
+++ b/standins/http_host.cpp
@@ -111,6 +111,16 @@
   drop();
 }
 
+void
+Exchange::flood()
+{
+  constexpr std::size_t kPieceBytes = std::size_t{ 16 } * 1024;
+  send("HTTP/1.1 200 OK\r\nX-Endless: ");
+  while (open_) {
+    send(std::string(kPieceBytes, 'x'));
+  }
+}
+
 void
 Exchange::beginChunks(std::string_view aContentType, const HeaderList& aHeaders)
 {
--- a/standins/http_host.h
+++ b/standins/http_host.h
@@ -75,6 +75,8 @@
                  const HeaderList& aHeaders);
   /** Answers with bytes that are no answer and closes the connection. */
   void sendGarbage();
+  /** Sends bytes that are no answer until the caller closes the connection. */
+  void flood();
   /** Closes the connection without an answer. */
   void drop() { open_ = false; }
   /**
--- a/standins/platform/answer_headers.h
+++ b/standins/platform/answer_headers.h
@@ -8,23 +8,32 @@
 
 namespace auburnhaven::standins {
 
+/** What a worker tells of itself in an answer. */
+struct WorkerSelf
+{
+  std::string id_;            ///< Its name.
+  std::uint32_t running_ = 0; ///< Requests that it runs.
+  std::uint32_t slots_ = 1;   ///< Requests that it can run at once.
+  bool leaving_ = false;      ///< Whether it is about to stop.
+};
+
 /**
  * @param aExchange The request.
- * @param aWorker Name of the worker.
- * @param aRunning Requests that it runs.
- * @param aSlots Requests that it can run at once.
- * @return Headers that show whose answer it is and the worker's load.
+ * @param aSelf The worker.
+ * @return Headers that show whose answer it is and what the worker tells.
  */
 inline HeaderList
-answerHeaders(const Exchange& aExchange,
-              const std::string& aWorker,
-              std::uint32_t aRunning,
-              std::uint32_t aSlots)
+answerHeaders(const Exchange& aExchange, const WorkerSelf& aSelf)
 {
-  return { { "X-Attempt-Id", aExchange.header("X-Attempt-Id") },
-           { "X-Origin-Signature", "signed." + aWorker },
-           { "X-Backend-Load",
-             std::to_string(aRunning) + ",0," + std::to_string(aSlots) } };
+  HeaderList headers = { { "X-Attempt-Id", aExchange.header("X-Attempt-Id") },
+                         { "X-Origin-Signature", "signed." + aSelf.id_ },
+                         { "X-Backend-Load",
+                           std::to_string(aSelf.running_) + ",0," +
+                             std::to_string(aSelf.slots_) } };
+  if (aSelf.leaving_) {
+    headers.emplace_back("Server-Leaving", "1");
+  }
+  return headers;
 }
 
 } // namespace auburnhaven::standins
--- a/standins/platform/model_worker.cpp
+++ b/standins/platform/model_worker.cpp
@@ -485,7 +485,7 @@
     numberOf(tokens.substr(tokens.find(',') + 1)) / kTokensOfEvent;
   aExchange.beginChunks(
     "text/event-stream",
-    answerHeaders(aExchange, place_.id_, running_, pace_.slots_));
+    answerHeaders(aExchange, { place_.id_, running_, pace_.slots_, leaving_ }));
   const std::uint32_t first = numberOf(aExchange.header("Last-Event-Id")) + 1;
   for (std::uint32_t event = first; event <= events; ++event) {
     aExchange.wait(pace_.event_ * faults_.slowPermille_ / 1000);
--- a/standins/platform/plain_worker.cpp
+++ b/standins/platform/plain_worker.cpp
@@ -48,6 +48,9 @@
     const json wish = json::parse(aExchange.body());
     setFaults(wish, faults_);
     garble_ = wish.value("garble", garble_);
+    floods_ = wish.value("floods", floods_);
+    leaving_ = wish.value("leaving", leaving_);
+    restSeconds_ = wish.value("rest_s", restSeconds_);
     aExchange.reply(200, toJson(faults_).dump());
   } else if (passFaults(aExchange, faults_)) {
     serve(aExchange);
@@ -62,6 +65,15 @@
     aExchange.replyWith(421, "{}", { { "At-Server", place_.id_ } });
     return;
   }
+  ++book_.arrivals_[place_.id_];
+  if (restSeconds_ > 0) {
+    aExchange.replyWith(503,
+                        "{}",
+                        { { "X-Attempt-Id", attempt },
+                          { "X-Not-Executed", "1" },
+                          { "Retry-After", std::to_string(restSeconds_) } });
+    return;
+  }
   if (attempt.empty() || running_ >= slots_) {
     aExchange.replyWith(
       attempt.empty() ? 400 : 503, "{}", { { "X-Not-Executed", "1" } });
@@ -78,11 +90,14 @@
   } else if (garble_ > 0) {
     --garble_;
     aExchange.sendGarbage();
+  } else if (floods_ > 0) {
+    --floods_;
+    aExchange.flood();
   } else {
     aExchange.replyWith(
       200,
       json{ { "done", attempt }, { "body", aExchange.body() } }.dump(),
-      answerHeaders(aExchange, place_.id_, running_, slots_));
+      answerHeaders(aExchange, { place_.id_, running_, slots_, leaving_ }));
   }
 }
 
--- a/standins/platform/plain_worker.h
+++ b/standins/platform/plain_worker.h
@@ -33,6 +33,10 @@
   RunBook& book_;                          ///< Runs and breaches.
   FaultControls faults_;                   ///< Faults.
   std::uint32_t garble_ = 0;               ///< Next answers that are none.
+  std::uint32_t floods_ = 0;               ///< Next answers without end.
+  bool leaving_ = false;                   ///< Whether its answers say so.
+  std::uint32_t restSeconds_ = 0;          ///< Rest that it wants with each
+                                           ///< refusal; 0 to refuse nothing.
   std::atomic<std::uint32_t> running_ = 0; ///< Requests that run.
 };
 
--- a/standins/platform/platform_world.cpp
+++ b/standins/platform/platform_world.cpp
@@ -190,6 +190,9 @@
       { "account", account == book_.accounts_.end() ? "" : account->second }
     };
     aExchange.reply(200, body.dump());
+  } else if (path == "/arrivals") {
+    aExchange.reply(200,
+                    std::to_string(book_.arrivals_[aExchange.query("worker")]));
   } else if (path == "/key") {
     aExchange.reply(
       200,
--- a/standins/platform/run_book.h
+++ b/standins/platform/run_book.h
@@ -12,6 +12,9 @@
 {
   std::map<std::string, std::uint32_t> runs_;   ///< Runs by attempt.
   std::map<std::string, std::string> accounts_; ///< Account by attempt.
+  std::map<std::string, std::uint32_t>
+    arrivals_;                ///< Requests that reached a plain worker, by its
+                              ///< name.
   std::uint64_t partial_ = 0; ///< Requests that began in an incomplete copy.
   std::uint64_t taken_ = 0;   ///< Members ordered away from an open copy.
   std::uint64_t repeated_ =
