Take news from the zone's coordinator instead of the store; ask a second zone for a place

Ruled out: lost digests (later versions came within 0.5 s), waiting watches (none was under way). A dispatcher that has no place refused although other zones had copies with room. Conclusion: news are the configuration and the plain instances; they cost the store no call. The store is asked when no coordinator has told them after 0.8 s.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -43,6 +43,9 @@
 constexpr milliseconds kCoordinatorSilence(
   1000); ///< Silence of a zone's coordinator after which a daemon follows the
          ///< store by itself.
+constexpr milliseconds kNewsPatience(
+  800); ///< How long a daemon waits for announced news from its coordinator
+        ///< before it asks the store.
 constexpr milliseconds kDigestPeriod(300); ///< Between two digests of a zone.
 constexpr std::chrono::seconds kUsagePeriod(
   5); ///< Between two records of the calls to the store.
@@ -128,6 +131,7 @@
   settings.configKey_ = platform::kConfigKey;
   settings.instancePrefix_ = platform::kInstancePrefix;
   settings.ownPrefix_ = kOwnPrefix;
+  settings.peerPatience_ = kNewsPatience;
   return settings;
 }
 
@@ -214,6 +218,7 @@
   , placements_(traffic_.context(0),
                 clock_,
                 targets_,
+                log_,
                 settings_.listeners_.digests_)
   , budget_(budgetSettings(settings_.retries_))
   , relay_({ clock_,
@@ -401,6 +406,10 @@
   } else if (const auto digest =
                protocol::decodeZoneDigest(aDatagram, clock_.now())) {
     targets_.setDispatcher(digest->zone_, aFrom);
+    exchange_.noteCoordinator(
+      { aFrom.address_, settings_.listeners_.peers_.port_ },
+      digest->newsAt_,
+      digest->zone_ == settings_.zone_);
     takeDigest(*digest);
   }
 }
--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -76,8 +76,59 @@
   if (lagging_) {
     return true;
   }
-  const bool fed = othersHeard_ && !inOutage_ && at_ >= othersNewsAt_;
-  return !fed || clock_.now() - answeredAt_ >= settings_.refreshPeriod_;
+  const state::TimePoint now = clock_.now();
+  const bool waits =
+    !lacksNews() || now - lacksSince_ < settings_.peerPatience_;
+  const bool fed = othersHeard_ && !inOutage_ && waits;
+  return !fed || now - answeredAt_ >= settings_.refreshPeriod_;
+}
+
+void
+StoreFollower::setOthers(bool aHeard, state::Revision aNewsAt)
+{
+  const bool lacked = lacksNews();
+  othersHeard_ = aHeard;
+  othersNewsAt_ = std::max(othersNewsAt_, aNewsAt);
+  if (!lacked && lacksNews()) {
+    lacksSince_ = clock_.now();
+  }
+}
+
+std::optional<StoreNews>
+StoreFollower::news(state::Generation aKnown) const
+{
+  if (!listed_ || inOutage_ || !config_) {
+    return std::nullopt;
+  }
+  const bool hasConfig = config_->version_ <= aKnown;
+  return StoreNews{ std::max(at_, toldAt_),
+                    hasConfig ? std::string() : configText_,
+                    plains_ };
+}
+
+void
+StoreFollower::offerNews(const StoreNews& aNews)
+{
+  if (!listed_ || aNews.at_ <= std::max(at_, toldAt_)) {
+    return;
+  }
+  if (!aNews.config_.empty()) {
+    takeConfig(aNews.config_, "coordinator");
+  }
+  std::vector<state::VmId> gone;
+  for (const auto& [vm, text] : plains_) {
+    if (!aNews.plains_.contains(vm)) {
+      gone.push_back(vm);
+    }
+  }
+  for (const state::VmId& vm : gone) {
+    removeInstance(vm);
+  }
+  for (const auto& [vm, text] : aNews.plains_) {
+    putInstance(vm, text);
+  }
+  toldAt_ = aNews.at_;
+  publish();
 }
 
 bool
@@ -296,6 +347,10 @@
 {
   if (isNews(aKey, aValue)) {
     newsAt_ = std::max(newsAt_, aRevision);
+    if (aRevision <= toldAt_) {
+      // A peer has told of this or of something newer.
+      return;
+    }
   }
   if (aKey == settings_.configKey_) {
     if (aValue) {
@@ -377,6 +432,9 @@
     return;
   }
   missing_.erase(aVm);
+  if (!instance->engine_) {
+    plains_[aVm] = aText;
+  }
   const auto found = present_.find(aVm);
   if (found != present_.end() && found->second == *instance) {
     return;
@@ -395,8 +453,15 @@
     missing_.emplace(aVm, graceUntil_);
     return;
   }
-  present_.erase(aVm);
+  drop(aVm);
   missing_.erase(aVm);
+}
+
+void
+StoreFollower::drop(const state::VmId& aVm)
+{
+  present_.erase(aVm);
+  plains_.erase(aVm);
   changed_ = true;
 }
 
@@ -406,8 +471,7 @@
   const state::TimePoint now = clock_.now();
   for (auto at = missing_.begin(); at != missing_.end();) {
     if (at->second <= now && !inOutage_) {
-      present_.erase(at->first);
-      changed_ = true;
+      drop(at->first);
       at = missing_.erase(at);
     } else {
       ++at;
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -38,6 +38,17 @@
     const std::string& aText) const = 0;
 };
 
+/** What all daemons must read of the store. */
+struct StoreNews
+{
+  state::Revision at_; ///< Revision of the store for which it holds.
+  std::string config_; ///< Text of the configuration; empty when the reader has
+                       ///< it.
+  std::map<state::VmId, std::string> plains_; ///< Entries of all plain
+                                              ///< instances.
+  bool operator==(const StoreNews&) const = default;
+};
+
 /** How soon changes are wanted; sooner costs more calls. */
 enum class FollowerPace : std::uint8_t
 {
@@ -73,6 +84,8 @@
   state::Duration refreshPeriod_ =
     std::chrono::seconds(14); ///< While others are heard: between two readings
                               ///< of all changes.
+  state::Duration peerPatience_{}; ///< How long news may come from a peer
+                                   ///< before the store is asked for them.
   state::Duration returnGrace_ = std::chrono::milliseconds(
     2500); ///< After an outage: how long entries that are missing stay in use.
   bool operator==(const FollowerSettings&) const = default;
@@ -127,11 +140,26 @@
    * @param aHeard Whether others are heard.
    * @param aNewsAt Revision of the newest change that they announce.
    */
-  void setOthers(bool aHeard, state::Revision aNewsAt)
+  void setOthers(bool aHeard, state::Revision aNewsAt);
+  /** @return Revision of the newest change that others announced. */
+  state::Revision othersNewsAt() const { return othersNewsAt_; }
+  /** @return Whether others have announced news that this follower lacks. */
+  bool lacksNews() const
   {
-    othersHeard_ = aHeard;
-    othersNewsAt_ = std::max(othersNewsAt_, aNewsAt);
+    return othersHeard_ && std::max(at_, toldAt_) < othersNewsAt_;
   }
+  /**
+   * @param aKnown Version of the configuration that the reader has.
+   * @return What another follower must know; nothing while the store does not
+   * answer.
+   */
+  std::optional<StoreNews> news(state::Generation aKnown) const;
+  /**
+   * Takes news from a peer that follows the store. Older ones than those known
+   * change nothing.
+   * @param aNews The news.
+   */
+  void offerNews(const StoreNews& aNews);
   /** @return Revision of the newest change that all daemons must read: of the
    * configuration or of a plain instance. */
   state::Revision newsAt() const { return newsAt_; }
@@ -176,6 +204,7 @@
   void takeConfig(const std::string& aText, std::string_view aSource);
   void putInstance(const state::VmId& aVm, const std::string& aText);
   void removeInstance(const state::VmId& aVm);
+  void drop(const state::VmId& aVm);
   void takeOwnKey(const std::string& aKey,
                   const std::optional<std::string>& aValue);
   void removeMissing(const std::set<std::string>& aSeen);
@@ -211,8 +240,12 @@
   bool underWay_ = false; ///< Whether a call is awaited.
   FollowerPace pace_ = FollowerPace::kUsual; ///< How soon changes are wanted.
   bool inOutage_ = false;                    ///< Whether an outage was noticed.
-  bool othersHeard_ = false;       ///< Whether others that follow are heard.
-  state::Revision othersNewsAt_;   ///< Newest change that they announce.
+  bool othersHeard_ = false;      ///< Whether others that follow are heard.
+  state::Revision othersNewsAt_;  ///< Newest change that they announce.
+  state::TimePoint lacksSince_{}; ///< Since when news are lacking.
+  state::Revision toldAt_;        ///< Revision of the newest news of a peer.
+  std::map<state::VmId, std::string>
+    plains_;                       ///< Entries of the plain instances.
   state::Revision newsAt_;         ///< Newest change that all must read.
   state::Revision at_;             ///< Revision from which the watch goes on.
   state::TimePoint nextCall_{};    ///< When to call next.
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -156,9 +156,12 @@
                      const state::Endpoint& aEndpoint);
   /**
    * @param aNeed What a request needs.
-   * @return Who gives a place for it, or nothing when nobody is heard.
+   * @param aTried A dispatcher that had no place for it, if any.
+   * @return Who gives a place for it, or nothing when nobody else is heard.
    */
-  std::optional<state::Endpoint> dispatcherFor(const TargetNeed& aNeed);
+  std::optional<state::Endpoint> dispatcherFor(
+    const TargetNeed& aNeed,
+    const std::optional<state::Endpoint>& aTried = std::nullopt);
   /**
    * Gives a place to a request of any daemon: at the copy that will have its
    * first event soonest, by the places given so far. Answers the load of many
--- a/src/coordination/routing/target_pool_place.cpp
+++ b/src/coordination/routing/target_pool_place.cpp
@@ -61,20 +61,29 @@
 }
 
 std::optional<state::Endpoint>
-TargetPool::dispatcherFor(const TargetNeed& aNeed)
+TargetPool::dispatcherFor(const TargetNeed& aNeed,
+                          const std::optional<state::Endpoint>& aTried)
 {
   const std::lock_guard lock(mutex_);
   const state::TimePoint now = clock_.now();
   if (!config_ || aNeed.model_.empty()) {
     return std::nullopt;
   }
-  const auto zones = fillByZone(aNeed, now);
+  auto zones = fillByZone(aNeed, now);
+  const bool pooled = isPooled(zones);
+  if (aTried) {
+    std::erase_if(zones, [&](const auto& aEntry) {
+      const auto digest = digests_.find(aEntry.first);
+      return digest == digests_.end() || digest->second.dispatcher_ == aTried;
+    });
+  }
   const std::optional<state::ZoneId> zone =
-    isPooled(zones) ? poolingZone(aNeed, now) : roomiestZone(zones);
+    pooled ? poolingZone(aNeed, now) : roomiestZone(zones);
   if (!zone || !hearsZone(*zone, now)) {
     return std::nullopt;
   }
-  return digests_.at(*zone).dispatcher_;
+  const auto& dispatcher = digests_.at(*zone).dispatcher_;
+  return dispatcher == aTried ? std::nullopt : dispatcher;
 }
 
 bool
--- a/src/protocol/config_exchange.h
+++ b/src/protocol/config_exchange.h
@@ -1,9 +1,11 @@
-// Gives the configuration to daemons that the store does not answer.
+// Gives news of the store to daemons that do not read them there.
 #pragma once
 
 #include "coordination/routing/store_follower.h"
 #include "protocol/byte_links_port.h"
 
+#include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -12,7 +14,9 @@
 
 /**
  * Asks other daemons for a newer configuration while the store is silent, and
- * answers such questions. Control thread only.
+ * the coordinator of the zone for news that it has announced, so that the store
+ * need not tell each daemon all changes of all engines. Answers such questions.
+ * Control thread only.
  */
 class ConfigExchange
 {
@@ -34,20 +38,41 @@
 
   /** @param aPeers Daemons that may be asked. */
   void setPeers(std::vector<state::Endpoint> aPeers);
+  /**
+   * Notes a coordinator, who may be asked for news.
+   * @param aPeer Where it listens for peers.
+   * @param aNewsAt Newest news that it announced.
+   * @param aIsOwn Whether it coordinates the own zone; such a one is preferred.
+   */
+  void noteCoordinator(const state::Endpoint& aPeer,
+                       state::Revision aNewsAt,
+                       bool aIsOwn);
   /** Asks a peer when that is due. Call each 50 ms or so. */
   void tick();
 
 private:
   void receive(const state::Endpoint& aFrom, const std::string& aMessage);
+  /** A coordinator that may be asked for news. */
+  struct Teller
+  {
+    state::Revision newsAt_;     ///< Newest news that it announced.
+    bool isOwn_ = false;         ///< Whether it coordinates the own zone.
+    state::TimePoint heardAt_{}; ///< When it was last heard.
+  };
+
+  void askForNews();
+  std::optional<state::Endpoint> chooseTeller();
   std::uint64_t version() const;
 
-  const state::Clock& clock_;             ///< Clock.
-  ByteLinks& links_;                      ///< Links to other daemons.
-  coordination::StoreFollower& follower_; ///< Has the configuration.
-  state::Endpoint self_;                  ///< Where this daemon listens.
-  std::mt19937_64 random_;                ///< Choice of peers.
-  std::vector<state::Endpoint> peers_;    ///< Daemons that may be asked.
-  state::TimePoint askAt_{};              ///< When to ask next.
+  const state::Clock& clock_;                 ///< Clock.
+  ByteLinks& links_;                          ///< Links to other daemons.
+  coordination::StoreFollower& follower_;     ///< Has the configuration.
+  state::Endpoint self_;                      ///< Where this daemon listens.
+  std::mt19937_64 random_;                    ///< Choice of peers.
+  std::vector<state::Endpoint> peers_;        ///< Daemons that may be asked.
+  state::TimePoint askAt_{};                  ///< When to ask next.
+  std::map<state::Endpoint, Teller> tellers_; ///< Coordinators heard of late.
+  state::TimePoint askNewsAt_{};              ///< When to ask for them next.
 };
 
 } // namespace auburnhaven::protocol
--- a/src/transport/relay/placement_client.cpp
+++ b/src/transport/relay/placement_client.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/relay/placement_client.h"
 
+#include "state/endpoint_func.h"
+
 #include <utility>
 
 namespace auburnhaven::transport {
@@ -14,11 +16,13 @@
 PlacementClient::PlacementClient(boost::asio::io_context& aContext,
                                  const state::Clock& aClock,
                                  coordination::TargetPool& aTargets,
+                                 state::EventLog& aLog,
                                  state::Endpoint aSelf,
                                  PlacementSettings aSettings)
   : context_(aContext)
   , clock_(aClock)
   , targets_(aTargets)
+  , log_(aLog)
   , self_(std::move(aSelf))
   , settings_(aSettings)
   , socket_(aContext)
@@ -40,8 +44,15 @@
                         const boost::asio::yield_context& aYield)
 {
   const auto dispatcher = targets_.dispatcherFor(aNeed);
-  const auto answer =
-    dispatcher ? ask(*dispatcher, aNeed, aYield) : std::nullopt;
+  auto answer = dispatcher ? ask(*dispatcher, aNeed, aYield) : std::nullopt;
+  if (answer && answer->reason_ == RefusalReason::kTooLate) {
+    // The copies of another zone may have room.
+    const auto other = targets_.dispatcherFor(aNeed, dispatcher);
+    const auto second = other ? ask(*other, aNeed, aYield) : std::nullopt;
+    if (second && second->reason_ == RefusalReason::kNone) {
+      answer = second;
+    }
+  }
   if (!answer || answer->candidates_ == 0) {
     return targets_.choose(aNeed);
   }
@@ -96,18 +107,28 @@
   if (answer) {
     dispatcher.misses_ = 0;
   } else {
-    noteMiss(dispatcher);
+    noteMiss(aDispatcher, dispatcher);
   }
   return answer;
 }
 
 void
-PlacementClient::noteMiss(Dispatcher& aDispatcher)
+PlacementClient::noteMiss(const state::Endpoint& aEndpoint,
+                          Dispatcher& aDispatcher)
 {
-  if (++aDispatcher.misses_ >= settings_.misses_) {
-    aDispatcher.misses_ = 0;
-    aDispatcher.silentUntil_ = clock_.now() + settings_.silence_;
+  if (++aDispatcher.misses_ < settings_.misses_) {
+    return;
   }
+  aDispatcher.misses_ = 0;
+  aDispatcher.silentUntil_ = clock_.now() + settings_.silence_;
+  const std::string address = state::textOf(aEndpoint);
+  log_.write(
+    state::LogWeight::kChange,
+    "placement",
+    "dispatcher is silent",
+    { state::logField("dispatcher", std::string_view(address)),
+      state::logField("misses", settings_.misses_),
+      state::logField("answer_limit_ms", settings_.answerLimit_.count()) });
 }
 
 void
--- a/src/transport/relay/placement_client.h
+++ b/src/transport/relay/placement_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "protocol/placement_codec.h"
+#include "state/event_log.h"
 #include "transport/datagram_socket.h"
 
 #include <boost/asio/io_context.hpp>
@@ -40,12 +41,14 @@
    * @param aContext Event loop of the thread.
    * @param aClock Clock; outlives this object.
    * @param aTargets Knows the targets; outlives this object.
+   * @param aLog Log; outlives this object.
    * @param aSelf Where this daemon gives places itself.
    * @param aSettings Times.
    */
   PlacementClient(boost::asio::io_context& aContext,
                   const state::Clock& aClock,
                   coordination::TargetPool& aTargets,
+                  state::EventLog& aLog,
                   state::Endpoint aSelf,
                   PlacementSettings aSettings = {});
 
@@ -83,11 +86,12 @@
     const coordination::TargetNeed& aNeed,
     const boost::asio::yield_context& aYield);
   void receive(const std::string& aDatagram);
-  void noteMiss(Dispatcher& aDispatcher);
+  void noteMiss(const state::Endpoint& aEndpoint, Dispatcher& aDispatcher);
 
   boost::asio::io_context& context_;  ///< Event loop of the thread.
   const state::Clock& clock_;         ///< Clock.
   coordination::TargetPool& targets_; ///< Knows the targets.
+  state::EventLog& log_;              ///< Log.
   const state::Endpoint self_;        ///< Where this daemon gives places.
   const PlacementSettings settings_;  ///< Times.
   DatagramSocket socket_;             ///< Questions and answers.
--- a/tests/coordination/routing_placement_test.cpp
+++ b/tests/coordination/routing_placement_test.cpp
@@ -247,6 +247,7 @@
       CPPUNIT_ASSERT(one.pool_.dispatcherFor(need()) == dispatcher);
       CPPUNIT_ASSERT(two.pool_.dispatcherFor(need()) == dispatcher);
     }
+    CPPUNIT_ASSERT(!one.pool_.dispatcherFor(need(), dispatcher));
   }
 
   void manyCopiesHaveOneInEachZone()
@@ -264,6 +265,8 @@
       digest("a", 9, { { "a1", 22 }, { "a2", 22 } }, clock_.now()));
     for (int request = 0; request < 20; ++request) {
       CPPUNIT_ASSERT(pool.pool_.dispatcherFor(need()) != endpointOf("a"));
+      const auto other = pool.pool_.dispatcherFor(need(), endpointOf("b"));
+      CPPUNIT_ASSERT(other == endpointOf("c"));
     }
   }
 
--- a/tests/protocol/zone_digest_test.cpp
+++ b/tests/protocol/zone_digest_test.cpp
@@ -41,7 +41,8 @@
   return result;
 }
 
-/** Reads any text as version 1. */
+/** Reads any text as a version of its length, or as an instance of a service of
+ * that name. */
 class AnyCodec : public coordination::RoutingCodec
 {
 public:
@@ -53,10 +54,13 @@
     return config;
   }
   std::optional<state::Instance> decodeInstance(
-    const state::VmId& /*aVm*/,
-    const std::string& /*aText*/) const override
+    const state::VmId& aVm,
+    const std::string& aText) const override
   {
-    return std::nullopt;
+    state::Instance instance;
+    instance.id_ = aVm;
+    instance.service_ = state::ServiceId(aText);
+    return instance;
   }
 };
 
@@ -69,6 +73,7 @@
   CPPUNIT_TEST(largeDigestFitsIntoDatagram);
   CPPUNIT_TEST(garbageIsNoDigest);
   CPPUNIT_TEST(cutOffDaemonLearnsFromPeer);
+  CPPUNIT_TEST(calmDaemonLearnsNewsFromItsCoordinator);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -148,6 +153,73 @@
     CPPUNIT_ASSERT(cut.config() != nullptr);
     CPPUNIT_ASSERT_EQUAL(std::string("new"), cut.configText());
   }
+
+  // Reading news in the store, hundreds of daemons were told all changes of all
+  // engines since their last reading, which took seconds.
+  void calmDaemonLearnsNewsFromItsCoordinator()
+  {
+    fakes::FakeClock clock;
+    fakes::ByteSwitch network(clock, 3);
+    fakes::FakeEventLog log;
+    const AnyCodec codec;
+    auto data = std::make_shared<fakes::FakeStoreData>();
+    data->put("config", "old");
+    data->put("vm/p", "first");
+    fakes::FakeStore leaderStore(clock, data);
+    fakes::FakeStore calmStore(clock, data);
+    coordination::FollowerSettings settings;
+    settings.configKey_ = "config";
+    settings.instancePrefix_ = "vm/";
+    settings.peerPatience_ = 800ms;
+    coordination::StoreFollower leader(
+      clock, leaderStore, codec, log, settings);
+    coordination::StoreFollower calm(clock, calmStore, codec, log, settings);
+    const state::Endpoint leaderAt{ "l", 1 };
+    const state::Endpoint calmAt{ "c", 1 };
+    fakes::FakeByteLinks leaderLinks(network, leaderAt);
+    fakes::FakeByteLinks calmLinks(network, calmAt);
+    protocol::ConfigExchange giver(clock, leaderLinks, leader, leaderAt, 1);
+    protocol::ConfigExchange asker(clock, calmLinks, calm, calmAt, 2);
+    bool heard = false;
+    bool told = true;
+    const auto run = [&](std::chrono::milliseconds aTime) {
+      for (auto past = 0ms; past < aTime; past += 20ms) {
+        clock.advance(20ms);
+        leaderStore.step();
+        calmStore.step();
+        leader.tick();
+        calm.setOthers(heard, leader.newsAt());
+        asker.noteCoordinator(
+          leaderAt, told ? leader.newsAt() : state::Revision(), true);
+        calm.tick();
+        asker.tick();
+        network.step();
+      }
+    };
+    run(1s);
+    heard = true;
+    run(1s);
+    const std::uint64_t version = calm.config()->version_.value();
+    calmStore.faults().down_ = true;
+    data->put("config", "newer");
+    data->put("vm/p", "second");
+    data->put("vm/q", "third");
+    run(700ms);
+    CPPUNIT_ASSERT(calm.config()->version_.value() > version);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, calm.instances()->size());
+    CPPUNIT_ASSERT_EQUAL(state::ServiceId("second"),
+                         calm.instances()->at(state::VmId("p")).service_);
+    data->remove("vm/p");
+    run(700ms);
+    CPPUNIT_ASSERT(!calm.instances()->contains(state::VmId("p")));
+    CPPUNIT_ASSERT(!calm.hasOutage());
+    // No coordinator has the news: the store is asked.
+    calmStore.faults().down_ = false;
+    told = false;
+    data->put("config", "the newest");
+    run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::string("the newest"), calm.configText());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ZoneDigestTest);
