--- a/src/transport/relay/placement_client.cpp
+++ b/src/transport/relay/placement_client.cpp
@@ -102,7 +102,7 @@
   socket_.send(aDispatcher, protocol::encodeQuestion({ number, aNeed }));
   boost::system::error_code ignored;
   waiting.timer_.async_wait(aYield[ignored]);
-  const std::optional<PlacementAnswer> answer = waiting.answer_;
+  std::optional<PlacementAnswer> answer = waiting.answer_;
   waiting_.erase(number);
   if (answer) {
     dispatcher.misses_ = 0;
@@ -135,7 +135,10 @@
 PlacementClient::receive(const std::string& aDatagram)
 {
   const auto answer = protocol::decodeAnswer(aDatagram);
-  const auto found = answer ? waiting_.find(answer->number_) : waiting_.end();
+  if (!answer) {
+    return;
+  }
+  const auto found = waiting_.find(answer->number_);
   if (found != waiting_.end()) {
     found->second.answer_ = answer;
     found->second.timer_.cancel();
--- a/tests/coordination/routing_notices_test.cpp
+++ b/tests/coordination/routing_notices_test.cpp
@@ -22,51 +22,51 @@
 public:
   void leavingEndsWithTheLife()
   {
-    notices_.noteLeaving(kVm, 7);
+    notices_.noteLeaving(vm_, 7);
     clock_.advance(60s);
-    notices_.noteLife(kVm, 7);
-    CPPUNIT_ASSERT(notices_.isLeaving(kVm));
-    notices_.noteLife(kVm, 8);
-    CPPUNIT_ASSERT(!notices_.isLeaving(kVm));
+    notices_.noteLife(vm_, 7);
+    CPPUNIT_ASSERT(notices_.isLeaving(vm_));
+    notices_.noteLife(vm_, 8);
+    CPPUNIT_ASSERT(!notices_.isLeaving(vm_));
   }
 
   // The registration that arrives after the notice may be older than it.
   void unknownLifeIsTheNextOneRegistered()
   {
-    notices_.noteLeaving(kVm, 0);
-    notices_.noteLife(kVm, 7);
-    CPPUNIT_ASSERT(notices_.isLeaving(kVm));
-    notices_.noteLife(kVm, 0);
-    CPPUNIT_ASSERT(notices_.isLeaving(kVm));
-    notices_.noteLife(kVm, 8);
-    CPPUNIT_ASSERT(!notices_.isLeaving(kVm));
+    notices_.noteLeaving(vm_, 0);
+    notices_.noteLife(vm_, 7);
+    CPPUNIT_ASSERT(notices_.isLeaving(vm_));
+    notices_.noteLife(vm_, 0);
+    CPPUNIT_ASSERT(notices_.isLeaving(vm_));
+    notices_.noteLife(vm_, 8);
+    CPPUNIT_ASSERT(!notices_.isLeaving(vm_));
   }
 
   void restEndsByTime()
   {
-    notices_.noteRest(kVm, 7, 3s);
-    CPPUNIT_ASSERT(notices_.restsUntil(kVm) == clock_.now() + 3s);
-    CPPUNIT_ASSERT(!notices_.isLeaving(kVm));
-    notices_.noteLife(kVm, 8);
-    CPPUNIT_ASSERT(notices_.restsUntil(kVm) < clock_.now());
+    notices_.noteRest(vm_, 7, 3s);
+    CPPUNIT_ASSERT(notices_.restsUntil(vm_) == clock_.now() + 3s);
+    CPPUNIT_ASSERT(!notices_.isLeaving(vm_));
+    notices_.noteLife(vm_, 8);
+    CPPUNIT_ASSERT(notices_.restsUntil(vm_) < clock_.now());
   }
 
   void shorterRestDoesNotEndALongerOne()
   {
-    notices_.noteRest(kVm, 7, 3s);
-    notices_.noteRest(kVm, 7, 1s);
-    CPPUNIT_ASSERT(notices_.restsUntil(kVm) == clock_.now() + 3s);
+    notices_.noteRest(vm_, 7, 3s);
+    notices_.noteRest(vm_, 7, 1s);
+    CPPUNIT_ASSERT(notices_.restsUntil(vm_) == clock_.now() + 3s);
   }
 
   void endlessRestIsForgottenInTheEnd()
   {
-    notices_.noteRest(kVm, 7, std::chrono::hours(24 * 365));
-    CPPUNIT_ASSERT(notices_.restsUntil(kVm) > clock_.now() + 5min);
-    CPPUNIT_ASSERT(notices_.restsUntil(kVm) < clock_.now() + 1h);
+    notices_.noteRest(vm_, 7, std::chrono::hours(24 * 365));
+    CPPUNIT_ASSERT(notices_.restsUntil(vm_) > clock_.now() + 5min);
+    CPPUNIT_ASSERT(notices_.restsUntil(vm_) < clock_.now() + 1h);
   }
 
 private:
-  const state::VmId kVm{ "vm" };    ///< A target.
+  const state::VmId vm_{ "vm" };    ///< A target.
   fakes::FakeClock clock_;          ///< Clock.
   TargetNotices notices_{ clock_ }; ///< The notices.
 };
--- a/tests/platform/relay_trouble_test.cpp
+++ b/tests/platform/relay_trouble_test.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr std::size_t kPieceBytes =
+  std::size_t{ 16 } * 1024; ///< Bytes of a piece of a flood.
 constexpr auto kFinalAnswerSlack =
   500ms; ///< Latest final answer after a route's timeout.
 
@@ -205,7 +207,7 @@
   {
     const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
                              "X-Origin-Signature: s1\r\n";
-    const std::string piece(16 * 1024, 'x');
+    const std::string piece(kPieceBytes, 'x');
     expectQuickFailure(head + "Transfer-Encoding: chunked\r\n\r\n",
                        chunk(piece));
     expectQuickFailure(head + "\r\n", piece);
@@ -224,7 +226,7 @@
 
   void eventWithoutEndIsCut()
   {
-    const std::string piece(16 * 1024, 'x');
+    const std::string piece(kPieceBytes, 'x');
     const RawServer target(
       endless(kStreamHead + chunk("id: 1\ndata: "), chunk(piece)));
     RelayWorld world;
@@ -390,7 +392,7 @@
     RelayWorld world;
     world.startWith({ target.endpoint() });
     CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(askPlain(world)));
-    const std::string answer =
+    std::string answer =
       world.ask(RelayWorld::request("POST", "/safe/", "x", "second"));
     CPPUNIT_ASSERT(!has(answer, "secret"));
     return answer;
--- a/tests/protocol/zone_digest_test.cpp
+++ b/tests/protocol/zone_digest_test.cpp
@@ -183,7 +183,7 @@
     bool heard = false;
     bool told = true;
     const auto run = [&](std::chrono::milliseconds aTime) {
-      for (auto past = 0ms; past < aTime; past += 20ms) {
+      for (std::chrono::milliseconds past{}; past < aTime; past += 20ms) {
         clock.advance(20ms);
         leaderStore.step();
         calmStore.step();
