--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -146,7 +146,7 @@
   /** @return Whether others have announced news that this follower lacks. */
   bool lacksNews() const
   {
-    return othersHeard_ && std::max(at_, toldAt_) < othersNewsAt_;
+    return listed_ && std::max(at_, toldAt_) < othersNewsAt_;
   }
   /**
    * @param aKnown Version of the configuration that the reader has.
--- a/tests/coordination/routing_follower_test.cpp
+++ b/tests/coordination/routing_follower_test.cpp
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(peerGivesConfiguration);
   CPPUNIT_TEST(newsOfOthersReplaceWatches);
   CPPUNIT_TEST(silentOthersAreReplacedByWatches);
+  CPPUNIT_TEST(newsAreLackedAlsoWhileAZoneIsSilent);
   CPPUNIT_TEST(calmFollowerCallsLess);
   CPPUNIT_TEST(nothingIsReadBeforeThereIsAConfiguration);
   CPPUNIT_TEST(listThatLagsIsNotUsedBeforeItHasCaughtUp);
@@ -293,6 +294,22 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, version());
   }
 
+  // One zone without a coordinator sends all daemons to the store, which is
+  // busy then; the others' coordinators still have the news.
+  void newsAreLackedAlsoWhileAZoneIsSilent()
+  {
+    run(1s);
+    follower_->setOthers(false, follower_->newsAt());
+    CPPUNIT_ASSERT(!follower_->lacksNews());
+    const state::Revision news = data_->put("config", "9");
+    follower_->setOthers(false, news);
+    CPPUNIT_ASSERT(follower_->lacksNews());
+    follower_->offerNews({ news, "9", { { state::VmId("a"), "plain" } } });
+    CPPUNIT_ASSERT(!follower_->lacksNews());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, version());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, follower_->instances()->size());
+  }
+
 private:
   std::uint64_t version() const
   {
