Tell a peer the same news once a second at most

Ruled out: a longer period of questions, which would delay small configurations too. Conclusion: bounded to one copy a peer and change; one copy for all is open.

--- a/src/protocol/config_exchange.cpp
+++ b/src/protocol/config_exchange.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds kTellerSilence{
   1000
 }; ///< Silence after which a coordinator is not asked for news.
+constexpr std::chrono::milliseconds kTellAgain{
+  1000
+}; ///< Pause before a peer is told the same news again.
 constexpr char kNewsQuestion = 'n'; ///< First byte: the version known follows.
 constexpr char kNews = 'm';         ///< First byte: news follow.
 constexpr std::size_t kNewsFrame =
@@ -148,6 +151,27 @@
   return follower_.config() ? follower_.config()->version_.value() : 0;
 }
 
+void
+ConfigExchange::answerNews(const state::Endpoint& aFrom, std::uint64_t aKnown)
+{
+  const state::TimePoint now = clock_.now();
+  std::erase_if(told_, [&](const auto& aEntry) {
+    return now - aEntry.second.toldAt_ > kTellAgain;
+  });
+  // The answer may still be on its way; many copies of a large configuration
+  // would fill the memory.
+  const auto told = told_.find(aFrom);
+  if (told != told_.end() && told->second.newsAt_ == follower_.newsAt()) {
+    return;
+  }
+  const auto news = follower_.news(state::Generation(aKnown));
+  std::string message = news ? encodeNews(*news) : std::string();
+  if (!message.empty()) {
+    told_[aFrom] = { follower_.newsAt(), now };
+    links_.send(aFrom, std::move(message));
+  }
+}
+
 void
 ConfigExchange::receive(const state::Endpoint& aFrom,
                         const std::string& aMessage)
@@ -168,11 +192,7 @@
   }
   const std::uint64_t known = std::strtoull(content.c_str(), nullptr, 10);
   if (aMessage.front() == kNewsQuestion) {
-    const auto news = follower_.news(state::Generation(known));
-    std::string message = news ? encodeNews(*news) : std::string();
-    if (!message.empty()) {
-      links_.send(aFrom, std::move(message));
-    }
+    answerNews(aFrom, known);
     return;
   }
   const bool newer = version() > known;
--- a/src/protocol/config_exchange.h
+++ b/src/protocol/config_exchange.h
@@ -60,7 +60,15 @@
     state::TimePoint heardAt_{}; ///< When it was last heard.
   };
 
+  /** News that a peer was told. */
+  struct Told
+  {
+    state::Revision newsAt_;    ///< Revision of the newest change among them.
+    state::TimePoint toldAt_{}; ///< When.
+  };
+
   void askForNews();
+  void answerNews(const state::Endpoint& aFrom, std::uint64_t aKnown);
   std::optional<state::Endpoint> chooseTeller();
   std::uint64_t version() const;
 
@@ -73,6 +81,7 @@
   state::TimePoint askAt_{};                  ///< When to ask next.
   std::map<state::Endpoint, Teller> tellers_; ///< Coordinators heard of late.
   state::TimePoint askNewsAt_{};              ///< When to ask for them next.
+  std::map<state::Endpoint, Told> told_;      ///< News told of late, by peer.
 };
 
 } // namespace auburnhaven::protocol
--- a/tests/protocol/zone_digest_test.cpp
+++ b/tests/protocol/zone_digest_test.cpp
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(garbageIsNoDigest);
   CPPUNIT_TEST(cutOffDaemonLearnsFromPeer);
   CPPUNIT_TEST(calmDaemonLearnsNewsFromItsCoordinator);
+  CPPUNIT_TEST(sameNewsAreNotToldTwiceAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -154,6 +155,49 @@
     CPPUNIT_ASSERT_EQUAL(std::string("new"), cut.configText());
   }
 
+  // Questions that came faster than a slow link took the answers away filled
+  // the coordinator's memory with copies of a large configuration.
+  void sameNewsAreNotToldTwiceAtOnce()
+  {
+    fakes::FakeClock clock;
+    fakes::ByteSwitch network(clock, 3);
+    fakes::FakeEventLog log;
+    const AnyCodec codec;
+    auto data = std::make_shared<fakes::FakeStoreData>();
+    data->put("config", "old");
+    fakes::FakeStore store(clock, data);
+    coordination::FollowerSettings settings;
+    settings.configKey_ = "config";
+    settings.instancePrefix_ = "vm/";
+    coordination::StoreFollower leader(clock, store, codec, log, settings);
+    const state::Endpoint leaderAt{ "l", 1 };
+    const state::Endpoint askerAt{ "c", 1 };
+    fakes::FakeByteLinks leaderLinks(network, leaderAt);
+    fakes::FakeByteLinks askerLinks(network, askerAt);
+    const protocol::ConfigExchange giver(
+      clock, leaderLinks, leader, leaderAt, 1);
+    int answers = 0;
+    askerLinks.onMessage(
+      [&](const state::Endpoint&, const std::string&) { ++answers; });
+    const auto ask = [&](int aTimes) {
+      for (int time = 0; time < aTimes; ++time) {
+        clock.advance(50ms);
+        store.step();
+        leader.tick();
+        askerLinks.send(leaderAt, "n0");
+        network.step();
+      }
+    };
+    ask(16);
+    clock.advance(2s);
+    answers = 0;
+    ask(16);
+    CPPUNIT_ASSERT_EQUAL(1, answers);
+    data->put("config", "newer");
+    ask(16);
+    CPPUNIT_ASSERT_EQUAL(2, answers);
+  }
+
   // Reading news in the store, hundreds of daemons were told all changes of all
   // engines since their last reading, which took seconds.
   void calmDaemonLearnsNewsFromItsCoordinator()
