Say once what a request has tried, how late it may be, and what others' prompts take

Ruled out: a change of behaviour; the figures are the same constants. Conclusion: TargetNeed::hasTried, TargetPool::firstEventLimit, a setting, and readingPart.

--- a/src/coordination/routing/pace_func.cpp
+++ b/src/coordination/routing/pace_func.cpp
@@ -9,7 +9,9 @@
 
 namespace {
 
-constexpr double kMillion = 1e6;  ///< Pairs in the unit of their cost.
+constexpr double kMillion = 1e6; ///< Pairs in the unit of their cost.
+constexpr double kMostReading =
+  0.9; ///< Most of a copy's time that others' prompts can take.
 constexpr double kThousand = 1e3; ///< Tokens in the unit of the context's cost.
 
 } // namespace
@@ -73,6 +75,17 @@
   return writing + reading * slots;
 }
 
+double
+readingPart(const state::EngineSpec& aEngine,
+            const state::ModelSpec& aModel,
+            std::uint32_t aRunning)
+{
+  // Prompts arrive at the rate at which slots are taken.
+  return std::min(kMostReading,
+                  readTime(aEngine, aModel, aEngine.usualPrompt_) * aRunning /
+                    usualSlotTime(aEngine, aModel));
+}
+
 state::FloatMs
 firstEventTime(const state::EngineSpec& aEngine,
                const state::ModelSpec& aModel,
@@ -85,9 +98,7 @@
   const std::uint32_t running = std::min(ahead, slots);
   const std::uint32_t queued = ahead >= slots ? ahead - slots + 1 : 0;
   const state::FloatMs wait = slotTime * queued / slots;
-  // Others' prompts arrive at the rate at which slots are taken.
-  const double others = std::min(
-    0.9, readTime(aEngine, aModel, aEngine.usualPrompt_) * running / slotTime);
+  const double others = readingPart(aEngine, aModel, running);
   return wait + readTime(aEngine, aModel, aPrompt) / (1 - others) +
          stepTime(aEngine, aModel, running);
 }
--- a/src/coordination/routing/pace_func.h
+++ b/src/coordination/routing/pace_func.h
@@ -75,6 +75,18 @@
 state::FloatMs
 usualSlotTime(const state::EngineSpec& aEngine, const state::ModelSpec& aModel);
 
+/**
+ * Part of a copy's time that the prompts of its requests take. Pure.
+ * @param aEngine The service.
+ * @param aModel The model.
+ * @param aRunning Requests that hold a slot.
+ * @return The part, below 1.
+ */
+double
+readingPart(const state::EngineSpec& aEngine,
+            const state::ModelSpec& aModel,
+            std::uint32_t aRunning);
+
 /**
  * Time until a new request's first event at a copy under load: the wait for a
  * slot, then its prompt among the steps of the others. Pure.
--- a/src/coordination/routing/target_pool.cpp
+++ b/src/coordination/routing/target_pool.cpp
@@ -15,7 +15,6 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint32_t kUnlimitedConnections = 64; ///< Where none is stated.
-constexpr milliseconds kShortRetryAfter(100); ///< Least wait that is told.
 constexpr milliseconds kNoTargetRetryAfter(
   700); ///< Wait that is told while no target serves.
 
@@ -279,11 +278,8 @@
   const state::TimePoint now = clock_.now();
   return std::any_of(targets_.begin(), targets_.end(), [&](const auto& aEntry) {
     const auto& [vm, target] = aEntry;
-    const bool tried =
-      std::find(aNeed.excluded_.begin(), aNeed.excluded_.end(), vm) !=
-      aNeed.excluded_.end();
-    return vm != aVm && !tried && mayTake(vm, target, aNeed, now) &&
-           notices_.restsUntil(vm) <= now;
+    return vm != aVm && !aNeed.hasTried(vm) &&
+           mayTake(vm, target, aNeed, now) && notices_.restsUntil(vm) <= now;
   });
 }
 
@@ -411,11 +407,7 @@
 {
   const std::lock_guard lock(mutex_);
   const state::TimePoint now = clock_.now();
-  const auto limit =
-    std::min(aNeed.timeLeft_,
-             std::chrono::duration_cast<state::Duration>(
-               std::chrono::duration<double, std::nano>(aNeed.latencyTarget_) *
-               settings_.patience_));
+  const state::Duration limit = firstEventLimit(aNeed, settings_.patience_);
   std::vector<Candidate> all = candidatesFor(aNeed, now);
   const Surroundings around{ now,
                              fillOf(all),
@@ -428,9 +420,7 @@
     const double leaving = leavingOf(target, candidate.load_, around.pace_);
     candidate.expected_ = expectedTime(
       target, aNeed, drained(candidate.load_, leaving), around.pace_);
-    const bool tried = std::find(aNeed.excluded_.begin(),
-                                 aNeed.excluded_.end(),
-                                 *candidate.vm_) != aNeed.excluded_.end();
+    const bool tried = aNeed.hasTried(*candidate.vm_);
     const bool enters =
       candidate.expected_ <= limit && mayEnter(target, around.fill_);
     const bool rests = notices_.restsUntil(*candidate.vm_) > now;
@@ -469,6 +459,16 @@
   return decision;
 }
 
+state::Duration
+TargetPool::firstEventLimit(const TargetNeed& aNeed, double aPatience)
+{
+  return std::min(
+    aNeed.timeLeft_,
+    std::chrono::duration_cast<state::Duration>(
+      std::chrono::duration<double, std::nano>(aNeed.latencyTarget_) *
+      aPatience));
+}
+
 double
 TargetPool::randomPart()
 {
@@ -519,12 +519,12 @@
   }
   if (rest > state::Duration{}) {
     decision.reason_ = RefusalReason::kResting;
-    decision.retryAfter_ = std::max<state::Duration>(kShortRetryAfter, rest);
+    decision.retryAfter_ = std::max(settings_.shortestWait_, rest);
     return decision;
   }
   decision.reason_ = RefusalReason::kFull;
   const state::Duration over = decision.expected_ - aNeed.latencyTarget_;
-  decision.retryAfter_ = std::max<state::Duration>(kShortRetryAfter, over);
+  decision.retryAfter_ = std::max(settings_.shortestWait_, over);
   return decision;
 }
 
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -30,6 +30,12 @@
   state::Duration latencyTarget_{};   ///< Aim for the first event.
   state::Duration timeLeft_{};        ///< Time until it is given up.
   std::vector<state::VmId> excluded_; ///< Targets already tried.
+  /** @return Whether a target was tried. @param aVm The target. */
+  bool hasTried(const state::VmId& aVm) const
+  {
+    return std::find(excluded_.begin(), excluded_.end(), aVm) !=
+           excluded_.end();
+  }
   bool operator==(const TargetNeed&) const = default;
 };
 
@@ -107,6 +113,8 @@
   double quotaSlack_ = 1.2; ///< How much more than its part of the room of a
                             ///< zone a daemon may use, since callers are not
                             ///< shared evenly.
+  state::Duration shortestWait_ =
+    std::chrono::milliseconds(100); ///< Least wait that is told with a refusal.
   std::uint32_t queueRoom_ =
     1; ///< Requests beyond a target's slots that count as room in the choice.
   bool operator==(const TargetPoolSettings&) const = default;
@@ -336,6 +344,8 @@
   const Candidate& pick(const std::vector<Candidate>& aCandidates);
   std::uint64_t bornAt(const state::VmId& aVm) const;
   double randomPart();
+  static state::Duration firstEventLimit(const TargetNeed& aNeed,
+                                         double aPatience);
   TargetDecision enter(const Candidate& aChosen, state::TimePoint aNow);
   std::map<state::ZoneId, ZoneFill> fillByZone(const TargetNeed& aNeed,
                                                state::TimePoint aNow) const;
--- a/src/coordination/routing/target_pool_place.cpp
+++ b/src/coordination/routing/target_pool_place.cpp
@@ -14,11 +14,6 @@
 constexpr double kOwnZoneSlack =
   0.1; ///< How much fuller than all zones the own zone's copies may be before
        ///< requests go elsewhere; part of the slots.
-constexpr double kMostReading =
-  0.9; ///< Most of a pass that others' prompts can take.
-constexpr std::chrono::milliseconds kShortestWait(
-  100); ///< Least wait that is told with a refusal.
-
 /** @return Rank of a zone in the choice of the dispatcher of a model. */
 std::uint64_t
 rankOf(const state::ZoneId& aZone, const state::ModelId& aModel)
@@ -173,15 +168,12 @@
   }
   decision.expected_ = best->expected_;
   decision.load_ = best->load_;
-  const auto limit =
-    std::min(aNeed.timeLeft_,
-             std::chrono::duration_cast<state::Duration>(
-               std::chrono::duration<double, std::nano>(aNeed.latencyTarget_) *
-               settings_.placedPatience_));
+  const state::Duration limit =
+    firstEventLimit(aNeed, settings_.placedPatience_);
   if (best->expected_ > limit) {
     decision.reason_ = RefusalReason::kTooLate;
     decision.retryAfter_ =
-      std::max<state::Duration>(kShortestWait, best->expected_ - limit);
+      std::max(settings_.shortestWait_, best->expected_ - limit);
     return decision;
   }
   decision.reason_ = RefusalReason::kNone;
@@ -195,10 +187,8 @@
                     const TargetNeed& aNeed,
                     state::TimePoint aNow) const
 {
-  const bool tried = std::find(aNeed.excluded_.begin(),
-                               aNeed.excluded_.end(),
-                               *aCandidate.vm_) != aNeed.excluded_.end();
-  return !tried && aCandidate.target_->restsUntil_ <= aNow &&
+  return !aNeed.hasTried(*aCandidate.vm_) &&
+         aCandidate.target_->restsUntil_ <= aNow &&
          notices_.restsUntil(*aCandidate.vm_) <= aNow;
 }
 
@@ -244,10 +234,8 @@
     aPace.slotTime_ * load.waiting_ / std::max(1U, load.slots_);
   // Part of each pass goes to others' prompts, at the rate at which slots are
   // taken.
-  const double others = std::min(
-    kMostReading,
-    readTime(*aPace.engine_, *aPace.model_, aPace.engine_->usualPrompt_) *
-      load.running_ / aPace.slotTime_);
+  const double others =
+    readingPart(*aPace.engine_, *aPace.model_, load.running_);
   // Half of the pass that is under way, and the one that writes the event.
   const state::FloatMs passes =
     passTime(*aPace.engine_, *aPace.model_, load.running_) / 2 +
