Log who announced news, who was asked, what was told, and calls to the store without an answer

Cause: the record of the incident does not tell whether news come late because a coordinator's link is full, because calls to the store are cut off before their answer is whole, or because reading them takes the processor. Now logged: since when a daemon knows that it lacks news and of which revision; whom it asked, who told it and how many bytes; each call to the store without a whole answer, and each large one, with its time and the bytes that came. No decision is changed.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -196,7 +196,7 @@
   , log_(clock_, STDOUT_FILENO)
   , client_(control_.context(), clientLimits())
   , caller_(control_.context(), client_)
-  , store_(caller_, { settings_.store_ })
+  , store_(caller_, log_, { settings_.store_ })
   , engines_(caller_, clock_)
   , follower_(clock_, store_, codec_, log_, followerSettings())
   , registry_(kDaemonPrefix)
@@ -210,7 +210,12 @@
   , hearing_(settings_.zone_, kCoordinatorSilence)
   , digests_(control_.context())
   , links_(control_.context(), linkSettings(settings_, seed_))
-  , exchange_(clock_, links_, follower_, settings_.listeners_.peers_, seed_)
+  , exchange_(clock_,
+              links_,
+              follower_,
+              log_,
+              settings_.listeners_.peers_,
+              seed_)
   , traffic_(1)
   , targets_(clock_,
              poolSettings(settings_),
--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -91,6 +91,12 @@
   othersNewsAt_ = std::max(othersNewsAt_, aNewsAt);
   if (!lacked && lacksNews()) {
     lacksSince_ = clock_.now();
+    log_.write(state::LogWeight::kChange,
+               kPart,
+               "news announced",
+               { state::logField("known", std::max(at_, toldAt_).value()),
+                 state::logField("announced", othersNewsAt_.value()),
+                 state::logField("others_heard", othersHeard_) });
   }
 }
 
--- a/src/protocol/config_exchange.cpp
+++ b/src/protocol/config_exchange.cpp
@@ -3,6 +3,7 @@
 #include "protocol/config_exchange.h"
 
 #include "protocol/datagram_func.h"
+#include "state/endpoint_func.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -12,6 +13,7 @@
 
 namespace {
 
+constexpr std::string_view kPart = "news"; ///< Part of the program in logs.
 constexpr std::chrono::milliseconds kAskPeriod{ 400 }; ///< Between questions.
 constexpr char kQuestion = 'q'; ///< First byte: the version known follows.
 constexpr char kAnswer = 'a';   ///< First byte: the configuration follows.
@@ -65,11 +67,13 @@
 ConfigExchange::ConfigExchange(const state::Clock& aClock,
                                ByteLinks& aLinks,
                                coordination::StoreFollower& aFollower,
+                               state::EventLog& aLog,
                                state::Endpoint aSelf,
                                std::uint64_t aSeed)
   : clock_(aClock)
   , links_(aLinks)
   , follower_(aFollower)
+  , log_(aLog)
   , self_(std::move(aSelf))
   , random_(aSeed)
 {
@@ -109,10 +113,27 @@
   }
   askNewsAt_ = clock_.now() + kAskNewsPeriod;
   if (const auto teller = chooseTeller()) {
+    noteMessage("news asked", *teller, 0);
     links_.send(*teller, kNewsQuestion + std::to_string(version()));
   }
 }
 
+void
+ConfigExchange::noteMessage(std::string_view aEvent,
+                            const state::Endpoint& aPeer,
+                            std::size_t aBytes)
+{
+  const std::string peer = state::textOf(aPeer);
+  log_.write(
+    state::LogWeight::kRoutine,
+    kPart,
+    aEvent,
+    { state::logField("peer", std::string_view(peer)),
+      state::logField("bytes", aBytes),
+      state::logField("version", version()),
+      state::logField("announced", follower_.othersNewsAt().value()) });
+}
+
 void
 ConfigExchange::noteCoordinator(const state::Endpoint& aPeer,
                                 state::Revision aNewsAt,
@@ -168,6 +189,7 @@
   std::string message = news ? encodeNews(*news) : std::string();
   if (!message.empty()) {
     told_[aFrom] = { follower_.newsAt(), now };
+    noteMessage("news told", aFrom, message.size());
     links_.send(aFrom, std::move(message));
   }
 }
@@ -185,6 +207,7 @@
     return;
   }
   if (aMessage.front() == kNews) {
+    noteMessage("news taken", aFrom, aMessage.size());
     if (const auto news = decodeNews(content)) {
       follower_.offerNews(*news);
     }
--- a/src/protocol/config_exchange.h
+++ b/src/protocol/config_exchange.h
@@ -25,12 +25,14 @@
    * @param aClock Clock; outlives this object.
    * @param aLinks Links to other daemons; outlive this object.
    * @param aFollower Has the configuration; outlives this object.
+   * @param aLog Log; outlives this object.
    * @param aSelf Where this daemon listens for peers.
    * @param aSeed Seed of the random numbers.
    */
   ConfigExchange(const state::Clock& aClock,
                  ByteLinks& aLinks,
                  coordination::StoreFollower& aFollower,
+                 state::EventLog& aLog,
                  state::Endpoint aSelf,
                  std::uint64_t aSeed);
   ConfigExchange(const ConfigExchange&) = delete;
@@ -68,6 +70,9 @@
   };
 
   void askForNews();
+  void noteMessage(std::string_view aEvent,
+                   const state::Endpoint& aPeer,
+                   std::size_t aBytes);
   void answerNews(const state::Endpoint& aFrom, std::uint64_t aKnown);
   std::optional<state::Endpoint> chooseTeller();
   std::uint64_t version() const;
@@ -75,6 +80,7 @@
   const state::Clock& clock_;                 ///< Clock.
   ByteLinks& links_;                          ///< Links to other daemons.
   coordination::StoreFollower& follower_;     ///< Has the configuration.
+  state::EventLog& log_;                      ///< Log.
   state::Endpoint self_;                      ///< Where this daemon listens.
   std::mt19937_64 random_;                    ///< Choice of peers.
   std::vector<state::Endpoint> peers_;        ///< Daemons that may be asked.
--- a/src/transport/service_caller.cpp
+++ b/src/transport/service_caller.cpp
@@ -59,13 +59,14 @@
   HttpCall call = client_.open(
     aEndpoint, aCall.request_, { limit, limit, limit }, aYield, aborter.get());
   if (!call.hasResponse()) {
-    return { 0, {}, call.failure().bytesMayHaveArrived_ };
+    return { 0, {}, call.failure().bytesMayHaveArrived_, 0 };
   }
   HttpBody body = call.readAll(kMaxAnswerBytes, aYield);
   if (body.status_ != HttpReadStatus::kEnd) {
-    return { 0, {}, true };
+    return { 0, {}, true, body.data_.size() };
   }
-  return { call.status(), std::move(body.data_), true };
+  const std::size_t received = body.data_.size();
+  return { call.status(), std::move(body.data_), true, received };
 }
 
 ServiceAnswer
--- a/src/transport/service_caller.h
+++ b/src/transport/service_caller.h
@@ -22,6 +22,8 @@
   std::uint32_t status_ = 0; ///< Status code; 0 without a whole answer.
   std::string body_;         ///< Body of the whole answer.
   bool mayHaveRun_ = false;  ///< Whether the service could have got any of it.
+  std::size_t received_ = 0; ///< Bytes of the body that came, also when the
+                             ///< rest did not.
   bool operator==(const ServiceAnswer&) const = default;
 };
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -1,5 +1,6 @@
 // Tests of reading and writing the platform's messages.
 
+#include "fakes/fake_event_log.h"
 #include "platform/engine_orders.h"
 #include "platform/kv_store.h"
 #include "platform/routing_codec.h"
@@ -73,7 +74,7 @@
     , server_([this](Socket& aSocket, int) { serve(aSocket); })
     , client_(context_)
     , caller_(context_, client_)
-    , store_(caller_, { server_.endpoint(), 300ms, 200ms })
+    , store_(caller_, log_, { server_.endpoint(), 300ms, 200ms })
   {
   }
 
@@ -111,6 +112,7 @@
   boost::asio::io_context context_;                          ///< Event loop.
   transport::HttpClient client_;                             ///< HTTP.
   transport::ServiceCaller caller_;                          ///< Calls.
+  fakes::FakeEventLog log_;                                  ///< Log.
 
 public:
   platform::KvStore store_; ///< The client.
