--- /dev/null
+++ b/tests/coordination/routing_catch_up_test.cpp
@@ -0,0 +1,138 @@
+// Tests of how much a daemon reads of the store to catch up with it.
+
+#include "coordination/routing/store_follower.h"
+#include "fakes/fake_event_log.h"
+#include "fakes/fake_store.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+
+using namespace auburnhaven;
+using namespace auburnhaven::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kConfigBytes = 500UL * 1024; ///< A large configuration.
+constexpr int kVersions = 20; ///< Versions written one after the other.
+
+/** @return Text of a large configuration. */
+std::string
+largeConfig(int aVersion)
+{
+  return std::to_string(aVersion) + std::string(kConfigBytes, ' ');
+}
+
+/** Reads numbers as versions, and words as instances. */
+class NumberCodec : public RoutingCodec
+{
+public:
+  std::optional<state::RoutingConfig> decodeConfig(
+    const std::string& aText) const override
+  {
+    state::RoutingConfig config;
+    config.version_ =
+      state::Generation(std::strtoull(aText.c_str(), nullptr, 10));
+    return config;
+  }
+  std::optional<state::Instance> decodeInstance(
+    const state::VmId& aVm,
+    const std::string& aText) const override
+  {
+    state::Instance instance;
+    instance.id_ = aVm;
+    instance.service_ = state::ServiceId(aText);
+    return instance;
+  }
+};
+
+} // namespace
+
+class RoutingCatchUpTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RoutingCatchUpTest);
+  CPPUNIT_TEST(versionsToldByPeersAreNotReadAgain);
+  CPPUNIT_TEST(newsThatPeersLackAreReadOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    data_ = std::make_shared<fakes::FakeStoreData>();
+    store_ = std::make_unique<fakes::FakeStore>(clock_, data_);
+    FollowerSettings settings;
+    settings.configKey_ = "config";
+    settings.instancePrefix_ = "vm/";
+    settings.ownPrefix_ = "own/";
+    settings.peerPatience_ = 800ms;
+    follower_ =
+      std::make_unique<StoreFollower>(clock_, *store_, codec_, log_, settings);
+    data_->put("config", largeConfig(1));
+    data_->put("vm/a", "plain");
+    run(1s);
+    follower_->setOthers(true, follower_->newsAt());
+    run(1s);
+    data_->readBytes_ = 0;
+  }
+
+  void versionsToldByPeersAreNotReadAgain()
+  {
+    for (int version = 2; version <= kVersions; ++version) {
+      const state::Revision at = data_->put("config", largeConfig(version));
+      follower_->setOthers(true, at);
+      follower_->offerNews(
+        { at, largeConfig(version), { { state::VmId("a"), "plain" } } });
+      run(100ms);
+    }
+    data_->put("vm/b", "plain");
+    data_->put("own/x", "1");
+    std::optional<std::string> own;
+    follower_->onOwnKey(
+      [&](const std::string&, const std::optional<std::string>& aValue) {
+        own = aValue;
+      });
+    run(30s);
+    CPPUNIT_ASSERT(own == "1");
+    CPPUNIT_ASSERT(follower_->instances()->contains(state::VmId("b")));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ kVersions }, version());
+    CPPUNIT_ASSERT(data_->readBytes_ < 2 * kConfigBytes);
+  }
+
+  void newsThatPeersLackAreReadOnce()
+  {
+    state::Revision at;
+    for (int version = 2; version <= kVersions; ++version) {
+      at = data_->put("config", largeConfig(version));
+    }
+    follower_->setOthers(true, at);
+    run(2s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ kVersions }, version());
+    CPPUNIT_ASSERT(!follower_->lacksNews());
+    CPPUNIT_ASSERT(data_->readBytes_ < 2 * kConfigBytes);
+  }
+
+private:
+  std::uint64_t version() const
+  {
+    return follower_->config()->version_.value();
+  }
+
+  void run(state::Duration aTime)
+  {
+    for (state::Duration past{}; past < aTime; past += 20ms) {
+      clock_.advance(20ms);
+      store_->step();
+      follower_->tick();
+    }
+  }
+
+  fakes::FakeClock clock_;                     ///< Clock.
+  NumberCodec codec_;                          ///< Reads values.
+  fakes::FakeEventLog log_;                    ///< Log.
+  std::shared_ptr<fakes::FakeStoreData> data_; ///< The store.
+  std::unique_ptr<fakes::FakeStore> store_;    ///< Way to the store.
+  std::unique_ptr<StoreFollower> follower_;    ///< The follower.
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoutingCatchUpTest);
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -49,6 +49,7 @@
   std::map<std::string, Lease> leases_; ///< Leases by name.
   std::uint64_t reads_ = 0;             ///< Reads answered, watches included.
   std::uint64_t writes_ = 0;       ///< Writes answered, lease calls included.
+  std::uint64_t readBytes_ = 0;    ///< Bytes of the values told.
   std::uint64_t nextRevision_ = 1; ///< Revision of the next write.
   std::vector<coordination::StoreChange> history_; ///< Changes in order.
   state::Revision compactedAt_; ///< Newest change that was dropped.
@@ -139,6 +140,7 @@
     if (!faults_.down_) {
       ++data_->reads_;
       reply = read(aKey);
+      data_->readBytes_ += reply.value_.size();
     }
     answer(std::move(aHandler), reply);
   }
@@ -232,6 +234,9 @@
     std::erase_if(reply.items_, [&](const coordination::StoreItem& aItem) {
       return !aItem.key_.starts_with(aPrefix);
     });
+    for (const coordination::StoreItem& item : reply.items_) {
+      data_->readBytes_ += item.value_.size();
+    }
     answer(std::move(aHandler), reply);
   }
 
@@ -268,10 +273,12 @@
                         ? coordination::WatchStatus::kCompacted
                         : coordination::WatchStatus::kChanges;
       reply.at_ = state::Revision(data_->nextRevision_ - 1);
+      std::uint64_t bytes = 0;
       for (const coordination::StoreChange& change : data_->history_) {
         if (change.revision_ > watch.after_ &&
             change.key_.starts_with(watch.prefix_)) {
           reply.changes_.push_back(change);
+          bytes += change.value_.value_or("").size();
         }
       }
       const bool done =
@@ -280,6 +287,7 @@
       if (faults_.down_) {
         answer(std::move(watch.handler_), coordination::WatchReply{});
       } else if (done) {
+        data_->readBytes_ += bytes;
         answer(std::move(watch.handler_), reply);
       } else {
         rest.push_back(std::move(watch));
--- /dev/null
+++ b/tests/platform/kv_store_transfer_test.cpp
@@ -0,0 +1,137 @@
+// Tests of large answers of the platform's store over a slow link.
+
+#include "fakes/fake_event_log.h"
+#include "platform/kv_store.h"
+#include "transport/loopback.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <thread>
+
+using namespace auburnhaven;
+using namespace std::chrono_literals;
+using coordination::StoreStatus;
+using fakes::RawServer;
+using Socket = boost::asio::ip::tcp::socket;
+
+namespace {
+
+constexpr auto kTimeout = 300ms;      ///< Of calls that do not wait.
+constexpr auto kPiecePause = 50ms;    ///< Between two pieces of an answer.
+constexpr std::size_t kPieces = 16;   ///< Pieces of a list.
+constexpr std::size_t kVersions = 10; ///< Versions that a watch tells.
+constexpr std::size_t kVersionBytes = 800UL * 1024; ///< Size of each.
+
+/** @return A list of one key, whose value has some bytes. */
+std::string
+listBody()
+{
+  return R"({"entries":[{"key":"a","data":")" + std::string(4096, 'A') +
+         R"(","mod_revision":3,"created_revision":3,"lease_id":0}],)" +
+         R"("has_more":false,"at":9})";
+}
+
+/** Writes the head of an answer and a part of its body, piece by piece. */
+void
+trickle(Socket& aSocket, const std::string& aBody, std::size_t aPieces)
+{
+  RawServer::write(aSocket,
+                   "HTTP/1.1 200 OK\r\nContent-Length: " +
+                     std::to_string(aBody.size()) + "\r\n\r\n");
+  const std::size_t size = aBody.size() / kPieces + 1;
+  for (std::size_t piece = 0; piece < aPieces; ++piece) {
+    std::this_thread::sleep_for(kPiecePause);
+    RawServer::write(aSocket, aBody.substr(piece * size, size));
+  }
+}
+
+/** A client of a store with a script. */
+struct Client
+{
+  explicit Client(RawServer::Script aScript)
+    : server_(std::move(aScript))
+    , client_(context_)
+    , caller_(context_, client_)
+    , store_(caller_, log_, { server_.endpoint(), kTimeout, 200ms })
+  {
+  }
+
+  RawServer server_;                ///< The store.
+  boost::asio::io_context context_; ///< Event loop.
+  transport::HttpClient client_;    ///< HTTP.
+  transport::ServiceCaller caller_; ///< Calls.
+  fakes::FakeEventLog log_;         ///< Log.
+  platform::KvStore store_;         ///< The client.
+};
+
+} // namespace
+
+class KvStoreTransferTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(KvStoreTransferTest);
+  CPPUNIT_TEST(listThatKeepsComingIsReadToItsEnd);
+  CPPUNIT_TEST(listThatStopsComingIsGivenUp);
+  CPPUNIT_TEST(watchTooLargeToReadAsksForAList);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void listThatKeepsComingIsReadToItsEnd()
+  {
+    CPPUNIT_ASSERT(listOf(kPieces) == StoreStatus::kOk);
+  }
+
+  void listThatStopsComingIsGivenUp()
+  {
+    const auto startedAt = std::chrono::steady_clock::now();
+    CPPUNIT_ASSERT(listOf(kPieces / 2) == StoreStatus::kUnavailable);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - startedAt <
+                   kPieces * kPiecePause + 3 * kTimeout);
+  }
+
+  // Read again from the same revision, it would be too large for ever.
+  void watchTooLargeToReadAsksForAList()
+  {
+    Client client([](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      std::string events;
+      for (std::size_t version = 1; version <= kVersions; ++version) {
+        events += (version == 1 ? "" : ",") +
+                  (R"({"key":"a","mod_revision":)" + std::to_string(version)) +
+                  R"(,"created_revision":1,"lease_id":0,"data":")" +
+                  std::string(kVersionBytes, 'A') + R"("})";
+      }
+      const std::string body = R"({"events":[)" + events + R"(],"at":10})";
+      RawServer::write(aSocket,
+                       "HTTP/1.1 200 OK\r\nContent-Length: " +
+                         std::to_string(body.size()) + "\r\n\r\n" + body);
+    });
+    std::optional<coordination::WatchStatus> status;
+    client.store_.watchPrefix(
+      "",
+      state::Revision(),
+      100ms,
+      [&](const coordination::WatchReply& aReply) { status = aReply.status_; });
+    fakes::runUntil(client.context_, [&] { return status.has_value(); });
+    CPPUNIT_ASSERT(status == coordination::WatchStatus::kCompacted);
+  }
+
+private:
+  /** @return How a list ended of which only some pieces come. */
+  static StoreStatus listOf(std::size_t aPieces)
+  {
+    Client client([aPieces](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      trickle(aSocket, listBody(), aPieces);
+      RawServer::readUntil(aSocket, "never");
+    });
+    std::optional<StoreStatus> status;
+    client.store_.list(
+      "",
+      coordination::ListAge::kNewest,
+      [&](const coordination::ListReply& aReply) { status = aReply.status_; });
+    fakes::runUntil(client.context_, [&] { return status.has_value(); });
+    return *status;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(KvStoreTransferTest);
