Give up calls to the store by their progress, and list when a watch has grown too large

Cause: a list had 0.6 s in all and a watch its wait and 0.5 s, whatever its size. A configuration of 0.42 MB to many daemons at once takes longer; what had come was thrown away, the whole was asked for again, and the daemon counted the store as out of reach. A watch of over 4 MiB never succeeded until the history was dropped. Ruled out: a store that does not answer: 728 of 891 calls without a whole answer had some of it. Now the time bounds the wait for the beginning and for each piece, and 3 s the rest; a watch beyond 2 MiB is replaced by a list.

--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -58,7 +58,7 @@
 
 auburnhaven_layer(state xxhash crypto)
 auburnhaven_layer(coordination auburnhaven_state TBB::tbb)
-auburnhaven_layer(protocol auburnhaven_coordination auburnhaven_generated)
+auburnhaven_layer(protocol auburnhaven_coordination auburnhaven_generated zstd)
 
 add_library(auburnhaven_fakes INTERFACE)
 target_include_directories(auburnhaven_fakes INTERFACE ${PROJECT_SOURCE_DIR}/tests)
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -43,7 +43,7 @@
 {
   state::Revision at_; ///< Revision of the store for which it holds.
   std::string config_; ///< Text of the configuration; empty when the reader has
-                       ///< it.
+                       ///< it or gets it otherwise.
   std::map<state::VmId, std::string> plains_; ///< Entries of all plain
                                               ///< instances.
   bool operator==(const StoreNews&) const = default;
@@ -84,6 +84,9 @@
   state::Duration refreshPeriod_ =
     std::chrono::seconds(14); ///< While others are heard: between two readings
                               ///< of all changes.
+  std::size_t largeConfigBytes_ =
+    std::size_t{ 64 } * 1024; ///< Size of a configuration from which on its
+                              ///< versions are not read with other changes.
   state::Duration peerPatience_{}; ///< How long news may come from a peer
                                    ///< before the store is asked for them.
   state::Duration returnGrace_ = std::chrono::milliseconds(
@@ -100,6 +103,12 @@
 public:
   using ConfigHandler = std::function<void(
     const state::RoutingConfigPtr&)>; ///< Takes a newer configuration.
+  using ReplacedHandler =
+    std::function<void(state::Generation,
+                       const std::string&,
+                       state::Generation,
+                       const std::string&)>; ///< Takes the old version with its
+                                             ///< text, and the new one.
   using InstanceHandler = std::function<void(
     const state::InstanceMapPtr&)>; ///< Takes changed instances.
   using KeyHandler =
@@ -126,6 +135,11 @@
   {
     configHandler_ = std::move(aHandler);
   }
+  /** @param aHandler Called before a newer configuration replaces another. */
+  void onReplaced(ReplacedHandler aHandler)
+  {
+    replacedHandler_ = std::move(aHandler);
+  }
   /** @param aHandler Called when instances have changed. */
   void onInstances(InstanceHandler aHandler)
   {
@@ -144,19 +158,15 @@
   /** @return Revision of the newest change that others announced. */
   state::Revision othersNewsAt() const { return othersNewsAt_; }
   /** @return Whether others have announced news that this follower lacks. */
-  bool lacksNews() const
-  {
-    return listed_ && std::max(at_, toldAt_) < othersNewsAt_;
-  }
-  /**
-   * @param aKnown Version of the configuration that the reader has.
-   * @return What another follower must know; nothing while the store does not
-   * answer.
-   */
-  std::optional<StoreNews> news(state::Generation aKnown) const;
+  bool lacksNews() const { return listed_ && knownAt() < othersNewsAt_; }
+  /** @return What another follower must know beside the configuration; nothing
+   * while the store does not answer. */
+  std::optional<StoreNews> news() const;
+  /** @return Newest revision for which this follower has the news. */
+  state::Revision knownAt() const { return std::max(newsReadAt_, toldAt_); }
   /**
    * Takes news from a peer that follows the store. Older ones than those known
-   * change nothing.
+   * change nothing; before the first list only the configuration is taken.
    * @param aNews The news.
    */
   void offerNews(const StoreNews& aNews);
@@ -193,6 +203,12 @@
   void takeList(const ListReply& aReply);
   void applyList(const ListReply& aReply);
   void takeChanges(const WatchReply& aReply);
+  bool readsApart() const;
+  void readInstances();
+  void readOwnKeys(state::Revision aInstancesAt);
+  void readConfig(state::Revision aAt);
+  void takeNewestConfig(const StoreReply& aReply, state::Revision aAt);
+  bool takePart(const WatchReply& aReply);
   void answered();
   void failed(std::string_view aCall);
   bool mustCall() const;
@@ -217,6 +233,7 @@
   state::EventLog& log_;            ///< Log.
   FollowerSettings settings_;       ///< Settings.
   ConfigHandler configHandler_;     ///< Takes configurations.
+  ReplacedHandler replacedHandler_; ///< Takes replaced configurations.
   InstanceHandler instanceHandler_; ///< Takes instances.
   KeyHandler keyHandler_;           ///< Takes own keys.
   state::RoutingConfigPtr config_;  ///< Newest configuration.
@@ -248,6 +265,8 @@
     plains_;                       ///< Entries of the plain instances.
   state::Revision newsAt_;         ///< Newest change that all must read.
   state::Revision at_;             ///< Revision from which the watch goes on.
+  state::Revision newsReadAt_;     ///< Revision up to which the store was read
+                                   ///< with the configuration.
   state::TimePoint nextCall_{};    ///< When to call next.
   state::Duration failurePause_{}; ///< Pause after the newest failure.
   state::TimePoint answeredAt_{};  ///< Newest answer of the store.
--- a/src/protocol/config_exchange.cpp
+++ b/src/protocol/config_exchange.cpp
@@ -2,11 +2,10 @@
 
 #include "protocol/config_exchange.h"
 
-#include "protocol/datagram_func.h"
+#include "protocol/text_patch.h"
 #include "state/endpoint_func.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <utility>
 
 namespace auburnhaven::protocol {
@@ -14,53 +13,23 @@
 namespace {
 
 constexpr std::string_view kPart = "news"; ///< Part of the program in logs.
-constexpr std::chrono::milliseconds kAskPeriod{ 400 }; ///< Between questions.
-constexpr char kQuestion = 'q'; ///< First byte: the version known follows.
-constexpr char kAnswer = 'a';   ///< First byte: the configuration follows.
-constexpr std::chrono::milliseconds kAskNewsPeriod{ 200 }; ///< The same for
-                                                           ///< news.
+constexpr std::chrono::milliseconds kAskPeriod{
+  400
+}; ///< Between questions to any daemon.
+constexpr std::chrono::milliseconds kAskNewsPeriod{
+  200
+}; ///< Between questions for news that were announced.
+constexpr std::chrono::milliseconds kAnswerPatience{
+  500
+}; ///< Wait for an answer before another daemon is asked.
 constexpr std::chrono::milliseconds kTellerSilence{
   1000
 }; ///< Silence after which a coordinator is not asked for news.
 constexpr std::chrono::milliseconds kTellAgain{
   1000
 }; ///< Pause before a peer is told the same news again.
-constexpr char kNewsQuestion = 'n'; ///< First byte: the version known follows.
-constexpr char kNews = 'm';         ///< First byte: news follow.
-constexpr std::size_t kNewsFrame =
-  16UL * 1024; ///< Bound of what news have beside their texts.
-
-/** @return Message with news; empty when it would be too large. */
-std::string
-encodeNews(const coordination::StoreNews& aNews)
-{
-  std::size_t bytes = aNews.config_.size() + kNewsFrame;
-  nlohmann::json plains = nlohmann::json::array();
-  for (const auto& [vm, text] : aNews.plains_) {
-    bytes += vm.value().size() + text.size();
-    plains.push_back({ vm.value(), text });
-  }
-  return bytes >= kMaxPeerMessageBytes
-           ? std::string()
-           : kNews + encodeDatagram(
-                       { aNews.at_.value(), aNews.config_, std::move(plains) });
-}
-
-/** @return The news of a message, or nothing when it has none. */
-std::optional<coordination::StoreNews>
-decodeNews(const std::string& aContent)
-{
-  return decodeDatagram(aContent, [](const nlohmann::json& aMessage) {
-    coordination::StoreNews news;
-    news.at_ = state::Revision(aMessage.at(0).get<std::uint64_t>());
-    news.config_ = aMessage.at(1).get<std::string>();
-    for (const nlohmann::json& plain : aMessage.at(2)) {
-      news.plains_[state::VmId(plain.at(0).get<std::string>())] =
-        plain.at(1).get<std::string>();
-    }
-    return news;
-  });
-}
+constexpr std::size_t kMaxConfigBytes =
+  std::size_t{ 4 } * 1024 * 1024; ///< Largest configuration that is taken.
 
 } // namespace
 
@@ -81,6 +50,12 @@
     [this](const state::Endpoint& aFrom, const std::string& aMessage) {
       receive(aFrom, aMessage);
     });
+  follower_.onReplaced([this](state::Generation aFrom,
+                              const std::string& aOld,
+                              state::Generation aTo,
+                              const std::string& aNew) {
+    patches_.replaced(aFrom, aOld, aTo, aNew);
+  });
 }
 
 void
@@ -95,27 +70,45 @@
 void
 ConfigExchange::tick()
 {
-  askForNews();
-  const bool due = follower_.hasOutage() && clock_.now() >= askAt_;
-  if (!due || peers_.empty()) {
+  const state::TimePoint now = clock_.now();
+  if (asked_ && now - askedAt_ < kAnswerPatience) {
     return;
   }
-  askAt_ = clock_.now() + kAskPeriod;
-  links_.send(peers_[random_() % peers_.size()],
-              kQuestion + std::to_string(version()));
+  if (asked_) {
+    silent_ = std::exchange(asked_, std::nullopt);
+  }
+  if (now < askAt_) {
+    return;
+  }
+  if (const auto peer = choosePeer()) {
+    ask(*peer);
+  }
 }
 
-void
-ConfigExchange::askForNews()
+std::optional<state::Endpoint>
+ConfigExchange::choosePeer()
 {
-  if (!follower_.lacksNews() || clock_.now() < askNewsAt_) {
-    return;
+  if (follower_.lacksNews()) {
+    if (const auto teller = chooseTeller()) {
+      askAt_ = clock_.now() + kAskNewsPeriod;
+      return teller;
+    }
   }
-  askNewsAt_ = clock_.now() + kAskNewsPeriod;
-  if (const auto teller = chooseTeller()) {
-    noteMessage("news asked", *teller, 0);
-    links_.send(*teller, kNewsQuestion + std::to_string(version()));
+  if (!follower_.hasOutage() || peers_.empty()) {
+    return std::nullopt;
   }
+  askAt_ = clock_.now() + kAskPeriod;
+  return peers_[random_() % peers_.size()];
+}
+
+void
+ConfigExchange::ask(const state::Endpoint& aPeer)
+{
+  asked_ = aPeer;
+  askedAt_ = clock_.now();
+  noteMessage("news asked", aPeer, 0);
+  const state::Generation known = wantsWhole_ ? state::Generation() : version();
+  links_.send(aPeer, encodeNewsQuestion({ known, follower_.knownAt() }));
 }
 
 void
@@ -130,7 +123,7 @@
     aEvent,
     { state::logField("peer", std::string_view(peer)),
       state::logField("bytes", aBytes),
-      state::logField("version", version()),
+      state::logField("version", version().value()),
       state::logField("announced", follower_.othersNewsAt().value()) });
 }
 
@@ -157,7 +150,7 @@
     if (teller.newsAt_ < follower_.othersNewsAt()) {
       continue;
     }
-    if (teller.isOwn_) {
+    if (teller.isOwn_ && peer != silent_) {
       return peer;
     }
     able.push_back(peer);
@@ -166,14 +159,30 @@
                       : std::optional(able[random_() % able.size()]);
 }
 
-std::uint64_t
+state::Generation
 ConfigExchange::version() const
 {
-  return follower_.config() ? follower_.config()->version_.value() : 0;
+  return follower_.config() ? follower_.config()->version_
+                            : state::Generation();
+}
+
+void
+ConfigExchange::receive(const state::Endpoint& aFrom,
+                        const std::string& aMessage)
+{
+  if (const auto question = decodeNewsQuestion(aMessage)) {
+    answer(aFrom, *question);
+  } else if (const auto news = decodeNewsAnswer(aMessage)) {
+    noteMessage("news taken", aFrom, aMessage.size());
+    asked_.reset();
+    silent_.reset();
+    takeNews(*news);
+  }
 }
 
 void
-ConfigExchange::answerNews(const state::Endpoint& aFrom, std::uint64_t aKnown)
+ConfigExchange::answer(const state::Endpoint& aFrom,
+                       const NewsQuestion& aQuestion)
 {
   const state::TimePoint now = clock_.now();
   std::erase_if(told_, [&](const auto& aEntry) {
@@ -185,43 +194,68 @@
   if (told != told_.end() && told->second.newsAt_ == follower_.newsAt()) {
     return;
   }
-  const auto news = follower_.news(state::Generation(aKnown));
-  std::string message = news ? encodeNews(*news) : std::string();
-  if (!message.empty()) {
-    told_[aFrom] = { follower_.newsAt(), now };
-    noteMessage("news told", aFrom, message.size());
-    links_.send(aFrom, std::move(message));
+  const auto news = follower_.news();
+  const bool hasNewer = version() > aQuestion.version_;
+  if (!hasNewer && !(news && news->at_ > aQuestion.at_)) {
+    return;
   }
+  NewsAnswer answer;
+  answer.version_ = version();
+  if (hasNewer) {
+    answer.way_ =
+      patches_.wayFrom(aQuestion.version_, version(), follower_.configText());
+  }
+  if (news) {
+    answer.at_ = news->at_;
+    answer.plains_ = news->plains_;
+  }
+  told_[aFrom] = { follower_.newsAt(), now };
+  std::string message = encodeNewsAnswer(answer);
+  noteMessage("news told", aFrom, message.size());
+  links_.send(aFrom, std::move(message));
 }
 
-void
-ConfigExchange::receive(const state::Endpoint& aFrom,
-                        const std::string& aMessage)
+std::optional<std::string>
+ConfigExchange::follow(const NewsAnswer& aAnswer)
 {
-  if (aMessage.empty()) {
-    return;
-  }
-  const std::string content = aMessage.substr(1);
-  if (aMessage.front() == kAnswer) {
-    follower_.offerConfig(content);
-    return;
-  }
-  if (aMessage.front() == kNews) {
-    noteMessage("news taken", aFrom, aMessage.size());
-    if (const auto news = decodeNews(content)) {
-      follower_.offerNews(*news);
+  const bool fromNothing = aAnswer.way_.from_ == state::Generation();
+  std::optional<std::string> text =
+    fromNothing ? std::string() : follower_.configText();
+  for (const std::string& patch : aAnswer.way_.patches_) {
+    if (text) {
+      text = applyPatch(*text, patch, kMaxConfigBytes);
     }
-    return;
   }
-  const std::uint64_t known = std::strtoull(content.c_str(), nullptr, 10);
-  if (aMessage.front() == kNewsQuestion) {
-    answerNews(aFrom, known);
-    return;
+  return text;
+}
+
+void
+ConfigExchange::takeNews(const NewsAnswer& aAnswer)
+{
+  std::string text;
+  if (aAnswer.version_ > version()) {
+    const bool fits = aAnswer.way_.from_ == state::Generation() ||
+                      aAnswer.way_.from_ == version();
+    if (!fits) {
+      // The own version has changed since the question.
+      return;
+    }
+    const std::optional<std::string> newer = follow(aAnswer);
+    wantsWhole_ = !newer || newer->empty();
+    if (wantsWhole_) {
+      log_.write(state::LogWeight::kChange,
+                 kPart,
+                 "patches do not fit",
+                 { state::logField("from", aAnswer.way_.from_.value()),
+                   state::logField("to", aAnswer.version_.value()) });
+      return;
+    }
+    text = *newer;
   }
-  const bool newer = version() > known;
-  const bool fits = follower_.configText().size() < kMaxPeerMessageBytes;
-  if (aMessage.front() == kQuestion && newer && fits) {
-    links_.send(aFrom, kAnswer + follower_.configText());
+  if (aAnswer.at_ != state::Revision()) {
+    follower_.offerNews({ aAnswer.at_, text, aAnswer.plains_ });
+  } else if (!text.empty()) {
+    follower_.offerConfig(text);
   }
 }
 
--- a/src/protocol/config_exchange.h
+++ b/src/protocol/config_exchange.h
@@ -3,6 +3,7 @@
 
 #include "coordination/routing/store_follower.h"
 #include "protocol/byte_links_port.h"
+#include "protocol/news_codec.h"
 
 #include <map>
 #include <optional>
@@ -13,10 +14,11 @@
 namespace auburnhaven::protocol {
 
 /**
- * Asks other daemons for a newer configuration while the store is silent, and
- * the coordinator of the zone for news that it has announced, so that the store
- * need not tell each daemon all changes of all engines. Answers such questions.
- * Control thread only.
+ * Asks the coordinator of the zone for news that it has announced, so that the
+ * store need not tell each daemon all changes of all engines, and any daemon
+ * while the store is silent. Has one question under way at a time. Answers such
+ * questions with what has changed since the asker's version. Control thread
+ * only.
  */
 class ConfigExchange
 {
@@ -69,13 +71,16 @@
     state::TimePoint toldAt_{}; ///< When.
   };
 
-  void askForNews();
+  void ask(const state::Endpoint& aPeer);
+  std::optional<state::Endpoint> choosePeer();
+  void takeNews(const NewsAnswer& aAnswer);
+  std::optional<std::string> follow(const NewsAnswer& aAnswer);
   void noteMessage(std::string_view aEvent,
                    const state::Endpoint& aPeer,
                    std::size_t aBytes);
-  void answerNews(const state::Endpoint& aFrom, std::uint64_t aKnown);
+  void answer(const state::Endpoint& aFrom, const NewsQuestion& aQuestion);
   std::optional<state::Endpoint> chooseTeller();
-  std::uint64_t version() const;
+  state::Generation version() const;
 
   const state::Clock& clock_;                 ///< Clock.
   ByteLinks& links_;                          ///< Links to other daemons.
@@ -86,8 +91,12 @@
   std::vector<state::Endpoint> peers_;        ///< Daemons that may be asked.
   state::TimePoint askAt_{};                  ///< When to ask next.
   std::map<state::Endpoint, Teller> tellers_; ///< Coordinators heard of late.
-  state::TimePoint askNewsAt_{};              ///< When to ask for them next.
-  std::map<state::Endpoint, Told> told_;      ///< News told of late, by peer.
+  std::optional<state::Endpoint> asked_;  ///< Who was asked and is to answer.
+  state::TimePoint askedAt_{};            ///< When.
+  std::optional<state::Endpoint> silent_; ///< Who did not answer, of late.
+  bool wantsWhole_ = false; ///< Whether the last patches did not fit.
+  std::map<state::Endpoint, Told> told_; ///< News told of late, by peer.
+  ConfigPatches patches_;                ///< What changed of late.
 };
 
 } // namespace auburnhaven::protocol
--- /dev/null
+++ b/src/protocol/news_codec.cpp
@@ -0,0 +1,101 @@
+// Bytes of questions for news of the store, and of their answers.
+
+#include "protocol/news_codec.h"
+
+#include "protocol/datagram_func.h"
+
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+namespace auburnhaven::protocol {
+
+namespace {
+
+constexpr char kQuestion = 'n'; ///< First byte of a question.
+constexpr char kAnswer = 'm';   ///< First byte of an answer.
+
+using Bytes = std::vector<std::uint8_t>; ///< Bytes as the library has them.
+
+nlohmann::json
+encodePatches(const std::vector<std::string>& aPatches)
+{
+  nlohmann::json patches = nlohmann::json::array();
+  for (const std::string& patch : aPatches) {
+    patches.push_back(
+      nlohmann::json::binary(Bytes(patch.begin(), patch.end())));
+  }
+  return patches;
+}
+
+std::vector<std::string>
+decodePatches(const nlohmann::json& aPatches)
+{
+  std::vector<std::string> patches;
+  for (const nlohmann::json& patch : aPatches) {
+    const Bytes& bytes = patch.get_binary();
+    patches.emplace_back(bytes.begin(), bytes.end());
+  }
+  return patches;
+}
+
+NewsAnswer
+readAnswer(const nlohmann::json& aMessage)
+{
+  NewsAnswer answer;
+  answer.version_ = state::Generation(aMessage.at(0).get<std::uint64_t>());
+  answer.way_.from_ = state::Generation(aMessage.at(1).get<std::uint64_t>());
+  answer.way_.patches_ = decodePatches(aMessage.at(2));
+  answer.at_ = state::Revision(aMessage.at(3).get<std::uint64_t>());
+  for (const nlohmann::json& plain : aMessage.at(4)) {
+    answer.plains_[state::VmId(plain.at(0).get<std::string>())] =
+      plain.at(1).get<std::string>();
+  }
+  return answer;
+}
+
+} // namespace
+
+std::string
+encodeNewsQuestion(const NewsQuestion& aQuestion)
+{
+  return kQuestion +
+         encodeDatagram({ aQuestion.version_.value(), aQuestion.at_.value() });
+}
+
+std::optional<NewsQuestion>
+decodeNewsQuestion(const std::string& aMessage)
+{
+  if (aMessage.empty() || aMessage.front() != kQuestion) {
+    return std::nullopt;
+  }
+  return decodeDatagram(aMessage.substr(1), [](const nlohmann::json& aContent) {
+    return NewsQuestion{ state::Generation(aContent.at(0).get<std::uint64_t>()),
+                         state::Revision(aContent.at(1).get<std::uint64_t>()) };
+  });
+}
+
+std::string
+encodeNewsAnswer(const NewsAnswer& aAnswer)
+{
+  nlohmann::json plains = nlohmann::json::array();
+  for (const auto& [vm, text] : aAnswer.plains_) {
+    plains.push_back({ vm.value(), text });
+  }
+  return kAnswer + encodeDatagram({ aAnswer.version_.value(),
+                                    aAnswer.way_.from_.value(),
+                                    encodePatches(aAnswer.way_.patches_),
+                                    aAnswer.at_.value(),
+                                    std::move(plains) });
+}
+
+std::optional<NewsAnswer>
+decodeNewsAnswer(const std::string& aMessage)
+{
+  if (aMessage.empty() || aMessage.front() != kAnswer) {
+    return std::nullopt;
+  }
+  return decodeDatagram(aMessage.substr(1), readAnswer);
+}
+
+} // namespace auburnhaven::protocol
--- a/src/transport/service_caller.cpp
+++ b/src/transport/service_caller.cpp
@@ -14,10 +14,32 @@
 
 namespace {
 
-constexpr std::size_t kMaxAnswerBytes =
-  std::size_t{ 4 } * 1024 * 1024;                  ///< Largest answer taken.
 constexpr std::uint32_t kServiceUnavailable = 503; ///< Certainly not done.
 
+/** Aborts a call when a time has passed. */
+void
+abortAfter(asio::steady_timer& aTimer,
+           state::Duration aTime,
+           const std::shared_ptr<HttpAborter>& aAborter)
+{
+  aTimer.expires_after(aTime);
+  aTimer.async_wait([aAborter](const boost::system::error_code& aError) {
+    if (!aError) {
+      aAborter->abort();
+    }
+  });
+}
+
+/** @return Whether an answer says that its body is larger than a limit. */
+bool
+announcesMoreThan(const HttpCall& aCall, std::size_t aLimit)
+{
+  const std::string_view text = aCall.header("Content-Length");
+  std::size_t length = 0;
+  std::from_chars(text.data(), text.data() + text.size(), length);
+  return length > aLimit;
+}
+
 } // namespace
 
 ServiceCaller::ServiceCaller(asio::io_context& aContext, HttpClient& aClient)
@@ -48,25 +70,28 @@
                     const asio::yield_context& aYield)
 {
   const auto aborter = std::make_shared<HttpAborter>();
-  asio::steady_timer deadline(context_, aCall.timeout_);
-  deadline.async_wait([aborter](const boost::system::error_code& aError) {
-    if (!aError) {
-      aborter->abort();
-    }
-  });
+  asio::steady_timer deadline(context_);
+  abortAfter(deadline, aCall.timeout_, aborter);
   const auto limit =
     std::chrono::ceil<std::chrono::milliseconds>(aCall.timeout_);
   HttpCall call = client_.open(
     aEndpoint, aCall.request_, { limit, limit, limit }, aYield, aborter.get());
   if (!call.hasResponse()) {
-    return { 0, {}, call.failure().bytesMayHaveArrived_, 0 };
+    return { 0, {}, call.failure().bytesMayHaveArrived_, 0, false };
   }
-  HttpBody body = call.readAll(kMaxAnswerBytes, aYield);
-  if (body.status_ != HttpReadStatus::kEnd) {
-    return { 0, {}, true, body.data_.size() };
+  if (announcesMoreThan(call, aCall.maxBytes_)) {
+    return { 0, {}, true, 0, true };
+  }
+  if (aCall.transferTimeout_.count() > 0) {
+    abortAfter(deadline, aCall.transferTimeout_, aborter);
   }
+  HttpBody body = call.readAll(aCall.maxBytes_, aYield);
   const std::size_t received = body.data_.size();
-  return { call.status(), std::move(body.data_), true, received };
+  if (body.status_ != HttpReadStatus::kEnd) {
+    const bool tooLarge = body.status_ == HttpReadStatus::kTooLong;
+    return { 0, {}, true, received, tooLarge };
+  }
+  return { call.status(), std::move(body.data_), true, received, false };
 }
 
 ServiceAnswer
--- a/src/transport/service_caller.h
+++ b/src/transport/service_caller.h
@@ -24,6 +24,7 @@
   bool mayHaveRun_ = false;  ///< Whether the service could have got any of it.
   std::size_t received_ = 0; ///< Bytes of the body that came, also when the
                              ///< rest did not.
+  bool tooLarge_ = false;    ///< Whether it was not read because of its size.
   bool operator==(const ServiceAnswer&) const = default;
 };
 
@@ -31,8 +32,14 @@
 struct ServiceCall
 {
   HttpClientRequest request_; ///< The request.
-  state::Duration timeout_{}; ///< Longest wait for the whole answer.
+  state::Duration timeout_{}; ///< Longest wait for the answer to begin, and for
+                              ///< each further piece of it.
   bool repeatable_ = false;   ///< Whether it may be sent twice.
+  state::Duration transferTimeout_{}; ///< Longest time for the rest of an
+                                      ///< answer that has begun; zero to bound
+                                      ///< the whole answer by timeout_.
+  std::size_t maxBytes_ =
+    std::size_t{ 4 } * 1024 * 1024; ///< Largest body that is read.
   bool operator==(const ServiceCall&) const = default;
 };
 
--- a/tests/protocol/zone_digest_test.cpp
+++ b/tests/protocol/zone_digest_test.cpp
@@ -184,7 +184,7 @@
         clock.advance(50ms);
         store.step();
         leader.tick();
-        askerLinks.send(leaderAt, "n0");
+        askerLinks.send(leaderAt, protocol::encodeNewsQuestion({}));
         network.step();
       }
     };
