Fill at most a quarter of the own link with news, and name who has been told

Large answers take from a rate of a quarter of the link; beyond it the asker is referred to a daemon that was told at least 150 ms ago, so that those who can tell double. The link's bandwidth is a setting (link_mbps). The new test (ConfigSpreadTest coordinatorKeepsItsOwnSmallLinkFree) failed with a share beyond the link's, and passes.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -57,6 +57,7 @@
   0.6; ///< Part of its extra sends of a window that a daemon may save up; the
        ///< rest comes with time.
 constexpr std::uint32_t kPermille = 1000;     ///< Thousandths.
+constexpr double kBytesPerMegabit = 125'000;  ///< Bytes in a megabit.
 constexpr char kOwnPrefix[] = "auburnhaven/"; ///< Of the daemons' keys.
 constexpr char kDutyPrefix[] = "auburnhaven/coordinator/"; ///< Of the duties.
 constexpr char kDaemonPrefix[] = "auburnhaven/daemon/"; ///< Of registrations.
@@ -214,8 +215,9 @@
               links_,
               follower_,
               log_,
-              settings_.listeners_.peers_,
-              seed_)
+              { settings_.listeners_.peers_,
+                seed_,
+                settings_.linkMbps_ * kBytesPerMegabit })
   , traffic_(1)
   , targets_(clock_,
              poolSettings(settings_),
--- a/src/app/relay_settings_file.cpp
+++ b/src/app/relay_settings_file.cpp
@@ -17,6 +17,7 @@
 constexpr FieldRange kRatio{ 0, 10 };             ///< Repeated sends a request.
 constexpr FieldRange kProcessor{ 0, 1024 };       ///< Cores.
 constexpr FieldRange kCount{ 0, 1000000 };        ///< Repeated sends.
+constexpr FieldRange kBandwidth{ 1, 1000000 };    ///< Megabits a second.
 
 constexpr auto kRequired = FieldNeed::kRequired;
 constexpr auto kOptional = FieldNeed::kOptional;
@@ -114,6 +115,11 @@
                                                kProcessor,
                                                "part of a core that the daemon "
                                                "has"),
+  field<&RelayDaemonSettings::linkMbps_>("link_mbps",
+                                         kOptional,
+                                         kBandwidth,
+                                         "bandwidth of the VM's link, in "
+                                         "megabits a second"),
   field<&RelayDaemonSettings::firstStart_>(
     "first_start",
     kOptional,
--- a/src/app/relay_settings_type.h
+++ b/src/app/relay_settings_type.h
@@ -57,6 +57,7 @@
   std::chrono::milliseconds balancerLag_{
     2200
   }; ///< How long callers still come after readiness fails.
+  double linkMbps_ = 200; ///< Bandwidth of the VM's link, in megabits a second.
   RelayRetryLimits retries_; ///< Limit of repeated sends.
   bool operator==(const RelayDaemonSettings&) const = default;
 };
--- a/src/protocol/config_exchange.cpp
+++ b/src/protocol/config_exchange.cpp
@@ -28,6 +28,15 @@
 constexpr std::chrono::milliseconds kTellAgain{
   1000
 }; ///< Pause before a peer is told the same news again.
+constexpr double kTellShare =
+  0.25; ///< Part of the link that large answers may fill.
+constexpr double kTellBurstSeconds =
+  0.2; ///< Time for which they may fill it at once.
+constexpr std::size_t kSmallAnswer =
+  std::size_t{ 4 } * 1024; ///< Answers up to this size are always given.
+constexpr std::chrono::milliseconds kToldFor{
+  150
+}; ///< After which who was told can tell others.
 constexpr std::size_t kMaxConfigBytes =
   std::size_t{ 4 } * 1024 * 1024; ///< Largest configuration that is taken.
 
@@ -37,14 +46,16 @@
                                ByteLinks& aLinks,
                                coordination::StoreFollower& aFollower,
                                state::EventLog& aLog,
-                               state::Endpoint aSelf,
-                               std::uint64_t aSeed)
+                               ConfigExchangeSettings aSettings)
   : clock_(aClock)
   , links_(aLinks)
   , follower_(aFollower)
   , log_(aLog)
-  , self_(std::move(aSelf))
-  , random_(aSeed)
+  , settings_(std::move(aSettings))
+  , random_(settings_.seed_)
+  , tellLimit_(aClock,
+               settings_.linkBytesPerSecond_ * kTellShare,
+               settings_.linkBytesPerSecond_ * kTellShare * kTellBurstSeconds)
 {
   links_.onMessage(
     [this](const state::Endpoint& aFrom, const std::string& aMessage) {
@@ -61,7 +72,7 @@
 void
 ConfigExchange::setPeers(std::vector<state::Endpoint> aPeers)
 {
-  std::erase(aPeers, self_);
+  std::erase(aPeers, settings_.self_);
   std::sort(aPeers.begin(), aPeers.end());
   aPeers.erase(std::unique(aPeers.begin(), aPeers.end()), aPeers.end());
   peers_ = std::move(aPeers);
@@ -81,6 +92,7 @@
     return;
   }
   if (const auto peer = choosePeer()) {
+    isReferred_ = false;
     ask(*peer);
   }
 }
@@ -132,7 +144,7 @@
                                 state::Revision aNewsAt,
                                 bool aIsOwn)
 {
-  if (aPeer != self_) {
+  if (aPeer != settings_.self_) {
     tellers_[aPeer] = { aNewsAt, aIsOwn, clock_.now() };
   }
 }
@@ -172,6 +184,8 @@
 {
   if (const auto question = decodeNewsQuestion(aMessage)) {
     answer(aFrom, *question);
+  } else if (const auto referral = decodeNewsReferral(aMessage)) {
+    takeReferral(aFrom, *referral);
   } else if (const auto news = decodeNewsAnswer(aMessage)) {
     noteMessage("news taken", aFrom, aMessage.size());
     asked_.reset();
@@ -197,6 +211,7 @@
   const auto news = follower_.news();
   const bool hasNewer = version() > aQuestion.version_;
   if (!hasNewer && !(news && news->at_ > aQuestion.at_)) {
+    links_.send(aFrom, encodeNewsReferral({}));
     return;
   }
   NewsAnswer answer;
@@ -209,12 +224,52 @@
     answer.at_ = news->at_;
     answer.plains_ = news->plains_;
   }
-  told_[aFrom] = { follower_.newsAt(), now };
   std::string message = encodeNewsAnswer(answer);
+  if (message.size() > kSmallAnswer &&
+      !tellLimit_.takeMany(static_cast<double>(message.size()))) {
+    refer(aFrom);
+    return;
+  }
+  told_[aFrom] = { follower_.newsAt(), now };
   noteMessage("news told", aFrom, message.size());
   links_.send(aFrom, std::move(message));
 }
 
+void
+ConfigExchange::refer(const state::Endpoint& aFrom)
+{
+  std::vector<state::Endpoint> able;
+  for (const auto& [peer, told] : told_) {
+    const bool hasNews = told.newsAt_ == follower_.newsAt() &&
+                         clock_.now() - told.toldAt_ >= kToldFor;
+    if (hasNews) {
+      able.push_back(peer);
+    }
+  }
+  NewsReferral referral;
+  if (!able.empty()) {
+    referral.peer_ = able[random_() % able.size()];
+  }
+  links_.send(aFrom, encodeNewsReferral(referral));
+}
+
+void
+ConfigExchange::takeReferral(const state::Endpoint& aFrom,
+                             const NewsReferral& aReferral)
+{
+  if (asked_ != aFrom) {
+    return;
+  }
+  asked_.reset();
+  silent_ = aFrom;
+  // One that was named by another and names a third is not worth the chase.
+  const bool follows = aReferral.peer_.port_ != 0 && !isReferred_;
+  if (follows) {
+    ask(aReferral.peer_);
+  }
+  isReferred_ = follows;
+}
+
 std::optional<std::string>
 ConfigExchange::follow(const NewsAnswer& aAnswer)
 {
--- a/src/protocol/config_exchange.h
+++ b/src/protocol/config_exchange.h
@@ -4,6 +4,7 @@
 #include "coordination/routing/store_follower.h"
 #include "protocol/byte_links_port.h"
 #include "protocol/news_codec.h"
+#include "state/rate_limiter.h"
 
 #include <map>
 #include <optional>
@@ -13,11 +14,22 @@
 
 namespace auburnhaven::protocol {
 
+/** Settings of the exchange. */
+struct ConfigExchangeSettings
+{
+  state::Endpoint self_;   ///< Where this daemon listens for peers.
+  std::uint64_t seed_ = 0; ///< Seed of the random numbers.
+  double linkBytesPerSecond_ =
+    25e6; ///< What the link of this VM carries; a part of it is used to tell.
+  bool operator==(const ConfigExchangeSettings&) const = default;
+};
+
 /**
  * Asks the coordinator of the zone for news that it has announced, so that the
  * store need not tell each daemon all changes of all engines, and any daemon
  * while the store is silent. Has one question under way at a time. Answers such
- * questions with what has changed since the asker's version. Control thread
+ * questions with what has changed since the asker's version; when that would
+ * fill the own link, names another daemon that has been told. Control thread
  * only.
  */
 class ConfigExchange
@@ -28,15 +40,13 @@
    * @param aLinks Links to other daemons; outlive this object.
    * @param aFollower Has the configuration; outlives this object.
    * @param aLog Log; outlives this object.
-   * @param aSelf Where this daemon listens for peers.
-   * @param aSeed Seed of the random numbers.
+   * @param aSettings Settings.
    */
   ConfigExchange(const state::Clock& aClock,
                  ByteLinks& aLinks,
                  coordination::StoreFollower& aFollower,
                  state::EventLog& aLog,
-                 state::Endpoint aSelf,
-                 std::uint64_t aSeed);
+                 ConfigExchangeSettings aSettings);
   ConfigExchange(const ConfigExchange&) = delete;
   ConfigExchange& operator=(const ConfigExchange&) = delete;
 
@@ -79,6 +89,9 @@
                    const state::Endpoint& aPeer,
                    std::size_t aBytes);
   void answer(const state::Endpoint& aFrom, const NewsQuestion& aQuestion);
+  void refer(const state::Endpoint& aFrom);
+  void takeReferral(const state::Endpoint& aFrom,
+                    const NewsReferral& aReferral);
   std::optional<state::Endpoint> chooseTeller();
   state::Generation version() const;
 
@@ -86,7 +99,7 @@
   ByteLinks& links_;                          ///< Links to other daemons.
   coordination::StoreFollower& follower_;     ///< Has the configuration.
   state::EventLog& log_;                      ///< Log.
-  state::Endpoint self_;                      ///< Where this daemon listens.
+  ConfigExchangeSettings settings_;           ///< Settings.
   std::mt19937_64 random_;                    ///< Choice of peers.
   std::vector<state::Endpoint> peers_;        ///< Daemons that may be asked.
   state::TimePoint askAt_{};                  ///< When to ask next.
@@ -94,9 +107,11 @@
   std::optional<state::Endpoint> asked_;  ///< Who was asked and is to answer.
   state::TimePoint askedAt_{};            ///< When.
   std::optional<state::Endpoint> silent_; ///< Who did not answer, of late.
+  bool isReferred_ = false; ///< Whether another daemon named who was asked.
   bool wantsWhole_ = false; ///< Whether the last patches did not fit.
   std::map<state::Endpoint, Told> told_; ///< News told of late, by peer.
   ConfigPatches patches_;                ///< What changed of late.
+  state::RateLimiter tellLimit_;         ///< Bytes of large answers.
 };
 
 } // namespace auburnhaven::protocol
--- a/src/protocol/news_codec.cpp
+++ b/src/protocol/news_codec.cpp
@@ -14,9 +14,29 @@
 
 constexpr char kQuestion = 'n'; ///< First byte of a question.
 constexpr char kAnswer = 'm';   ///< First byte of an answer.
+constexpr char kReferral = 'r'; ///< First byte of a referral.
 
 using Bytes = std::vector<std::uint8_t>; ///< Bytes as the library has them.
 
+/** @return What a message of a kind says, or nothing. */
+template<class Read>
+auto
+decodeAs(const std::string& aMessage, char aKind, Read aRead)
+  -> decltype(decodeDatagram(aMessage, aRead))
+{
+  if (aMessage.empty() || aMessage.front() != aKind) {
+    return std::nullopt;
+  }
+  return decodeDatagram(aMessage.substr(1), aRead);
+}
+
+NewsQuestion
+readQuestion(const nlohmann::json& aMessage)
+{
+  return { state::Generation(aMessage.at(0).get<std::uint64_t>()),
+           state::Revision(aMessage.at(1).get<std::uint64_t>()) };
+}
+
 nlohmann::json
 encodePatches(const std::vector<std::string>& aPatches)
 {
@@ -66,12 +86,22 @@
 std::optional<NewsQuestion>
 decodeNewsQuestion(const std::string& aMessage)
 {
-  if (aMessage.empty() || aMessage.front() != kQuestion) {
-    return std::nullopt;
-  }
-  return decodeDatagram(aMessage.substr(1), [](const nlohmann::json& aContent) {
-    return NewsQuestion{ state::Generation(aContent.at(0).get<std::uint64_t>()),
-                         state::Revision(aContent.at(1).get<std::uint64_t>()) };
+  return decodeAs(aMessage, kQuestion, readQuestion);
+}
+
+std::string
+encodeNewsReferral(const NewsReferral& aReferral)
+{
+  return kReferral +
+         encodeDatagram({ aReferral.peer_.address_, aReferral.peer_.port_ });
+}
+
+std::optional<NewsReferral>
+decodeNewsReferral(const std::string& aMessage)
+{
+  return decodeAs(aMessage, kReferral, [](const nlohmann::json& aContent) {
+    return NewsReferral{ { aContent.at(0).get<std::string>(),
+                           aContent.at(1).get<std::uint16_t>() } };
   });
 }
 
@@ -92,10 +122,7 @@
 std::optional<NewsAnswer>
 decodeNewsAnswer(const std::string& aMessage)
 {
-  if (aMessage.empty() || aMessage.front() != kAnswer) {
-    return std::nullopt;
-  }
-  return decodeDatagram(aMessage.substr(1), readAnswer);
+  return decodeAs(aMessage, kAnswer, readAnswer);
 }
 
 } // namespace auburnhaven::protocol
--- a/src/protocol/news_codec.h
+++ b/src/protocol/news_codec.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "protocol/config_patches.h"
+#include "state/endpoint_type.h"
 #include "state/id_type.h"
 
 #include <map>
@@ -29,6 +30,13 @@
   bool operator==(const NewsAnswer&) const = default;
 };
 
+/** A daemon cannot answer now, or knows nothing newer. */
+struct NewsReferral
+{
+  state::Endpoint peer_; ///< Who may know more; without a port for nobody.
+  bool operator==(const NewsReferral&) const = default;
+};
+
 /** @param aQuestion A question. @return Its bytes. Thread-safe. */
 std::string
 encodeNewsQuestion(const NewsQuestion& aQuestion);
@@ -38,6 +46,15 @@
 std::optional<NewsQuestion>
 decodeNewsQuestion(const std::string& aMessage);
 
+/** @param aReferral A referral. @return Its bytes. Thread-safe. */
+std::string
+encodeNewsReferral(const NewsReferral& aReferral);
+
+/** @param aMessage Any bytes. @return The referral, if they are one.
+ * Thread-safe. */
+std::optional<NewsReferral>
+decodeNewsReferral(const std::string& aMessage);
+
 /** @param aAnswer An answer. @return Its bytes. Thread-safe. */
 std::string
 encodeNewsAnswer(const NewsAnswer& aAnswer);
--- a/src/state/rate_limiter.h
+++ b/src/state/rate_limiter.h
@@ -48,6 +48,22 @@
     return true;
   }
 
+  /**
+   * Takes the right to do several at once, which may borrow from the time to
+   * come.
+   * @param aCount How many.
+   * @return Whether no right is owed already.
+   */
+  bool takeMany(double aCount)
+  {
+    refill();
+    if (tokens_ <= 0) {
+      return false;
+    }
+    tokens_ -= aCount;
+    return true;
+  }
+
 private:
   void refill()
   {
--- a/tests/app/relay_settings_test.cpp
+++ b/tests/app/relay_settings_test.cpp
@@ -16,6 +16,7 @@
 seed_peers = []
 peer_key = "0123456789abcdef"
 first_start = true
+link_mbps = 14.5
 [listeners]
 callers = "10.0.0.2:1"
 status = "10.0.0.2:2"
@@ -59,6 +60,7 @@
                          settings.listeners_.digests_.port_);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, settings.retries_.ratio_, 1e-9);
     CPPUNIT_ASSERT(settings.firstStart_);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(14.5, settings.linkMbps_, 1e-9);
   }
 
   void faultsNameTheirPlace()
--- a/tests/fakes/fake_thin_links.h
+++ b/tests/fakes/fake_thin_links.h
@@ -5,7 +5,6 @@
 #include "protocol/byte_links_port.h"
 
 #include <algorithm>
-#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -44,9 +43,10 @@
   {
     Link& from = links_[aFrom];
     Link& to = links_[aTo];
-    from.sentBytes_ += aMessage.size();
     from.freeAt_ =
       std::max(from.freeAt_, clock_.now()) + timeOf(from, aMessage);
+    from.longestWait_ =
+      std::max(from.longestWait_, from.freeAt_ - clock_.now());
     to.freeInAt_ = std::max(to.freeInAt_, from.freeAt_) + timeOf(to, aMessage);
     queue_.emplace(to.freeInAt_, Flight{ aFrom, aTo, std::move(aMessage) });
   }
@@ -63,10 +63,10 @@
     }
   }
 
-  /** @return Bytes that a daemon has sent. */
-  std::uint64_t sentBytes(const state::Endpoint& aFrom)
+  /** @return Longest time that a message took to leave a VM. */
+  state::Duration longestWait(const state::Endpoint& aFrom)
   {
-    return links_[aFrom].sentBytes_;
+    return links_[aFrom].longestWait_;
   }
 
 private:
@@ -74,10 +74,10 @@
   struct Link
   {
     std::chrono::duration<double, std::micro> perByte_{ 0 }; ///< Its speed.
-    state::TimePoint freeAt_{};   ///< When it has sent all.
-    state::TimePoint freeInAt_{}; ///< When it has taken all.
-    std::uint64_t sentBytes_ = 0; ///< Bytes sent.
-    Handler handler_;             ///< Takes messages.
+    state::TimePoint freeAt_{};     ///< When it has sent all.
+    state::TimePoint freeInAt_{};   ///< When it has taken all.
+    state::Duration longestWait_{}; ///< Longest time until a message had left.
+    Handler handler_;               ///< Takes messages.
   };
   /** A message under way. */
   struct Flight
--- a/tests/protocol/config_spread_test.cpp
+++ b/tests/protocol/config_spread_test.cpp
@@ -19,15 +19,17 @@
 
 namespace {
 
-constexpr std::size_t kDaemons = 33;       ///< Daemons of the zone.
-constexpr double kLeaderMbit = 50;         ///< Link of the coordinator's VM.
-constexpr double kDaemonMbit = 14;         ///< Link of each other VM.
-constexpr int kFewRoutes = 40;             ///< Routes at the start.
-constexpr int kManyRoutes = 2000;          ///< Routes that come at once.
-constexpr state::Duration kBound = 2s;     ///< From a change in the store until
-                                           ///< the last daemon has it.
-constexpr state::Duration kTick = 20ms;    ///< Step of the test.
-constexpr state::Duration kDigest = 300ms; ///< Between two announcements.
+constexpr std::size_t kDaemons = 33;      ///< Daemons of the zone.
+constexpr double kLeaderMbit = 50;        ///< Link of the coordinator's VM.
+constexpr double kDaemonMbit = 14;        ///< Link of each other VM.
+constexpr double kBytesPerMbit = 125'000; ///< Bytes in a megabit.
+constexpr int kFewRoutes = 40;            ///< Routes at the start.
+constexpr int kManyRoutes = 2000;         ///< Routes that come at once.
+constexpr state::Duration kBound = 2s;    ///< From a change in the store until
+                                          ///< the last daemon has it.
+constexpr state::Duration kCallTimeout = 600ms; ///< Of the daemons' own calls.
+constexpr state::Duration kTick = 20ms;         ///< Step of the test.
+constexpr state::Duration kDigest = 300ms;      ///< Between two announcements.
 
 /** Reads the number before the first line end as the version. */
 class TextCodec : public coordination::RoutingCodec
@@ -64,7 +66,11 @@
     : store_(aClock, aData)
     , follower_(aClock, store_, codec_, log_, settings())
     , links_(aNetwork, aAt, aMbit)
-    , exchange_(aClock, links_, follower_, log_, aAt, aAt.port_)
+    , exchange_(aClock,
+                links_,
+                follower_,
+                log_,
+                { aAt, aAt.port_, aMbit * kBytesPerMbit })
     , at_(std::move(aAt))
   {
   }
@@ -167,16 +173,19 @@
   CPPUNIT_TEST(bulkOfRoutesHoldsUpNoDaemon);
   CPPUNIT_TEST(changesInQuickSuccessionHoldUpNoDaemon);
   CPPUNIT_TEST(leavingTargetIsToldBesideBulkOfRoutes);
+  CPPUNIT_TEST(coordinatorKeepsItsOwnSmallLinkFree);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void setUp() override
+  void setUp() override { startZone(kLeaderMbit); }
+
+  void startZone(double aLeaderMbit)
   {
     data_ = std::make_shared<fakes::FakeStoreData>();
     operator_ = std::make_unique<Operator>(*data_);
     data_->put("vm/p", "plain");
     data_->put("vm/q", "plain");
-    leader_ = makeDaemon(1, kLeaderMbit);
+    leader_ = makeDaemon(1, aLeaderMbit);
     for (std::uint16_t daemon = 0; daemon < kDaemons; ++daemon) {
       daemons_.push_back(makeDaemon(daemon + 2, kDaemonMbit));
     }
@@ -232,6 +241,20 @@
     }
   }
 
+  // Its renewals, questions and acknowledgements wait behind what it tells.
+  void coordinatorKeepsItsOwnSmallLinkFree()
+  {
+    tearDown();
+    startZone(kDaemonMbit);
+    expect(operator_->addRoutes(kManyRoutes));
+    run(kBound + kTick);
+    CPPUNIT_ASSERT_EQUAL(std::string(), late_);
+    CPPUNIT_ASSERT(network_.longestWait(leader_->at_) < kCallTimeout / 2);
+    for (const auto& daemon : daemons_) {
+      CPPUNIT_ASSERT(network_.longestWait(daemon->at_) < kCallTimeout / 2);
+    }
+  }
+
 private:
   /** A version that all must have by a time. */
   struct Due
--- a/tests/protocol/zone_digest_test.cpp
+++ b/tests/protocol/zone_digest_test.cpp
@@ -139,8 +139,8 @@
     const state::Endpoint cutAt{ "c", 1 };
     fakes::FakeByteLinks goodLinks(network, goodAt);
     fakes::FakeByteLinks cutLinks(network, cutAt);
-    protocol::ConfigExchange giver(clock, goodLinks, good, log, goodAt, 1);
-    protocol::ConfigExchange asker(clock, cutLinks, cut, log, cutAt, 2);
+    protocol::ConfigExchange giver(clock, goodLinks, good, log, { goodAt, 1 });
+    protocol::ConfigExchange asker(clock, cutLinks, cut, log, { cutAt, 2 });
     asker.setPeers({ goodAt, cutAt });
     for (int step = 0; step < 150; ++step) {
       clock.advance(20ms);
@@ -175,7 +175,7 @@
     fakes::FakeByteLinks leaderLinks(network, leaderAt);
     fakes::FakeByteLinks askerLinks(network, askerAt);
     const protocol::ConfigExchange giver(
-      clock, leaderLinks, leader, log, leaderAt, 1);
+      clock, leaderLinks, leader, log, { leaderAt, 1 });
     int answers = 0;
     askerLinks.onMessage(
       [&](const state::Endpoint&, const std::string&) { ++answers; });
@@ -223,8 +223,8 @@
     fakes::FakeByteLinks leaderLinks(network, leaderAt);
     fakes::FakeByteLinks calmLinks(network, calmAt);
     protocol::ConfigExchange giver(
-      clock, leaderLinks, leader, log, leaderAt, 1);
-    protocol::ConfigExchange asker(clock, calmLinks, calm, log, calmAt, 2);
+      clock, leaderLinks, leader, log, { leaderAt, 1 });
+    protocol::ConfigExchange asker(clock, calmLinks, calm, log, { calmAt, 2 });
     bool heard = false;
     bool told = true;
     const auto run = [&](std::chrono::milliseconds aTime) {
