Read a large configuration apart from all other changes, and only once

Cause: a daemon that takes its news from a coordinator still read all changes of the store each 14 s, and when news were late: each version of the configuration since its last reading, in full. Now instances and the daemons' own keys are watched apart, and the newest configuration is read once, when peers have not told it; a version that was passed over is read before all keys are watched again.

--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -64,6 +64,8 @@
       awaitConfig();
     } else if (mustList_) {
       list();
+    } else if (readsApart()) {
+      readInstances();
     } else {
       watch();
     }
@@ -280,6 +282,7 @@
   }
   removeMissing(seen);
   at_ = aReply.at_;
+  newsReadAt_ = at_;
   if (listed_) {
     // Which keys were removed meanwhile is not known: others must read too.
     newsAt_ = std::max(newsAt_, at_);
@@ -336,6 +339,7 @@
     }
   }
   at_ = std::max(at_, aReply.at_);
+  newsReadAt_ = at_;
   if (!aReply.changes_.empty()) {
     nextCall_ =
       clock_.now() + settings_.*kPauses[static_cast<std::size_t>(pace_)];
@@ -343,6 +347,100 @@
   publish();
 }
 
+bool
+StoreFollower::readsApart() const
+{
+  if (lagging_) {
+    return false;
+  }
+  const bool isLarge = configText_.size() >= settings_.largeConfigBytes_;
+  // A watch of all keys from here on would pass over versions.
+  const bool passedOver = knownAt() < at_;
+  return passedOver || (isLarge && othersHeard_);
+}
+
+void
+StoreFollower::readInstances()
+{
+  const std::weak_ptr<bool> alive = alive_;
+  store_.watchPrefix(settings_.instancePrefix_,
+                     at_,
+                     kCatchUpTimeout,
+                     [this, alive](const WatchReply& aReply) {
+                       if (!alive.expired() && takePart(aReply)) {
+                         readOwnKeys(aReply.at_);
+                       }
+                     });
+}
+
+void
+StoreFollower::readOwnKeys(state::Revision aInstancesAt)
+{
+  const std::weak_ptr<bool> alive = alive_;
+  store_.watchPrefix(settings_.ownPrefix_,
+                     at_,
+                     kCatchUpTimeout,
+                     [this, alive, aInstancesAt](const WatchReply& aReply) {
+                       if (!alive.expired() && takePart(aReply)) {
+                         readConfig(std::min(aInstancesAt, aReply.at_));
+                       }
+                     });
+}
+
+void
+StoreFollower::readConfig(state::Revision aAt)
+{
+  at_ = std::max(at_, aAt);
+  if (othersHeard_ && !lacksNews()) {
+    underWay_ = false;
+    answered();
+    publish();
+    return;
+  }
+  const std::weak_ptr<bool> alive = alive_;
+  store_.get(settings_.configKey_,
+             StorePriority::kConfiguration,
+             [this, alive, aAt](const StoreReply& aReply) {
+               if (!alive.expired()) {
+                 takeNewestConfig(aReply, aAt);
+               }
+             });
+}
+
+void
+StoreFollower::takeNewestConfig(const StoreReply& aReply, state::Revision aAt)
+{
+  underWay_ = false;
+  publish();
+  if (aReply.status_ != StoreStatus::kOk) {
+    failed("read of the configuration");
+    return;
+  }
+  answered();
+  newsAt_ = std::max(newsAt_, aReply.revision_);
+  newsReadAt_ = std::max(newsReadAt_, aAt);
+  takeConfig(aReply.value_, "store");
+}
+
+bool
+StoreFollower::takePart(const WatchReply& aReply)
+{
+  if (aReply.status_ == WatchStatus::kChanges) {
+    for (const StoreChange& change : aReply.changes_) {
+      apply(change.key_, change.value_, change.revision_);
+    }
+    return true;
+  }
+  underWay_ = false;
+  if (aReply.status_ == WatchStatus::kUnavailable) {
+    failed("watch");
+  } else {
+    answered();
+    mustList_ = true;
+  }
+  return false;
+}
+
 void
 StoreFollower::apply(const std::string& aKey,
                      const std::optional<std::string>& aValue,
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -84,6 +84,9 @@
   state::Duration refreshPeriod_ =
     std::chrono::seconds(14); ///< While others are heard: between two readings
                               ///< of all changes.
+  std::size_t largeConfigBytes_ =
+    std::size_t{ 64 } * 1024; ///< Size of a configuration from which on its
+                              ///< versions are not read with other changes.
   state::Duration peerPatience_{}; ///< How long news may come from a peer
                                    ///< before the store is asked for them.
   state::Duration returnGrace_ = std::chrono::milliseconds(
@@ -160,7 +163,7 @@
    * while the store does not answer. */
   std::optional<StoreNews> news() const;
   /** @return Newest revision for which this follower has the news. */
-  state::Revision knownAt() const { return std::max(at_, toldAt_); }
+  state::Revision knownAt() const { return std::max(newsReadAt_, toldAt_); }
   /**
    * Takes news from a peer that follows the store. Older ones than those known
    * change nothing; before the first list only the configuration is taken.
@@ -200,6 +203,12 @@
   void takeList(const ListReply& aReply);
   void applyList(const ListReply& aReply);
   void takeChanges(const WatchReply& aReply);
+  bool readsApart() const;
+  void readInstances();
+  void readOwnKeys(state::Revision aInstancesAt);
+  void readConfig(state::Revision aAt);
+  void takeNewestConfig(const StoreReply& aReply, state::Revision aAt);
+  bool takePart(const WatchReply& aReply);
   void answered();
   void failed(std::string_view aCall);
   bool mustCall() const;
@@ -256,6 +265,8 @@
     plains_;                       ///< Entries of the plain instances.
   state::Revision newsAt_;         ///< Newest change that all must read.
   state::Revision at_;             ///< Revision from which the watch goes on.
+  state::Revision newsReadAt_;     ///< Revision up to which the store was read
+                                   ///< with the configuration.
   state::TimePoint nextCall_{};    ///< When to call next.
   state::Duration failurePause_{}; ///< Pause after the newest failure.
   state::TimePoint answeredAt_{};  ///< Newest answer of the store.
--- a/tests/coordination/routing_catch_up_test.cpp
+++ b/tests/coordination/routing_catch_up_test.cpp
@@ -54,6 +54,8 @@
   CPPUNIT_TEST_SUITE(RoutingCatchUpTest);
   CPPUNIT_TEST(versionsToldByPeersAreNotReadAgain);
   CPPUNIT_TEST(newsThatPeersLackAreReadOnce);
+  CPPUNIT_TEST(versionPassedOverIsReadWhenOthersFallSilent);
+  CPPUNIT_TEST(versionPassedOverIsReadWhenItIsAnnounced);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -112,7 +114,37 @@
     CPPUNIT_ASSERT(data_->readBytes_ < 2 * kConfigBytes);
   }
 
+  // All other changes were read after it, and nobody had announced it yet.
+  void versionPassedOverIsReadWhenOthersFallSilent()
+  {
+    passOver();
+    follower_->setOthers(false, {});
+    run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 2 }, version());
+  }
+
+  void versionPassedOverIsReadWhenItIsAnnounced()
+  {
+    const state::Revision at = passOver();
+    follower_->setOthers(true, at);
+    CPPUNIT_ASSERT(follower_->lacksNews());
+    run(1s);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 2 }, version());
+    CPPUNIT_ASSERT(!follower_->lacksNews());
+  }
+
 private:
+  /** Lets a version go by that nobody announces. @return Its revision. */
+  state::Revision passOver()
+  {
+    const state::Revision at = data_->put("config", largeConfig(2));
+    data_->put("vm/b", "plain");
+    run(15s);
+    CPPUNIT_ASSERT(follower_->instances()->contains(state::VmId("b")));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 }, version());
+    return at;
+  }
+
   std::uint64_t version() const
   {
     return follower_->config()->version_.value();
