Refuse while a change is known to be lacking past its time

Callers would see: requests handled by a withdrawn key or sent to a target that left. A daemon that knows since when it lacks a change owes them a true refusal instead; nothing did that before. The age of the oldest announced news that are lacking is kept; from 1 s before the platform's limit (news_limit_ms) on new requests are refused with 503 and 0.3 s to come back. While the store does not answer the daemon it goes on with what it has. Tests: RelayTest daemonThatLacksAChangeRefusesUntilItHasIt, RoutingCatchUpTest lackIsCountedFromTheOldestAnnouncement.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -46,6 +46,8 @@
 constexpr milliseconds kNewsPatience(
   800); ///< How long a daemon waits for announced news from its coordinator
         ///< before it asks the store.
+constexpr milliseconds kAnnounceTime(
+  1000); ///< Longest time from a change in the store to its announcement.
 constexpr milliseconds kDigestPeriod(300); ///< Between two digests of a zone.
 constexpr std::chrono::seconds kUsagePeriod(
   5); ///< Between two records of the calls to the store.
@@ -359,6 +361,7 @@
                                 : coordination::FollowerPace::kCalm;
   follower_.setPace(urgent ? coordination::FollowerPace::kUrgent : pace);
   follower_.setOthers(!coordinates && hearing_.hearsAll(clock_.now()), newsAt_);
+  checkLack();
   const bool mayRegister = !stopping_ && !follower_.hasOutage();
   registration_.tick(mayRegister
                        ? std::optional<state::Duration>(kRegistrationRetry)
@@ -373,6 +376,29 @@
   }
 }
 
+void
+RelayDaemon::checkLack()
+{
+  // A daemon that the store does not answer goes on with what it has.
+  const state::Duration lackedFor = follower_.lackedFor();
+  const bool outdated =
+    !follower_.hasOutage() && lackedFor >= settings_.newsLimit_ - kAnnounceTime;
+  if (outdated == outdated_) {
+    return;
+  }
+  outdated_ = outdated;
+  relay_.setOutdated(outdated);
+  log_.write(
+    state::LogWeight::kChange,
+    kPart,
+    outdated ? "requests are refused until a change is in force"
+             : "no change is lacking any more",
+    { state::logField(
+        "lacked_ms",
+        std::chrono::duration<double, std::milli>(lackedFor).count()),
+      state::logField("announced", follower_.othersNewsAt().value()) });
+}
+
 void
 RelayDaemon::noteStoreCalls()
 {
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -60,6 +60,7 @@
   void sendToDaemons(const coordination::ZoneDigest& aDigest);
   void handBack(coordination::ZoneDuty& aDuty);
   void noteStoreCalls();
+  void checkLack();
   void takeConfig();
   void takeInstances();
   void takeOwnKey(const std::string& aKey,
@@ -110,6 +111,8 @@
   std::unique_ptr<transport::HttpServer> callers_;  ///< Callers' listener.
   std::unique_ptr<transport::HttpServer> balancer_; ///< Status listener.
   std::thread controlThread_;                       ///< The control thread.
+  bool outdated_ = false; ///< Control thread: whether requests are refused for
+                          ///< want of a change.
   bool stopping_ = false; ///< Control thread: whether it stops.
 };
 
--- a/src/app/relay_settings_file.cpp
+++ b/src/app/relay_settings_file.cpp
@@ -115,6 +115,11 @@
                                                kProcessor,
                                                "part of a core that the daemon "
                                                "has"),
+  field<&RelayDaemonSettings::newsLimit_>("news_limit_ms",
+                                          kOptional,
+                                          kMilliseconds,
+                                          "after which a change in the store "
+                                          "must be in force everywhere"),
   field<&RelayDaemonSettings::linkMbps_>("link_mbps",
                                          kOptional,
                                          kBandwidth,
--- a/src/app/relay_settings_type.h
+++ b/src/app/relay_settings_type.h
@@ -57,6 +57,9 @@
   std::chrono::milliseconds balancerLag_{
     2200
   }; ///< How long callers still come after readiness fails.
+  std::chrono::milliseconds newsLimit_{
+    2000
+  }; ///< After which a change in the store must be in force everywhere.
   double linkMbps_ = 200; ///< Bandwidth of the VM's link, in megabits a second.
   RelayRetryLimits retries_; ///< Limit of repeated sends.
   bool operator==(const RelayDaemonSettings&) const = default;
--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/routing/store_follower.h"
 
+#include <algorithm>
 #include <array>
 #include <set>
 #include <utility>
@@ -79,8 +80,7 @@
     return true;
   }
   const state::TimePoint now = clock_.now();
-  const bool waits =
-    !lacksNews() || now - lacksSince_ < settings_.peerPatience_;
+  const bool waits = !lacksNews() || lackedFor() < settings_.peerPatience_;
   const bool fed = othersHeard_ && !inOutage_ && waits;
   return !fed || now - answeredAt_ >= settings_.refreshPeriod_;
 }
@@ -90,9 +90,14 @@
 {
   const bool lacked = lacksNews();
   othersHeard_ = aHeard;
-  othersNewsAt_ = std::max(othersNewsAt_, aNewsAt);
+  while (!announced_.empty() && announced_.front().newsAt_ <= knownAt()) {
+    announced_.pop_front();
+  }
+  if (aNewsAt > othersNewsAt_) {
+    othersNewsAt_ = aNewsAt;
+    announced_.push_back({ aNewsAt, clock_.now() });
+  }
   if (!lacked && lacksNews()) {
-    lacksSince_ = clock_.now();
     log_.write(state::LogWeight::kChange,
                kPart,
                "news announced",
@@ -102,6 +107,20 @@
   }
 }
 
+state::Duration
+StoreFollower::lackedFor() const
+{
+  if (!lacksNews()) {
+    return {};
+  }
+  const auto oldest = std::find_if(
+    announced_.begin(), announced_.end(), [&](const Announcement& aNews) {
+      return aNews.newsAt_ > knownAt();
+    });
+  return oldest == announced_.end() ? state::Duration{}
+                                    : clock_.now() - oldest->heardAt_;
+}
+
 std::optional<StoreNews>
 StoreFollower::news() const
 {
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -8,6 +8,7 @@
 #include "state/time_type.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -183,6 +184,10 @@
    */
   void offerConfig(const std::string& aText);
 
+  /** @return How long ago the oldest news were announced that this follower
+   * lacks; zero when it lacks none. */
+  state::Duration lackedFor() const;
+
   /** @return The newest configuration, or null. */
   const state::RoutingConfigPtr& config() const { return config_; }
   /** @return Text of the newest configuration. */
@@ -195,6 +200,13 @@
   bool hasListed() const { return listed_; }
 
 private:
+  /** News that others announced. */
+  struct Announcement
+  {
+    state::Revision newsAt_;   ///< Revision of the newest change.
+    state::TimePoint heardAt_; ///< When it was heard.
+  };
+
   void awaitConfig();
   void takeFirst(const WatchReply& aReply);
   void list();
@@ -257,10 +269,11 @@
   bool underWay_ = false; ///< Whether a call is awaited.
   FollowerPace pace_ = FollowerPace::kUsual; ///< How soon changes are wanted.
   bool inOutage_ = false;                    ///< Whether an outage was noticed.
-  bool othersHeard_ = false;      ///< Whether others that follow are heard.
-  state::Revision othersNewsAt_;  ///< Newest change that they announce.
-  state::TimePoint lacksSince_{}; ///< Since when news are lacking.
-  state::Revision toldAt_;        ///< Revision of the newest news of a peer.
+  bool othersHeard_ = false;     ///< Whether others that follow are heard.
+  state::Revision othersNewsAt_; ///< Newest change that they announce.
+  std::deque<Announcement> announced_; ///< Announced news that are lacking, the
+                                       ///< oldest first.
+  state::Revision toldAt_; ///< Revision of the newest news of a peer.
   std::map<state::VmId, std::string>
     plains_;                       ///< Entries of the plain instances.
   state::Revision newsAt_;         ///< Newest change that all must read.
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -139,6 +139,14 @@
   answer(kUnavailable, "the daemon stops", state::Duration{});
 }
 
+void
+RelayExchange::refuseAsOutdated()
+{
+  answer(kUnavailable,
+         "a change of the configuration is lacking",
+         settings_.outdatedRetryAfter_);
+}
+
 bool
 RelayExchange::findRoute()
 {
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -56,8 +56,11 @@
   RelayExchange(const RelayExchange&) = delete;
   RelayExchange& operator=(const RelayExchange&) = delete;
 
-  /** Answers the request. Call this or refuseAsStopping(), once. */
+  /** Answers the request. Call this or one of those that refuse, once. */
   void run();
+  /** Refuses the request as not run; this daemon may act on what has been
+   * changed, another one or a later time will do. */
+  void refuseAsOutdated();
   /** Refuses the request as not run; another daemon can take it at once. */
   void refuseAsStopping();
 
--- a/src/transport/relay/relay_handler.cpp
+++ b/src/transport/relay/relay_handler.cpp
@@ -25,6 +25,8 @@
     parts_, settings_, *parts_.clients_[aThread], aRequest, aResponder, aYield);
   if (refusing_) {
     exchange.refuseAsStopping();
+  } else if (outdated_) {
+    exchange.refuseAsOutdated();
   } else {
     exchange.run();
   }
--- a/src/transport/relay/relay_handler.h
+++ b/src/transport/relay/relay_handler.h
@@ -43,6 +43,9 @@
   std::chrono::milliseconds startRetryAfter_{
     500
   }; ///< Wait that is told before there is a configuration.
+  std::chrono::milliseconds outdatedRetryAfter_{
+    300
+  }; ///< Wait that is told while a change is lacking.
   std::uint32_t maxRejections_ = 3; ///< Targets that may reject one request.
   bool operator==(const RelaySettings&) const = default;
 };
@@ -79,6 +82,13 @@
   /** From now on refuses requests as not run, because the daemon is about to
    * end. Thread-safe. */
   void refuseAll() { refusing_ = true; }
+  /**
+   * Refuses new requests as not run while the daemon knows that it lacks a
+   * change that must be in force by now: it might use a withdrawn key, or a
+   * target that leaves. Thread-safe.
+   * @param aOutdated Whether it lacks one.
+   */
+  void setOutdated(bool aOutdated) { outdated_ = aOutdated; }
   /** @return Requests taken since the start. Thread-safe. */
   std::uint64_t requests() const { return requests_; }
 
@@ -86,6 +96,7 @@
   RelayParts parts_;                         ///< What requests need.
   RelaySettings settings_;                   ///< Times.
   std::atomic<bool> refusing_{ false };      ///< Whether requests are refused.
+  std::atomic<bool> outdated_{ false };      ///< Whether a change is lacking.
   std::atomic<std::uint64_t> requests_{ 0 }; ///< Requests taken.
 };
 
--- a/tests/app/relay_settings_test.cpp
+++ b/tests/app/relay_settings_test.cpp
@@ -16,6 +16,7 @@
 seed_peers = []
 peer_key = "0123456789abcdef"
 first_start = true
+news_limit_ms = 3000
 link_mbps = 14.5
 [listeners]
 callers = "10.0.0.2:1"
@@ -60,6 +61,7 @@
                          settings.listeners_.digests_.port_);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, settings.retries_.ratio_, 1e-9);
     CPPUNIT_ASSERT(settings.firstStart_);
+    CPPUNIT_ASSERT(settings.newsLimit_ == std::chrono::seconds(3));
     CPPUNIT_ASSERT_DOUBLES_EQUAL(14.5, settings.linkMbps_, 1e-9);
   }
 
--- a/tests/coordination/routing_catch_up_test.cpp
+++ b/tests/coordination/routing_catch_up_test.cpp
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(newsThatPeersLackAreReadOnce);
   CPPUNIT_TEST(versionPassedOverIsReadWhenOthersFallSilent);
   CPPUNIT_TEST(versionPassedOverIsReadWhenItIsAnnounced);
+  CPPUNIT_TEST(lackIsCountedFromTheOldestAnnouncement);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,6 +134,25 @@
     CPPUNIT_ASSERT(!follower_->lacksNews());
   }
 
+  void lackIsCountedFromTheOldestAnnouncement()
+  {
+    store_->faults().down_ = true;
+    CPPUNIT_ASSERT(follower_->lackedFor() == state::Duration{});
+    const state::Revision first = data_->put("config", largeConfig(2));
+    follower_->setOthers(true, first);
+    run(1s);
+    const state::Revision second = data_->put("config", largeConfig(3));
+    follower_->setOthers(true, second);
+    run(500ms);
+    CPPUNIT_ASSERT(follower_->lackedFor() == 1500ms);
+    const std::map<state::VmId, std::string> plains{ { state::VmId("a"),
+                                                       "plain" } };
+    follower_->offerNews({ first, largeConfig(2), plains });
+    CPPUNIT_ASSERT(follower_->lackedFor() == 500ms);
+    follower_->offerNews({ second, largeConfig(3), plains });
+    CPPUNIT_ASSERT(follower_->lackedFor() == state::Duration{});
+  }
+
 private:
   /** Lets a version go by that nobody announces. @return Its revision. */
   state::Revision passOver()
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(streamThatCannotGoOnIsCut);
   CPPUNIT_TEST(silentTargetEndsAtTimeout);
   CPPUNIT_TEST(stoppingDaemonRefuses);
+  CPPUNIT_TEST(daemonThatLacksAChangeRefusesUntilItHasIt);
   CPPUNIT_TEST(withoutTargetIsRefusedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
@@ -317,6 +318,21 @@
     CPPUNIT_ASSERT(has(answer, "Retry-After: 0.000\r\n"));
   }
 
+  void daemonThatLacksAChangeRefusesUntilItHasIt()
+  {
+    RelayWorld world;
+    world.start();
+    world.relay_.setOutdated(true);
+    const std::string answer =
+      world.ask(RelayWorld::request("POST", "/unsafe/", "x"));
+    CPPUNIT_ASSERT_EQUAL(std::string("503"), statusOf(answer));
+    CPPUNIT_ASSERT(has(answer, "Retry-After: 0.300\r\n"));
+    CPPUNIT_ASSERT(has(answer, "lacking"));
+    world.relay_.setOutdated(false);
+    CPPUNIT_ASSERT(
+      !has(world.ask(RelayWorld::request("POST", "/unsafe/", "x")), "lacking"));
+  }
+
   void withoutTargetIsRefusedAtOnce()
   {
     RelayWorld world;
