Drop what is unsent of an abandoned request

Cause: the connection of an abandoned request was closed in an orderly way, so that the system delivered what it still held once the cut had healed. Confirmed on loopback: the target read the rest and an orderly end. It holds for orders to VMs as well. Ruled out: resuming after the caller has left (checked before each send). Now connections to targets, VMs and the store are reset when they are closed. Test: HttpClientTest restOfAnAbandonedRequestNeverArrives, failed before.

--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -91,6 +91,10 @@
   if (!error) {
     stream_.socket().set_option(asio::ip::tcp::no_delay(true), error);
   }
+  if (!error) {
+    // What is unsent when a request is abandoned must not arrive later.
+    stream_.socket().set_option(asio::socket_base::linger(true, 0), error);
+  }
   if (!error && limits_.probeAfter_.count() > 0) {
     probeSilence();
   }
--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -4,7 +4,9 @@
 #include "transport/loopback.h"
 #include "transport/system_clock.h"
 
+#include <array>
 #include <atomic>
+#include <future>
 
 using namespace auburnhaven;
 using transport::HttpFailureKind;
@@ -42,9 +44,39 @@
   CPPUNIT_TEST(malformedResponseIsTold);
   CPPUNIT_TEST(abortEndsWait);
   CPPUNIT_TEST(longBodyAndLineAreRefused);
+  CPPUNIT_TEST(restOfAnAbandonedRequestNeverArrives);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Bytes that the system still holds, as across a cut, came to the target
+  // seconds after the caller had left.
+  void restOfAnAbandonedRequestNeverArrives()
+  {
+    std::promise<void> abandoned;
+    std::promise<boost::system::error_code> end;
+    Server server([&](Socket& aSocket, int) {
+      abandoned.get_future().wait();
+      boost::system::error_code error;
+      std::array<char, 4096> bytes{};
+      while (!error) {
+        aSocket.read_some(boost::asio::buffer(bytes), error);
+      }
+      end.set_value(error);
+    });
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      constexpr auto kWait = std::chrono::milliseconds(100);
+      const std::string body(std::size_t{ 32 } * 1024 * 1024, 'x');
+      const transport::HttpCall call = aClient.open(server.endpoint(),
+                                                    { "POST", "/", {}, body },
+                                                    { kWait, kWait, kWait },
+                                                    aYield);
+      CPPUNIT_ASSERT(!call.hasResponse());
+    });
+    abandoned.set_value();
+    CPPUNIT_ASSERT(end.get_future().get() ==
+                   boost::asio::error::connection_reset);
+  }
+
   void freshConnectionsDoNotPileUp()
   {
     Server server([&](Socket& aSocket, int) {
