Begin the coordination of a zone beside a dead VM

Callers saw: copies of a zone not replaced, and news late: for 18 s after a coordinator was lost (until the dead VM's entry was forgotten) its zone had no digest, so that all daemons watched the store themselves. Cause: a successor waits until each VM has answered or is lost. Until then it asks VMs once a second, and 0.9 s without a report counted as a cut of its own; the first report of the next round then took back the misses of the dead VM, for ever. Now silence counts from the first question that none of the VMs not lost has answered. What a successor waits for is logged. Test: ReplicaCoordinatorTest successorBeginsBesideADeadVm, failed before.

--- a/src/coordination/replica/engine_watch.cpp
+++ b/src/coordination/replica/engine_watch.cpp
@@ -90,6 +90,7 @@
 EngineWatch::forget()
 {
   heardAt_ = clock_.now();
+  awaitedSince_.reset();
   for (auto& [vm, engine] : engines_) {
     engine.report_.reset();
     engine.misses_ = 0;
@@ -131,18 +132,20 @@
   return isSilent(aVm) || !find(aVm)->listed_;
 }
 
-bool
-EngineWatch::isComplete() const
+std::optional<state::VmId>
+EngineWatch::firstUnheard() const
 {
-  return std::all_of(engines_.begin(), engines_.end(), [&](const auto& aEntry) {
-    return aEntry.second.report_.has_value() || isSilent(aEntry.first);
-  });
+  const auto found =
+    std::find_if(engines_.begin(), engines_.end(), [&](const auto& aEntry) {
+      return !aEntry.second.report_ && !isSilent(aEntry.first);
+    });
+  return found == engines_.end() ? std::nullopt : std::optional(found->first);
 }
 
 bool
 EngineWatch::doubtsItself() const
 {
-  return clock_.now() - heardAt_ > limits_.zoneSilence_;
+  return awaitedSince_ && clock_.now() - *awaitedSince_ > limits_.zoneSilence_;
 }
 
 state::Duration
@@ -154,6 +157,9 @@
 void
 EngineWatch::ask(const state::VmId& aVm)
 {
+  if (!awaitedSince_ && !isSilent(aVm)) {
+    awaitedSince_ = clock_.now();
+  }
   const std::weak_ptr<bool> alive = alive_;
   engineCalls_.fetchReport(
     engines_.at(aVm).instance_,
@@ -193,6 +199,7 @@
     engine.misses_ = 0;
     engine.heardAt_ = now;
     heardAt_ = now;
+    awaitedSince_.reset();
     question->second.nextAt_ = now + periodOf(question->second.pace_);
     return;
   }
--- a/src/coordination/replica/engine_watch.h
+++ b/src/coordination/replica/engine_watch.h
@@ -103,7 +103,9 @@
    */
   bool isLost(const state::VmId& aVm) const;
   /** @return Whether each engine has answered or is lost. */
-  bool isComplete() const;
+  bool isComplete() const { return !firstUnheard(); }
+  /** @return An engine that has neither answered nor is lost, if any. */
+  std::optional<state::VmId> firstUnheard() const;
   /** @return When a member of a copy was last added to the list. */
   state::TimePoint grownAt() const { return grownAt_; }
   /** @return Whether no VM has answered for so long that the fault may be this
@@ -131,6 +133,9 @@
   std::map<state::VmId, WatchedEngine> engines_; ///< What is known.
   std::map<state::VmId, Question> questions_;    ///< When to ask.
   state::TimePoint heardAt_{};                   ///< Newest answer of any VM.
+  std::optional<state::TimePoint>
+    awaitedSince_; ///< Since when VMs that are not lost have been asked and
+                   ///< none has answered.
   state::TimePoint grownAt_{}; ///< When a member of a copy was last added to
                                ///< the list.
   std::shared_ptr<bool> alive_ =
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -29,6 +29,8 @@
   500
 }; ///< How long the VMs of a domain must stay before copies are formed.
 constexpr char kNameMark = '.'; ///< Between the parts of a copy's name.
+constexpr std::chrono::seconds kUnknownNotePeriod(
+  1); ///< Between two records of what is not known.
 constexpr std::string_view kPart = "replica"; ///< Part of the program in logs.
 
 /** @return Name of a copy; tells head and model to a successor. */
@@ -127,6 +129,7 @@
   }
   watch_.tick();
   if (watch_.doubtsItself() || (!adopted_ && !watch_.isComplete())) {
+    noteUnknown();
     return;
   }
   noteModels();
@@ -149,6 +152,26 @@
   setPaces();
 }
 
+void
+ReplicaCoordinator::noteUnknown()
+{
+  const state::TimePoint now = clock_.now();
+  if (now < noteUnknownAt_) {
+    return;
+  }
+  noteUnknownAt_ = now + kUnknownNotePeriod;
+  const auto unheard = watch_.firstUnheard();
+  log_.write(
+    state::LogWeight::kChange,
+    kPart,
+    "copies are not known yet",
+    { state::logField("zone", std::string_view(zone_.zone_.value())),
+      state::logField("hears_nobody", watch_.doubtsItself()),
+      state::logField("waits_for",
+                      std::string_view(unheard ? unheard->value() : "")),
+      state::logField("engines", watch_.engines().size()) });
+}
+
 void
 ReplicaCoordinator::sweep()
 {
--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -94,6 +94,7 @@
   using Step = void (ReplicaCoordinator::*)(Replica&); ///< Work of one phase.
 
   void startAuthority();
+  void noteUnknown();
   void sweep();
   void adoptUnknown();
   void adopt(const state::MemberPlace& aPlace);
@@ -170,11 +171,12 @@
   std::map<state::VmId, state::TimePoint>
     staging_; ///< VMs that were told to stage a model, and until when that may
               ///< take.
-  std::uint64_t authority_ = 0; ///< Number of the present authority.
-  std::uint64_t epochs_ = 0;    ///< Copies formed under it.
-  bool adopted_ = false;        ///< Whether the reports were taken over.
-  bool waitsForList_ = false;   ///< Whether VMs report copies of which members
-                                ///< may still be listed.
+  std::uint64_t authority_ = 0;      ///< Number of the present authority.
+  std::uint64_t epochs_ = 0;         ///< Copies formed under it.
+  state::TimePoint noteUnknownAt_{}; ///< When to record what is not known.
+  bool adopted_ = false;             ///< Whether the reports were taken over.
+  bool waitsForList_ = false; ///< Whether VMs report copies of which members
+                              ///< may still be listed.
   state::TimePoint waitingSince_{}; ///< Since when it does; zero when it does
                                     ///< not.
   bool trafficSeen_ = false;        ///< Whether callers have come.
--- a/tests/coordination/replica_coordinator_test.cpp
+++ b/tests/coordination/replica_coordinator_test.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(unlistedHeadThatAnswersIsShutAtOnce);
   CPPUNIT_TEST(successorAdoptsOpenCopies);
   CPPUNIT_TEST(successorAdoptsCopiesThatAreForming);
+  CPPUNIT_TEST(successorBeginsBesideADeadVm);
   CPPUNIT_TEST(pausedCoordinatorSendsNothingWithoutLease);
   CPPUNIT_TEST(lateOrdersDoNoHarm);
   CPPUNIT_TEST(lostAnswersAreSettled);
@@ -216,6 +217,23 @@
     checkInvariants(world);
   }
 
+  // The other VMs are asked once a second until their copies are known, and
+  // their silence in between was taken for a cut that excuses the dead one.
+  void successorBeginsBesideADeadVm()
+  {
+    ReplicaWorld world(2, 2);
+    world.run(80s);
+    const std::size_t large = world.fleet_.openCopies("large");
+    world.fleet_.kill(memberOf(world, headOf(world, "large")));
+    world.coordinator()->paused_ = true;
+    world.run(5s);
+    CPPUNIT_ASSERT(world.coordinator() != nullptr);
+    CPPUNIT_ASSERT(world.coordinator()->coordinator_.digest().has_value());
+    world.run(5s);
+    CPPUNIT_ASSERT_EQUAL(large, world.fleet_.openCopies("large"));
+    checkInvariants(world);
+  }
+
   void successorAdoptsCopiesThatAreForming()
   {
     ReplicaWorld world(2, 1);
