--- a/src/protocol/config_exchange.cpp
+++ b/src/protocol/config_exchange.cpp
@@ -101,7 +101,7 @@
 ConfigExchange::choosePeer()
 {
   if (follower_.lacksNews()) {
-    if (const auto teller = chooseTeller()) {
+    if (auto teller = chooseTeller()) {
       askAt_ = clock_.now() + kAskNewsPeriod;
       return teller;
     }
--- a/tests/protocol/text_patch_test.cpp
+++ b/tests/protocol/text_patch_test.cpp
@@ -76,7 +76,8 @@
     for (int round = 0; round < 2000; ++round) {
       std::string bytes = good.substr(0, random_() % good.size());
       if (!bytes.empty()) {
-        bytes[random_() % bytes.size()] ^= static_cast<char>(random_() % 256);
+        char& byte = bytes[random_() % bytes.size()];
+        byte = static_cast<char>(byte ^ static_cast<int>(random_() % 256));
       }
       const auto text = protocol::applyPatch("", bytes, kLimit);
       CPPUNIT_ASSERT(!text.has_value());
