Give up reads of the own store and of the VM list by their progress too

A list of thousands of VMs over a slow link could never be read. Now 2 s bound the beginning and each piece, 10 s the rest. Writes, leases and orders keep a whole time. Tests: ServiceClientsTest valueThatKeepsComingIsReadToItsEnd and listThatKeepsComingIsReadToItsEnd, both failed before.

--- a/src/transport/store_client.cpp
+++ b/src/transport/store_client.cpp
@@ -130,7 +130,8 @@
 {
   call({ makePost("/v1/get", protocol::encodeGet(aKey)),
          settings_.timeout_,
-         true },
+         true,
+         settings_.transferTimeout_ },
        [handler = std::move(aHandler)](const ServiceAnswer& aAnswer) {
          handler(readReply(aAnswer, kNotFoundStatus));
        });
@@ -163,7 +164,8 @@
 {
   call({ makePost("/v1/watch", protocol::encodeWatch(aKey, aAfter, aTimeout)),
          aTimeout + settings_.watchGrace_,
-         false },
+         false,
+         settings_.transferTimeout_ },
        [handler = std::move(aHandler)](const ServiceAnswer& aAnswer) {
          handler(readReply(aAnswer, kNoContentStatus));
        });
--- a/src/transport/store_client.h
+++ b/src/transport/store_client.h
@@ -15,9 +15,11 @@
 {
   std::vector<state::Endpoint> endpoints_; ///< Addresses, at least one.
   state::Duration timeout_ =
-    std::chrono::seconds(2); ///< For one call to one address.
+    std::chrono::seconds(2); ///< Until one address has begun to answer.
   state::Duration watchGrace_ =
     std::chrono::seconds(2); ///< Beyond the wait of a watch.
+  state::Duration transferTimeout_ = std::chrono::seconds(
+    10); ///< For the rest of a value that has begun to come.
   bool operator==(const StoreClientSettings&) const = default;
 };
 
--- a/src/transport/vm_list_client.cpp
+++ b/src/transport/vm_list_client.cpp
@@ -42,7 +42,8 @@
   const ServiceCall call{
     { "GET", "/v1/vms?zone=" + percentEncode(aZone.value()), {}, {} },
     settings_.timeout_,
-    true
+    true,
+    settings_.transferTimeout_
   };
   caller_.start([this, call, handler = std::move(aHandler)](
                   const boost::asio::yield_context& aYield) {
--- a/src/transport/vm_list_client.h
+++ b/src/transport/vm_list_client.h
@@ -13,7 +13,9 @@
 {
   std::vector<state::Endpoint> endpoints_; ///< Addresses, at least one.
   state::Duration timeout_ =
-    std::chrono::seconds(2); ///< For one call to one address.
+    std::chrono::seconds(2); ///< Until one address has begun to answer.
+  state::Duration transferTimeout_ = std::chrono::seconds(
+    10); ///< For the rest of a list that has begun to come.
   bool operator==(const VmListClientSettings&) const = default;
 };
 
--- a/tests/transport/service_clients_test.cpp
+++ b/tests/transport/service_clients_test.cpp
@@ -50,6 +50,8 @@
   CPPUNIT_TEST(orderAnswersAreTold);
   CPPUNIT_TEST(reportIsDatedByTheQuestion);
   CPPUNIT_TEST(brokenListIsNothing);
+  CPPUNIT_TEST(valueThatKeepsComingIsReadToItsEnd);
+  CPPUNIT_TEST(listThatKeepsComingIsReadToItsEnd);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -145,7 +147,51 @@
     fakes::runUntil(context_, [&] { return calls == 1; });
   }
 
+  void valueThatKeepsComingIsReadToItsEnd()
+  {
+    const Server server(
+      trickling(answer("200 OK", R"({"revision":5,"value":"abc"})")));
+    transport::StoreClient store(caller_,
+                                 { { server.endpoint() }, kShortWait });
+    std::optional<StoreReply> reply;
+    store.get("k",
+              coordination::StorePriority::kOther,
+              [&](const auto& aReply) { reply = aReply; });
+    fakes::runUntil(context_, [&] { return reply.has_value(); });
+    CPPUNIT_ASSERT(reply->status_ == StoreStatus::kOk);
+  }
+
+  void listThatKeepsComingIsReadToItsEnd()
+  {
+    const Server server(trickling(answer("200 OK", R"({"vms":[]})")));
+    transport::HttpVmList list(caller_, { { server.endpoint() }, kShortWait });
+    std::optional<bool> whole;
+    list.fetch(state::ZoneId("z"),
+               [&](const auto& aList) { whole = aList.has_value(); });
+    fakes::runUntil(context_, [&] { return whole.has_value(); });
+    CPPUNIT_ASSERT(*whole);
+  }
+
 private:
+  static constexpr std::chrono::milliseconds kShortWait{
+    200
+  }; ///< For the beginning of an answer, and for each piece.
+
+  /** @return A script that writes the end of an answer byte by byte. */
+  static Server::Script trickling(const std::string& aAnswer)
+  {
+    return [aAnswer](Socket& aSocket, int) {
+      constexpr std::size_t kSlowBytes = 8;
+      Server::readRequest(aSocket);
+      const std::size_t fast = aAnswer.size() - kSlowBytes;
+      Server::write(aSocket, aAnswer.substr(0, fast));
+      for (std::size_t at = fast; at < aAnswer.size(); ++at) {
+        std::this_thread::sleep_for(kShortWait / 4);
+        Server::write(aSocket, aAnswer.substr(at, 1));
+      }
+    };
+  }
+
   /** @return An endpoint where nobody listens. */
   static state::Endpoint closedEndpoint()
   {
