--- a/tests/coordination/routing_catch_up_test.cpp
+++ b/tests/coordination/routing_catch_up_test.cpp
@@ -1,13 +1,9 @@
 // Tests of how much a daemon reads of the store to catch up with it.
 
-#include "coordination/routing/store_follower.h"
-#include "fakes/fake_event_log.h"
-#include "fakes/fake_store.h"
+#include "fakes/follower_world.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <cstdlib>
-
 using namespace auburnhaven;
 using namespace auburnhaven::coordination;
 using namespace std::chrono_literals;
@@ -24,32 +20,11 @@
   return std::to_string(aVersion) + std::string(kConfigBytes, ' ');
 }
 
-/** Reads numbers as versions, and words as instances. */
-class NumberCodec : public RoutingCodec
-{
-public:
-  std::optional<state::RoutingConfig> decodeConfig(
-    const std::string& aText) const override
-  {
-    state::RoutingConfig config;
-    config.version_ =
-      state::Generation(std::strtoull(aText.c_str(), nullptr, 10));
-    return config;
-  }
-  std::optional<state::Instance> decodeInstance(
-    const state::VmId& aVm,
-    const std::string& aText) const override
-  {
-    state::Instance instance;
-    instance.id_ = aVm;
-    instance.service_ = state::ServiceId(aText);
-    return instance;
-  }
-};
-
 } // namespace
 
-class RoutingCatchUpTest : public CppUnit::TestFixture
+class RoutingCatchUpTest
+  : public CppUnit::TestFixture
+  , private fakes::FollowerWorld
 {
   CPPUNIT_TEST_SUITE(RoutingCatchUpTest);
   CPPUNIT_TEST(versionsToldByPeersAreNotReadAgain);
@@ -62,15 +37,9 @@
 public:
   void setUp() override
   {
-    data_ = std::make_shared<fakes::FakeStoreData>();
-    store_ = std::make_unique<fakes::FakeStore>(clock_, data_);
-    FollowerSettings settings;
-    settings.configKey_ = "config";
-    settings.instancePrefix_ = "vm/";
-    settings.ownPrefix_ = "own/";
+    FollowerSettings settings = followerSettings();
     settings.peerPatience_ = 800ms;
-    follower_ =
-      std::make_unique<StoreFollower>(clock_, *store_, codec_, log_, settings);
+    start(settings);
     data_->put("config", largeConfig(1));
     data_->put("vm/a", "plain");
     run(1s);
@@ -164,27 +133,6 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 }, version());
     return at;
   }
-
-  std::uint64_t version() const
-  {
-    return follower_->config()->version_.value();
-  }
-
-  void run(state::Duration aTime)
-  {
-    for (state::Duration past{}; past < aTime; past += 20ms) {
-      clock_.advance(20ms);
-      store_->step();
-      follower_->tick();
-    }
-  }
-
-  fakes::FakeClock clock_;                     ///< Clock.
-  NumberCodec codec_;                          ///< Reads values.
-  fakes::FakeEventLog log_;                    ///< Log.
-  std::shared_ptr<fakes::FakeStoreData> data_; ///< The store.
-  std::unique_ptr<fakes::FakeStore> store_;    ///< Way to the store.
-  std::unique_ptr<StoreFollower> follower_;    ///< The follower.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RoutingCatchUpTest);
--- a/tests/coordination/routing_follower_test.cpp
+++ b/tests/coordination/routing_follower_test.cpp
@@ -1,54 +1,16 @@
 // Tests of following the store.
 
-#include "coordination/routing/store_follower.h"
-#include "fakes/fake_event_log.h"
-#include "fakes/fake_store.h"
+#include "fakes/follower_world.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <cstdlib>
-
 using namespace auburnhaven;
 using namespace auburnhaven::coordination;
 using namespace std::chrono_literals;
 
-namespace {
-
-/** Reads numbers as versions, and words as instances. */
-class FakeCodec : public RoutingCodec
-{
-public:
-  std::optional<state::RoutingConfig> decodeConfig(
-    const std::string& aText) const override
-  {
-    const auto version = std::strtoull(aText.c_str(), nullptr, 10);
-    if (version == 0) {
-      return std::nullopt;
-    }
-    state::RoutingConfig config;
-    config.version_ = state::Generation(version);
-    return config;
-  }
-  std::optional<state::Instance> decodeInstance(
-    const state::VmId& aVm,
-    const std::string& aText) const override
-  {
-    if (aText == "garbage") {
-      return std::nullopt;
-    }
-    state::Instance instance;
-    instance.id_ = aVm;
-    instance.service_ = state::ServiceId(aText);
-    if (aText == "engine") {
-      instance.engine_.emplace();
-    }
-    return instance;
-  }
-};
-
-} // namespace
-
-class RoutingFollowerTest : public CppUnit::TestFixture
+class RoutingFollowerTest
+  : public CppUnit::TestFixture
+  , private fakes::FollowerWorld
 {
   CPPUNIT_TEST_SUITE(RoutingFollowerTest);
   CPPUNIT_TEST(listsThenWatches);
@@ -71,14 +33,7 @@
 public:
   void setUp() override
   {
-    data_ = std::make_shared<fakes::FakeStoreData>();
-    store_ = std::make_unique<fakes::FakeStore>(clock_, data_);
-    FollowerSettings settings;
-    settings.configKey_ = "config";
-    settings.instancePrefix_ = "vm/";
-    settings.ownPrefix_ = "own/";
-    follower_ =
-      std::make_unique<StoreFollower>(clock_, *store_, codec_, log_, settings);
+    start(followerSettings());
     data_->put("config", "3");
     data_->put("vm/a", "plain");
   }
@@ -105,13 +60,7 @@
   // their VMs register one after the other.
   void nothingIsReadBeforeThereIsAConfiguration()
   {
-    data_ = std::make_shared<fakes::FakeStoreData>();
-    store_ = std::make_unique<fakes::FakeStore>(clock_, data_);
-    FollowerSettings settings;
-    settings.configKey_ = "config";
-    settings.instancePrefix_ = "vm/";
-    follower_ =
-      std::make_unique<StoreFollower>(clock_, *store_, codec_, log_, settings);
+    start(followerSettings());
     for (int vm = 0; vm < 40; ++vm) {
       data_->put("vm/" + std::to_string(vm), "engine");
       run(100ms);
@@ -309,28 +258,6 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 9 }, version());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, follower_->instances()->size());
   }
-
-private:
-  std::uint64_t version() const
-  {
-    return follower_->config()->version_.value();
-  }
-
-  void run(state::Duration aTime)
-  {
-    for (state::Duration past{}; past < aTime; past += 20ms) {
-      clock_.advance(20ms);
-      store_->step();
-      follower_->tick();
-    }
-  }
-
-  fakes::FakeClock clock_;                     ///< Clock.
-  FakeCodec codec_;                            ///< Reads values.
-  fakes::FakeEventLog log_;                    ///< Log.
-  std::shared_ptr<fakes::FakeStoreData> data_; ///< The store.
-  std::unique_ptr<fakes::FakeStore> store_;    ///< Way to the store.
-  std::unique_ptr<StoreFollower> follower_;    ///< The follower.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RoutingFollowerTest);
--- /dev/null
+++ b/tests/fakes/follower_world.h
@@ -0,0 +1,95 @@
+// A follower of a store in memory.
+#pragma once
+
+#include "coordination/routing/store_follower.h"
+#include "fakes/fake_event_log.h"
+#include "fakes/fake_store.h"
+
+#include <cstdlib>
+#include <memory>
+#include <string>
+
+namespace auburnhaven::fakes {
+
+/** Reads the number that a text begins with as the version, and words as
+ * instances: "engine" of a model engine, "garbage" of none. */
+class FakeRoutingCodec : public coordination::RoutingCodec
+{
+public:
+  std::optional<state::RoutingConfig> decodeConfig(
+    const std::string& aText) const override
+  {
+    const auto version = std::strtoull(aText.c_str(), nullptr, 10);
+    if (version == 0) {
+      return std::nullopt;
+    }
+    state::RoutingConfig config;
+    config.version_ = state::Generation(version);
+    return config;
+  }
+  std::optional<state::Instance> decodeInstance(
+    const state::VmId& aVm,
+    const std::string& aText) const override
+  {
+    if (aText == "garbage") {
+      return std::nullopt;
+    }
+    state::Instance instance;
+    instance.id_ = aVm;
+    instance.service_ = state::ServiceId(aText);
+    if (aText == "engine") {
+      instance.engine_.emplace();
+    }
+    return instance;
+  }
+};
+
+/** A follower with its store and clock. Not thread-safe. */
+class FollowerWorld
+{
+public:
+  /** @return Settings with the prefixes that the tests use. */
+  static coordination::FollowerSettings followerSettings()
+  {
+    coordination::FollowerSettings settings;
+    settings.configKey_ = "config";
+    settings.instancePrefix_ = "vm/";
+    settings.ownPrefix_ = "own/";
+    return settings;
+  }
+
+  /** Starts a follower of an empty store. */
+  void start(const coordination::FollowerSettings& aSettings)
+  {
+    data_ = std::make_shared<FakeStoreData>();
+    store_ = std::make_unique<FakeStore>(clock_, data_);
+    follower_ = std::make_unique<coordination::StoreFollower>(
+      clock_, *store_, codec_, log_, aSettings);
+  }
+
+  /** Moves all on by a time. */
+  void run(state::Duration aTime)
+  {
+    constexpr std::chrono::milliseconds kStep{ 20 };
+    for (state::Duration past{}; past < aTime; past += kStep) {
+      clock_.advance(kStep);
+      store_->step();
+      follower_->tick();
+    }
+  }
+
+  /** @return Version in force. */
+  std::uint64_t version() const
+  {
+    return follower_->config()->version_.value();
+  }
+
+  FakeClock clock_;                                       ///< Clock.
+  FakeRoutingCodec codec_;                                ///< Reads values.
+  FakeEventLog log_;                                      ///< Log.
+  std::shared_ptr<FakeStoreData> data_;                   ///< The store.
+  std::unique_ptr<FakeStore> store_;                      ///< Way to it.
+  std::unique_ptr<coordination::StoreFollower> follower_; ///< The follower.
+};
+
+} // namespace auburnhaven::fakes
--- a/tests/protocol/config_spread_test.cpp
+++ b/tests/protocol/config_spread_test.cpp
@@ -3,13 +3,11 @@
 
 #include "protocol/config_exchange.h"
 
-#include "fakes/fake_event_log.h"
-#include "fakes/fake_store.h"
 #include "fakes/fake_thin_links.h"
+#include "fakes/follower_world.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <cstdlib>
 #include <deque>
 #include <memory>
 #include <random>
@@ -31,29 +29,6 @@
 constexpr state::Duration kTick = 20ms;         ///< Step of the test.
 constexpr state::Duration kDigest = 300ms;      ///< Between two announcements.
 
-/** Reads the number before the first line end as the version. */
-class TextCodec : public coordination::RoutingCodec
-{
-public:
-  std::optional<state::RoutingConfig> decodeConfig(
-    const std::string& aText) const override
-  {
-    state::RoutingConfig config;
-    config.version_ =
-      state::Generation(std::strtoull(aText.c_str(), nullptr, 10));
-    return config;
-  }
-  std::optional<state::Instance> decodeInstance(
-    const state::VmId& aVm,
-    const std::string& aText) const override
-  {
-    state::Instance instance;
-    instance.id_ = aVm;
-    instance.service_ = state::ServiceId(aText);
-    return instance;
-  }
-};
-
 /** A daemon with its way to the store and to others. */
 class Daemon
 {
@@ -83,14 +58,13 @@
 
   static coordination::FollowerSettings settings()
   {
-    coordination::FollowerSettings settings;
-    settings.configKey_ = "config";
-    settings.instancePrefix_ = "vm/";
+    coordination::FollowerSettings settings =
+      fakes::FollowerWorld::followerSettings();
     settings.peerPatience_ = 800ms;
     return settings;
   }
 
-  const TextCodec codec_;                ///< Reads values.
+  const fakes::FakeRoutingCodec codec_;  ///< Reads values.
   fakes::FakeEventLog log_;              ///< Log.
   fakes::FakeStore store_;               ///< Way to the store.
   coordination::StoreFollower follower_; ///< Its news.
