Tell the whole where patches are longer, and refuse only while a change is lacking

Cause: found in reading the change anew. A chain of patches could grow beyond the whole text, up to what a link takes; and a news_limit_ms of less than a second would have refused all requests, also without anything lacking.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -381,8 +381,8 @@
 {
   // A daemon that the store does not answer goes on with what it has.
   const state::Duration lackedFor = follower_.lackedFor();
-  const bool outdated =
-    !follower_.hasOutage() && lackedFor >= settings_.newsLimit_ - kAnnounceTime;
+  const bool outdated = follower_.lacksNews() && !follower_.hasOutage() &&
+                        lackedFor >= settings_.newsLimit_ - kAnnounceTime;
   if (outdated == outdated_) {
     return;
   }
--- a/src/protocol/config_patches.cpp
+++ b/src/protocol/config_patches.cpp
@@ -11,6 +11,20 @@
 namespace {
 
 constexpr std::size_t kMaxSteps = 64; ///< Changes that are kept.
+constexpr std::size_t kLongWay =
+  std::size_t{ 32 } * 1024; ///< Bytes of patches from which on the whole text
+                            ///< may be shorter.
+
+/** @return Bytes of all patches. */
+std::size_t
+bytesOf(const PatchWay& aWay)
+{
+  std::size_t bytes = 0;
+  for (const std::string& patch : aWay.patches_) {
+    bytes += patch.size();
+  }
+  return bytes;
+}
 
 } // namespace
 
@@ -41,21 +55,40 @@
                        const std::string& aText)
 {
   unasked_ = 0;
+  PatchWay way = stepsFrom(aKnown, aNewest);
+  if (!way.patches_.empty() && bytesOf(way) < kLongWay) {
+    return way;
+  }
+  PatchWay whole{ {}, { wholePatch(aNewest, aText) } };
+  const bool shorter = way.patches_.empty() || bytesOf(whole) < bytesOf(way);
+  return shorter ? whole : way;
+}
+
+PatchWay
+ConfigPatches::stepsFrom(state::Generation aKnown,
+                         state::Generation aNewest) const
+{
+  PatchWay way{ aKnown, {} };
+  if (steps_.empty() || steps_.back().to_ != aNewest) {
+    return way;
+  }
   const auto first =
     std::find_if(steps_.begin(), steps_.end(), [&](const Step& aStep) {
       return aStep.from_ == aKnown;
     });
-  if (first != steps_.end() && steps_.back().to_ == aNewest) {
-    PatchWay way{ aKnown, {} };
-    for (auto step = first; step != steps_.end(); ++step) {
-      way.patches_.push_back(step->patch_);
-    }
-    return way;
+  for (auto step = first; step != steps_.end(); ++step) {
+    way.patches_.push_back(step->patch_);
   }
+  return way;
+}
+
+const std::string&
+ConfigPatches::wholePatch(state::Generation aNewest, const std::string& aText)
+{
   if (!whole_ || whole_->version_ != aNewest) {
     whole_ = Whole{ aNewest, makePatch({}, aText) };
   }
-  return { {}, { whole_->patch_ } };
+  return whole_->patch_;
 }
 
 } // namespace auburnhaven::protocol
--- a/src/protocol/config_patches.h
+++ b/src/protocol/config_patches.h
@@ -44,7 +44,7 @@
    * @param aNewest The newest version.
    * @param aText Its text.
    * @return Patches from the version known where these are kept, else one that
-   * needs no text.
+   * needs no text; the shorter of both where they are long.
    */
   PatchWay wayFrom(state::Generation aKnown,
                    state::Generation aNewest,
@@ -65,6 +65,10 @@
     std::string patch_;         ///< The whole text, compressed.
   };
 
+  PatchWay stepsFrom(state::Generation aKnown, state::Generation aNewest) const;
+  const std::string& wholePatch(state::Generation aNewest,
+                                const std::string& aText);
+
   std::deque<Step> steps_;     ///< Newest changes, without a gap.
   std::optional<Whole> whole_; ///< The newest version that was asked for whole.
   std::size_t unasked_ = kUnaskedSteps; ///< Changes since somebody asked.
--- a/tests/protocol/config_patches_test.cpp
+++ b/tests/protocol/config_patches_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(readerOfAnUnknownVersionIsToldTheWhole);
   CPPUNIT_TEST(versionThatWasMissedEndsTheWay);
   CPPUNIT_TEST(nothingIsKeptWhileNobodyAsks);
+  CPPUNIT_TEST(longWayIsReplacedByTheWhole);
   CPPUNIT_TEST(answerComesBack);
   CPPUNIT_TEST_SUITE_END();
 
@@ -84,6 +85,24 @@
     CPPUNIT_ASSERT(follow(way, "") == text(40));
   }
 
+  // Versions that have nothing in common, the last of them a short one.
+  void longWayIsReplacedByTheWhole()
+  {
+    patches_.wayFrom({}, version(0), texts_.front());
+    const std::string first = texts_.front();
+    for (std::uint64_t next = 1; next <= 3; ++next) {
+      std::string other = first.substr(0, kBytes / 2);
+      for (char& letter : other) {
+        letter = static_cast<char>('a' + random_() % 26);
+      }
+      patches_.replaced(version(next - 1), texts_.back(), version(next), other);
+      texts_.push_back(std::move(other));
+    }
+    const PatchWay way = patches_.wayFrom(version(0), version(3), text(3));
+    CPPUNIT_ASSERT(bytesOf(way) < kBytes / 2);
+    CPPUNIT_ASSERT(follow(way, "") == text(3));
+  }
+
   void answerComesBack()
   {
     protocol::NewsAnswer answer{ version(9),
