Keep no target that others say is gone, nor any after an outage of this daemon alone

Cause: after an outage, entries that vanish stay in use for 2.5 s, since a store that was down lets entries of live VMs expire. It held also where only this daemon was turned away, and where a coordinator had told that the VM is gone: the news came 0.2 s after the leaving, and were kept back. Ruled out: late news (taken at 19.10 s, VM left at 18.92 s, sends until 21.01 s). Now what a peer tells holds at once, as it has waited itself; and an outage of 2.5 s in which all coordinators stay heard leaves no grace. Tests: RoutingFollowerTest targetThatOthersSayIsGoneHasNoGrace, outageOfThisDaemonAloneLeavesNoGrace, both failed before.

--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -118,7 +118,9 @@
     }
   }
   for (const state::VmId& vm : gone) {
-    removeInstance(vm);
+    // Who tells has waited for entries that an outage may bring back.
+    missing_.erase(vm);
+    drop(vm);
   }
   for (const auto& [vm, text] : aNews.plains_) {
     putInstance(vm, text);
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -92,6 +92,9 @@
                                    ///< before the store is asked for them.
   state::Duration returnGrace_ = std::chrono::milliseconds(
     2500); ///< After an outage: how long entries that are missing stay in use.
+  state::Duration ownOutageProof_ = std::chrono::milliseconds(
+    2500); ///< Outage after which coordinators that are heard must have renewed
+           ///< their leases during it.
   bool operator==(const FollowerSettings&) const = default;
 };
 
@@ -269,6 +272,7 @@
   bool underWay_ = false; ///< Whether a call is awaited.
   FollowerPace pace_ = FollowerPace::kUsual; ///< How soon changes are wanted.
   bool inOutage_ = false;                    ///< Whether an outage was noticed.
+  state::TimePoint outageSince_{};           ///< When it was noticed.
   bool othersHeard_ = false;     ///< Whether others that follow are heard.
   state::Revision othersNewsAt_; ///< Newest change that they announce.
   std::deque<Announcement> announced_; ///< Announced news that are lacking, the
--- a/src/coordination/routing/store_follower_read.cpp
+++ b/src/coordination/routing/store_follower_read.cpp
@@ -110,7 +110,11 @@
   const state::TimePoint now = clock_.now();
   if (inOutage_) {
     inOutage_ = false;
-    graceUntil_ = now + settings_.returnGrace_;
+    // Others that are still heard have reached the store all the while, so
+    // that no entry has expired.
+    const bool wasAlone =
+      othersHeard_ && now - outageSince_ >= settings_.ownOutageProof_;
+    graceUntil_ = wasAlone ? now : now + settings_.returnGrace_;
     log_.write(state::LogWeight::kChange,
                kPart,
                "store answers again",
@@ -131,6 +135,7 @@
   nextCall_ = clock_.now() + failurePause_;
   if (!inOutage_) {
     inOutage_ = true;
+    outageSince_ = clock_.now();
     log_.write(state::LogWeight::kChange,
                kPart,
                "store does not answer",
--- a/tests/coordination/routing_follower_test.cpp
+++ b/tests/coordination/routing_follower_test.cpp
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(compactedHistoryIsListedAgain);
   CPPUNIT_TEST(ownKeyThatVanishedWithItsHistoryIsTold);
   CPPUNIT_TEST(entriesThatVanishInOutageStayForGrace);
+  CPPUNIT_TEST(targetThatOthersSayIsGoneHasNoGrace);
+  CPPUNIT_TEST(outageOfThisDaemonAloneLeavesNoGrace);
   CPPUNIT_TEST(removedEntryGoesAtOnce);
   CPPUNIT_TEST(peerGivesConfiguration);
   CPPUNIT_TEST(newsOfOthersReplaceWatches);
@@ -193,6 +195,36 @@
     CPPUNIT_ASSERT(!follower_->instances()->contains(state::VmId("a")));
   }
 
+  // The store had turned away this daemon, but not the one that tells.
+  void targetThatOthersSayIsGoneHasNoGrace()
+  {
+    run(1s);
+    store_->faults().down_ = true;
+    run(1s);
+    store_->faults().down_ = false;
+    run(1500ms);
+    CPPUNIT_ASSERT(!follower_->hasOutage());
+    data_->remove("vm/a");
+    follower_->offerNews({ state::Revision(data_->nextRevision_), "", {} });
+    CPPUNIT_ASSERT(follower_->instances()->empty());
+  }
+
+  // Others that are heard after it must have renewed their leases meanwhile.
+  void outageOfThisDaemonAloneLeavesNoGrace()
+  {
+    run(1s);
+    store_->faults().down_ = true;
+    follower_->setOthers(true, {});
+    run(16s);
+    CPPUNIT_ASSERT(follower_->hasOutage());
+    run(3s);
+    data_->remove("vm/a");
+    store_->faults().down_ = false;
+    run(2s);
+    CPPUNIT_ASSERT(!follower_->hasOutage());
+    CPPUNIT_ASSERT(follower_->instances()->empty());
+  }
+
   void removedEntryGoesAtOnce()
   {
     run(1s);
