Count a report only for the registered incarnation and rank of a member

Cause: after two VMs restart behind a cut, one may answer at the other's registered address. Its report then stood for both, so a member that never joined counted as ready and its replica was opened (PARTIAL). Ruled out: late orders (the traced join was refused, no other was sent).

A report counts only if its incarnation is the registered one, and a place only at the member's own rank, also where the registration is newer than the report. The fake engines check that each member has been ready under the replica's name and epoch. The new test opened a replica with a member that never joined before; passes now.

--- a/src/coordination/replica/engine_monitor.cpp
+++ b/src/coordination/replica/engine_monitor.cpp
@@ -35,6 +35,7 @@
     present.insert(instance.id_);
     MonitoredEngine& engine = engines_[instance.id_];
     const bool moved = engine.instance_.endpoint_ != instance.endpoint_;
+    const bool restarted = engine.instance_.bornAtMs_ != instance.bornAtMs_;
     engine.instance_ = instance;
     const bool member = instance.engine_ && instance.engine_->place_;
     if (!engine.registered_ && member) {
@@ -44,6 +45,8 @@
     if (moved) {
       engine.report_.reset();
       engine.missedReports_ = 0;
+    }
+    if (moved || restarted) {
       polls_[instance.id_].nextAt_ = clock_.now();
     }
   }
@@ -110,7 +113,8 @@
 EngineMonitor::isResponding(const state::VmId& aVm) const
 {
   const MonitoredEngine* engine = find(aVm);
-  return engine != nullptr && engine->report_ && engine->missedReports_ == 0;
+  return engine != nullptr && engine->isIdentified() &&
+         engine->missedReports_ == 0;
 }
 
 bool
--- a/src/coordination/replica/engine_monitor.h
+++ b/src/coordination/replica/engine_monitor.h
@@ -32,6 +32,14 @@
   std::uint32_t missedReports_ = 0;   ///< Consecutive polls without an answer.
   state::TimePoint lastReportAt_{};   ///< When the latest answer arrived.
   state::TimePoint firstMissAt_{}; ///< When the first of these polls timed out.
+  /** @return Whether the latest report comes from the registered incarnation.
+   * After a restart, another VM may answer at the registered address, or a new
+   * incarnation whose registration has not arrived yet. */
+  bool isIdentified() const
+  {
+    return report_ && (instance_.bornAtMs_ == 0 ||
+                       report_->state_.bornAtMs_ == instance_.bornAtMs_);
+  }
   bool operator==(const MonitoredEngine&) const = default;
 };
 
@@ -85,7 +93,8 @@
   const MonitoredEngine* find(const state::VmId& aVm) const;
   /**
    * @param aVm A VM.
-   * @return Whether its latest poll was answered, registered or not.
+   * @return Whether its latest poll was answered by the incarnation that is
+   * or was last registered.
    */
   bool isResponding(const state::VmId& aVm) const;
   /**
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -75,6 +75,17 @@
   return state::ModelId(identifierPart(aReplica, 2));
 }
 
+/** @return Whether a place is the one that a VM has in a replica. */
+bool
+isPlaceOf(const Replica& aReplica,
+          const state::VmId& aVm,
+          const state::MemberPlace& aPlace)
+{
+  return aPlace.replica_ == aReplica.id_ && aPlace.epoch_ == aReplica.epoch_ &&
+         aPlace.rank_ < aReplica.members_.size() &&
+         aReplica.members_[aPlace.rank_].vm_ == aVm;
+}
+
 /** @return Number of known members of a replica. */
 std::size_t
 knownMembers(const Replica& aReplica)
@@ -394,7 +405,7 @@
 ReplicaCoordinator::updateLastModels()
 {
   for (const auto& [vm, engine] : monitor_.engines()) {
-    if (!engine.report_) {
+    if (!engine.isIdentified()) {
       continue;
     }
     const state::EngineState& state = engine.report_->state_;
@@ -459,14 +470,12 @@
                             const state::VmId& aVm) const
 {
   const MonitoredEngine* engine = monitor_.find(aVm);
-  if (engine == nullptr || !engine->report_ ||
+  if (engine == nullptr || !engine->isIdentified() ||
       !engine->report_->state_.place_) {
     return nullptr;
   }
   const state::MemberPlace& place = *engine->report_->state_.place_;
-  const bool here =
-    place.replica_ == aReplica.id_ && place.epoch_ == aReplica.epoch_;
-  return here ? &place : nullptr;
+  return isPlaceOf(aReplica, aVm, place) ? &place : nullptr;
 }
 
 std::optional<state::MemberState>
@@ -485,8 +494,7 @@
   const auto& registered = engine->instance_.engine_;
   const bool sameLife = registered && registered->place_ &&
                         registered->bornAtMs_ == aMember.bornAtMs_ &&
-                        registered->place_->replica_ == aReplica.id_ &&
-                        registered->place_->epoch_ == aReplica.epoch_;
+                        isPlaceOf(aReplica, aMember.vm_, *registered->place_);
   if (sameLife && registered->place_->state_ <= state::MemberState::kOpen &&
       (!progress || registered->place_->state_ > *progress)) {
     progress = registered->place_->state_;
@@ -1000,7 +1008,7 @@
   const MonitoredEngine* engine = monitor_.find(aVm);
   OrderState& state = orders_[aVm];
   const state::TimePoint now = clock_.now();
-  const bool allowed = engine != nullptr && engine->report_ &&
+  const bool allowed = engine != nullptr && engine->isIdentified() &&
                        !state.inFlight_ && now >= state.notBefore_ &&
                        lease_.holds();
   if (!allowed) {
--- a/tests/coordination/replica_coordinator_test.cpp
+++ b/tests/coordination/replica_coordinator_test.cpp
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(leavingMemberDrainsReplica);
   CPPUNIT_TEST(unreachableZoneIsNotAbandoned);
   CPPUNIT_TEST(restartedMemberIsReplaced);
+  CPPUNIT_TEST(reportOfAnotherVmDoesNotCount);
   CPPUNIT_TEST(gradualReregistrationBreaksNoReplica);
   CPPUNIT_TEST(membersRegisteredBeforeTheirHeadAreNotFree);
   CPPUNIT_TEST(randomFaultsKeepInvariants);
@@ -351,6 +352,31 @@
     checkInvariants(world);
   }
 
+  // Two VMs restart behind a network partition. The old address of one then
+  // belongs to the other, so its reports show a member that is ready while the
+  // VM itself has never joined.
+  void reportOfAnotherVmDoesNotCount()
+  {
+    ReplicaWorld world(1, 1);
+    world.run(80s);
+    const state::VmId head = headOf(world, "large");
+    const std::vector<state::VmId> members =
+      world.fleet_.engines_.at(head).members_;
+    for (const state::VmId& vm : members) {
+      if (vm != head && vm != members.back()) {
+        world.fleet_.takeOverAddress(vm, head);
+      }
+    }
+    world.run(20s);
+    checkInvariants(world);
+    for (const state::VmId& vm : members) {
+      world.fleet_.registerAnew(vm);
+    }
+    world.run(20s);
+    checkInvariants(world);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.fleet_.openReplicas("large"));
+  }
+
   void randomFaultsKeepInvariants()
   {
     const bool kept = rc::check("replicas under random faults", [] {
--- a/tests/fakes/fake_replica_engines.h
+++ b/tests/fakes/fake_replica_engines.h
@@ -32,6 +32,8 @@
   state::ModelId staging_;      ///< Model being staged.
   state::TimePoint stagedAt_{}; ///< When the staging completes.
   state::TimePoint incompleteSince_{}; ///< Since when a member is missing.
+  std::set<std::pair<state::ReplicaId, state::Epoch>>
+    readyIn_; ///< Replicas for which it has been ready, in any incarnation.
 };
 
 /** The engines of a test, shared by all daemons. Not thread-safe. */
@@ -64,13 +66,38 @@
     std::vector<state::Instance> instances;
     for (const auto& [vm, engine] : engines_) {
       if (!unregistered_.contains(vm)) {
-        instances.push_back(engine.instance_);
-        instances.back().engine_ = engine.state_;
+        const auto stale = staleRegistrations_.find(vm);
+        instances.push_back(stale == staleRegistrations_.end()
+                              ? registrationOf(engine)
+                              : stale->second);
       }
     }
     return instances;
   }
 
+  /** Restarts two engines behind a network partition. The address of the first
+   * is taken over by the second; the registration of the first still shows its
+   * earlier incarnation at that address. */
+  void takeOverAddress(const state::VmId& aVm, const state::VmId& aBy)
+  {
+    staleRegistrations_[aVm] = registrationOf(engines_.at(aVm));
+    restart(aVm);
+    restart(aBy);
+    answering_[aVm] = aBy;
+  }
+  /** Ends takeOverAddress(): the VM registers again at a working address. */
+  void registerAnew(const state::VmId& aVm)
+  {
+    staleRegistrations_.erase(aVm);
+    answering_.erase(aVm);
+  }
+  /** @return The VM that answers at the address registered for a VM. */
+  const state::VmId& answeringAt(const state::VmId& aVm) const
+  {
+    const auto found = answering_.find(aVm);
+    return found == answering_.end() ? aVm : found->second;
+  }
+
   /** Kills an engine process; its host keeps the staged models. */
   void kill(const state::VmId& aVm) { engines_.at(aVm).alive_ = false; }
   /** Restarts an engine process under the same identifier. */
@@ -83,6 +110,7 @@
     fresh.state_.bornAtMs_ = ++starts_;
     fresh.state_.domain_ = before.domain_;
     fresh.state_.staged_ = before.staged_;
+    fresh.readyIn_ = engine.readyIn_;
     engine = fresh;
   }
   /** Sets whether an engine is registered. */
@@ -166,6 +194,15 @@
     6); ///< Time without a member after which a head enters the broken state.
 
 private:
+  /** @return The current registration of an engine. */
+  static state::Instance registrationOf(const FakeReplicaEngine& aEngine)
+  {
+    state::Instance instance = aEngine.instance_;
+    instance.bornAtMs_ = aEngine.state_.bornAtMs_;
+    instance.engine_ = aEngine.state_;
+    return instance;
+  }
+
   bool isHeadOpen(const FakeReplicaEngine& aEngine) const
   {
     const auto& place = aEngine.state_.place_;
@@ -206,6 +243,7 @@
       aEngine.state_.model_ = aEngine.joining_;
       aEngine.lastModel_ = aEngine.joining_;
       aEngine.state_.staged_ = { aEngine.joining_ };
+      aEngine.readyIn_.emplace(place->replica_, place->epoch_);
     }
     if (aEngine.opening_ && aEngine.openAt_ <= now) {
       aEngine.opening_ = false;
@@ -224,14 +262,14 @@
     }
   }
 
-  /** Checks that a head that starts to serve has no member still loading under
-   * its replica and epoch; lost members are exempt. */
+  /** Checks that each member of a head that starts to serve has been ready
+   * under its replica and epoch; members lost since then are exempt. */
   void checkComplete(const FakeReplicaEngine& aHead)
   {
     for (const state::VmId& vm : aHead.members_) {
-      const FakeReplicaEngine& member = engines_.at(vm);
-      if (member.alive_ && isPresent(aHead, vm) &&
-          member.state_.place_->state_ == state::MemberState::kJoining) {
+      const auto& place = aHead.state_.place_;
+      if (!engines_.at(vm).readyIn_.contains(
+            std::pair(place->replica_, place->epoch_))) {
         violations_.push_back("opened before " + vm.value() + " was ready");
       }
     }
@@ -336,6 +374,10 @@
   FakeClock& clock_;                   ///< Clock of the test.
   std::uint64_t starts_ = 1000;        ///< Processes started.
   std::set<state::VmId> unregistered_; ///< Engines that are not registered.
+  std::map<state::VmId, state::Instance>
+    staleRegistrations_; ///< Registrations that show an earlier incarnation.
+  std::map<state::VmId, state::VmId>
+    answering_; ///< Engines that answer at the address registered for another.
 };
 
 /** One daemon's client of the engines. Answers arrive in step(). Not
@@ -374,6 +416,9 @@
       fleet_.delayed_.emplace_back(
         clock_.now() + std::chrono::seconds(5),
         [this, vm, aOrder] { fleet_.carryOut(vm, aOrder); });
+    } else if (reaches && fleet_.answeringAt(vm) != vm) {
+      status = ReplicaOrderStatus::kRefused;
+      delay = kLatency;
     } else if (reaches) {
       status = fleet_.carryOut(vm, aOrder);
       delay = kLatency;
@@ -390,7 +435,8 @@
                    state::Duration aTimeout,
                    ReportHandler aHandler) override
   {
-    const FakeReplicaEngine& engine = fleet_.engines_.at(aFrom.id_);
+    const FakeReplicaEngine& engine =
+      fleet_.engines_.at(fleet_.answeringAt(aFrom.id_));
     if (!engine.alive_ || !engine.reachable_) {
       answer(aTimeout, [aHandler] { aHandler(std::nullopt); });
       return;
