Have spare VMs load the model that their hosts stage

Cause: a member is replaced by the one spare of the domain, which needs 1.6 s to load from its host; the other members need 0.2 s. Ruled out: formation waits for reports (all members were seen ready within 0.03 s).

A spare joins a replica of its own, which is incomplete and never opened; it stays free for any replica. Tests spareReplacesLostMemberWithinTarget and successorLeavesSparesFree fail without it.

--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -34,6 +34,13 @@
 constexpr std::chrono::milliseconds kPollMargin{
   10
 }; ///< Added to the expected end of an order before the VM is polled for it.
+constexpr std::chrono::seconds kWarmMargin{
+  1
+}; ///< Added to the expected load time before a spare VM is told again.
+constexpr char kReplicaPrefix = 'r'; ///< First letter of a replica identifier.
+constexpr char kSparePrefix =
+  's'; ///< First letter of the identifier under which a spare VM alone joins a
+       ///< replica of its own. Such a replica is incomplete and never opened.
 constexpr char kNameSeparator =
   '.'; ///< Separates the parts of a replica identifier.
 constexpr std::chrono::seconds kMissingLogPeriod(
@@ -44,15 +51,23 @@
 /** @return Identifier of a replica. It contains the head and the model, so that
  * a successor can adopt the replica from its members' reports. */
 state::ReplicaId
-identifierFor(state::Epoch aEpoch,
+identifierFor(char aPrefix,
+              state::Epoch aEpoch,
               const state::VmId& aHead,
               const state::ModelId& aModel)
 {
-  return state::ReplicaId("r" + std::to_string(aEpoch.value()) +
+  return state::ReplicaId(aPrefix + std::to_string(aEpoch.value()) +
                           kNameSeparator + aHead.value() + kNameSeparator +
                           aModel.value());
 }
 
+/** @return Whether a replica is that of a spare VM alone, which is free. */
+bool
+isSpare(const state::ReplicaId& aReplica)
+{
+  return aReplica.value().front() == kSparePrefix;
+}
+
 /** @return A part of a replica identifier, or an empty string. */
 std::string
 identifierPart(const state::ReplicaId& aReplica, std::size_t aIndex)
@@ -270,6 +285,7 @@
   waitingSince_ = {};
   replicas_.clear();
   dissolved_.clear();
+  warming_.clear();
   orders_.clear();
   stableSince_.clear();
   monitor_.discardReports();
@@ -299,7 +315,7 @@
     const state::MemberPlace& place = *engine.report_->state_.place_;
     if (isKnown(place)) {
       addMember(vm, place);
-    } else {
+    } else if (!isSpare(place.replica_)) {
       adopt(place);
     }
   }
@@ -785,7 +801,7 @@
     return false;
   }
   const auto& place = aEngine.report_->state_.place_;
-  if (place && !isKnown(*place)) {
+  if (place && !isKnown(*place) && !isSpare(place->replica_)) {
     return false;
   }
   return std::none_of(
@@ -939,6 +955,36 @@
   for (const StageAction& action : changes.stage_) {
     stage(action);
   }
+  for (const WarmAction& action : changes.warm_) {
+    warm(action);
+  }
+}
+
+state::Epoch
+ReplicaCoordinator::nextEpoch()
+{
+  assert(epochs_ + 1 < kEpochsPerTerm);
+  return state::Epoch(leaseTerm_ * kEpochsPerTerm + ++epochs_);
+}
+
+void
+ReplicaCoordinator::warm(const WarmAction& aAction)
+{
+  state::TimePoint& until = warming_[aAction.vm_];
+  const state::ModelSpec* model = state::findModel(*engine_, aAction.model_);
+  if (clock_.now() < until || model == nullptr || !mayOrder(aAction.vm_)) {
+    return;
+  }
+  ReplicaOrder order;
+  order.kind_ = ReplicaOrderKind::kJoin;
+  order.epoch_ = nextEpoch();
+  order.replica_ =
+    identifierFor(kSparePrefix, order.epoch_, aAction.vm_, aAction.model_);
+  order.model_ = aAction.model_;
+  order.members_ = { aAction.vm_ };
+  if (send(aAction.vm_, order)) {
+    until = clock_.now() + model->warmTime_ + kWarmMargin;
+  }
 }
 
 void
@@ -964,11 +1010,10 @@
 void
 ReplicaCoordinator::form(const FormAction& aAction)
 {
-  assert(epochs_ + 1 < kEpochsPerTerm);
   Replica replica;
-  replica.epoch_ = state::Epoch(leaseTerm_ * kEpochsPerTerm + ++epochs_);
-  replica.id_ =
-    identifierFor(replica.epoch_, aAction.members_.front(), aAction.model_);
+  replica.epoch_ = nextEpoch();
+  replica.id_ = identifierFor(
+    kReplicaPrefix, replica.epoch_, aAction.members_.front(), aAction.model_);
   replica.model_ = aAction.model_;
   replica.domain_ = aAction.domain_;
   replica.since_ = clock_.now();
@@ -994,15 +1039,10 @@
 bool
 ReplicaCoordinator::sendJoin(const Replica& aReplica, const state::VmId& aVm)
 {
-  const MonitoredEngine* engine = monitor_.find(aVm);
-  const auto order = orders_.find(aVm);
-  const bool waits =
-    order != orders_.end() &&
-    (order->second.inFlight_ || clock_.now() < order->second.notBefore_);
-  if (engine == nullptr || !engine->report_ || waits) {
+  if (!mayOrder(aVm)) {
     return false;
   }
-  if (needsLoad(*engine, aReplica.model_) && !loadsAreFast() &&
+  if (needsLoad(*monitor_.find(aVm), aReplica.model_) && !loadsAreFast() &&
       !loadLimiter_.take()) {
     return false;
   }
@@ -1027,18 +1067,26 @@
 }
 
 bool
-ReplicaCoordinator::send(const state::VmId& aVm, const ReplicaOrder& aOrder)
+ReplicaCoordinator::mayOrder(const state::VmId& aVm) const
 {
   const MonitoredEngine* engine = monitor_.find(aVm);
-  OrderState& state = orders_[aVm];
-  const state::TimePoint now = clock_.now();
-  const bool allowed = engine != nullptr && engine->isIdentified() &&
-                       !state.inFlight_ && now >= state.notBefore_ &&
-                       lease_.holds();
-  if (!allowed) {
+  const auto order = orders_.find(aVm);
+  const bool waits =
+    order != orders_.end() &&
+    (order->second.inFlight_ || clock_.now() < order->second.notBefore_);
+  return engine != nullptr && engine->isIdentified() && !waits &&
+         lease_.holds();
+}
+
+bool
+ReplicaCoordinator::send(const state::VmId& aVm, const ReplicaOrder& aOrder)
+{
+  if (!mayOrder(aVm)) {
     return false;
   }
+  const MonitoredEngine* engine = monitor_.find(aVm);
   const state::EngineState& reported = engine->report_->state_;
+  OrderState& state = orders_[aVm];
   if (state.bornAtMs_ != reported.bornAtMs_) {
     state.bornAtMs_ = reported.bornAtMs_;
     state.begun_ = 0;
@@ -1049,7 +1097,7 @@
   order.expectedOrders_ = state.begun_;
   order.sendBefore_ = lease_.holdsUntil();
   state.inFlight_ = true;
-  state.notBefore_ = now + limits_.orderRetryDelay_;
+  state.notBefore_ = clock_.now() + limits_.orderRetryDelay_;
   const std::weak_ptr<bool> alive = alive_;
   engineClient_.sendOrder(
     engine->instance_,
--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -148,6 +148,9 @@
   bool loadsAreFast() const;
   void form(const FormAction& aAction);
   void stage(const StageAction& aAction);
+  void warm(const WarmAction& aAction);
+  state::Epoch nextEpoch();
+  bool mayOrder(const state::VmId& aVm) const;
   bool needsLoad(const MonitoredEngine& aEngine,
                  const state::ModelId& aModel) const;
   bool sendJoin(const Replica& aReplica, const state::VmId& aVm);
@@ -190,6 +193,8 @@
     stagedModels_; ///< Model that each VM was last ordered to stage.
   std::map<state::VmId, state::TimePoint>
     staging_; ///< Deadline of the latest staging order to each VM.
+  std::map<state::VmId, state::TimePoint>
+    warming_; ///< Until when each spare VM is expected to load its model.
   std::uint64_t leaseTerm_ = 0;   ///< Number of the current lease term.
   std::uint64_t epochs_ = 0;      ///< Replicas formed in this term.
   std::uint64_t openChanges_ = 0; ///< Changes to the replicas that take
--- a/src/coordination/replica/replica_plan_func.cpp
+++ b/src/coordination/replica/replica_plan_func.cpp
@@ -61,6 +61,7 @@
     }
     formMissing();
     stageModels();
+    warmSpares();
     return std::move(plan_);
   }
 
@@ -391,6 +392,21 @@
     return true;
   }
 
+  /** Has the remaining free VMs load the model that their hosts stage, unless
+   * they have already loaded one in this incarnation. */
+  void warmSpares()
+  {
+    for (const auto& [id, spares] : free_) {
+      for (const VmSnapshot& vm : spares) {
+        const bool fresh =
+          vm.lastModel_.empty() && vm.staging_.empty() && !vm.busy_;
+        if (fresh && vm.staged_.size() == 1) {
+          plan_.warm_.push_back({ vm.id_, *vm.staged_.begin() });
+        }
+      }
+    }
+  }
+
   /** @return The second largest model, or the only one. */
   const state::ModelSpec& secondLargest() const
   {
--- a/src/coordination/replica/replica_plan_func.h
+++ b/src/coordination/replica/replica_plan_func.h
@@ -78,12 +78,22 @@
   bool operator==(const StageAction&) const = default;
 };
 
+/** A spare VM that loads a model from its host, so that it can later join a
+ * replica of the model as fast as a VM that was a member of one before. */
+struct WarmAction
+{
+  state::VmId vm_;       ///< The VM.
+  state::ModelId model_; ///< The model; it is staged on the VM's host.
+  bool operator==(const WarmAction&) const = default;
+};
+
 /** Changes to a zone. */
 struct ReplicaPlan
 {
   std::vector<FormAction> form_;        ///< Replicas to form.
   std::vector<state::ReplicaId> close_; ///< Replicas to close.
   std::vector<StageAction> stage_;      ///< Models to stage.
+  std::vector<WarmAction> warm_;        ///< Spare VMs that load a model.
   bool operator==(const ReplicaPlan&) const = default;
 };
 
@@ -92,7 +102,8 @@
  * by their work shares, and any VM may be lost at any time. Replicas of smaller
  * models serve as the reserve of the largest model: its weights are staged on
  * their hosts, and they are closed when a replica of the largest model has lost
- * a member. Existing replicas are closed only when another model needs their
+ * a member. A spare VM whose host has staged a model loads it at once. Existing
+ * replicas are closed only when another model needs their
  * VMs. Pure and deterministic; thread-safe.
  * @param aSnapshot State of the zone.
  * @return The changes to make; empty when nothing has to change.
--- a/tests/coordination/replica_coordinator_test.cpp
+++ b/tests/coordination/replica_coordinator_test.cpp
@@ -49,6 +49,8 @@
   CPPUNIT_TEST(replicasOfBothModelsAreFormed);
   CPPUNIT_TEST(lostMemberIsReplacedFromReserve);
   CPPUNIT_TEST(ordersAreCountedAsTheEnginesCountThem);
+  CPPUNIT_TEST(spareReplacesLostMemberWithinTarget);
+  CPPUNIT_TEST(successorLeavesSparesFree);
   CPPUNIT_TEST(membersOfLostHeadStayReservedUntilItIsBroken);
   CPPUNIT_TEST(membersOfVanishedReplicaAreNotFreeOnReturn);
   CPPUNIT_TEST(unregisteredHeadThatRespondsIsClosedAtOnce);
@@ -161,13 +163,51 @@
   void ordersAreCountedAsTheEnginesCountThem()
   {
     ReplicaWorld world(1, 1);
+    world.listLag_ = 600ms;
     world.run(80s);
     world.fleet_.kill(memberOf(world, headOf(world, "large")));
-    world.run(4s);
+    world.run(5s);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.fleet_.openReplicas("large"));
     CPPUNIT_ASSERT_EQUAL(0U, world.fleet_.miscounted_);
   }
 
+  // A replica that lost a member is open again with a spare VM. Loading the
+  // model from the spare's host takes longer than all else, so it must have
+  // been loaded before.
+  void spareReplacesLostMemberWithinTarget()
+  {
+    constexpr auto kDetection = 1s;
+    constexpr auto kTarget = 1200ms;
+    ReplicaWorld world(1, 1, 9);
+    world.run(80s);
+    const state::VmId head = headOf(world, "large");
+    world.fleet_.kill(memberOf(world, head));
+    world.run(kDetection);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, world.fleet_.openReplicas("large"));
+    world.run(kTarget);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.fleet_.openReplicas("large"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, world.fleet_.openReplicas("small"));
+    checkInvariants(world);
+  }
+
+  // Spare VMs are members of replicas of their own. A successor must neither
+  // adopt nor wait for these.
+  void successorLeavesSparesFree()
+  {
+    ReplicaWorld world(2, 1, 9);
+    world.run(80s);
+    const std::size_t small = world.fleet_.openReplicas("small");
+    world.coordinator()->paused_ = true;
+    world.run(2500ms);
+    CPPUNIT_ASSERT(world.coordinator() != nullptr);
+    CPPUNIT_ASSERT(world.coordinator()->coordinator_.digest().has_value());
+    world.fleet_.kill(memberOf(world, headOf(world, "large")));
+    world.run(2200ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.fleet_.openReplicas("large"));
+    CPPUNIT_ASSERT_EQUAL(small, world.fleet_.openReplicas("small"));
+    checkInvariants(world);
+  }
+
   void membersOfLostHeadStayReservedUntilItIsBroken()
   {
     ReplicaWorld world(1, 1);
--- a/tests/coordination/replica_world.h
+++ b/tests/coordination/replica_world.h
@@ -6,6 +6,7 @@
 #include "fakes/fake_replica_engines.h"
 #include "fakes/fake_store.h"
 
+#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
@@ -81,14 +82,15 @@
 
   /**
    * @param aDaemons Number of daemons.
-   * @param aDomains Number of fabric domains, with eight engines each.
+   * @param aDomains Number of fabric domains.
+   * @param aEngines Number of engines of each domain.
    */
-  ReplicaWorld(std::size_t aDaemons, std::size_t aDomains)
+  ReplicaWorld(std::size_t aDaemons, std::size_t aDomains, int aEngines = 8)
     : store_(std::make_shared<FakeStoreData>())
     , fleet_(clock_)
   {
     for (std::size_t domain = 0; domain < aDomains; ++domain) {
-      for (int index = 0; index < 8; ++index) {
+      for (int index = 0; index < aEngines; ++index) {
         fleet_.add("vm" + std::to_string(domain) + std::to_string(index),
                    "domain" + std::to_string(domain));
       }
@@ -111,6 +113,10 @@
     for (state::Duration past{}; past < aTime; past += kTick) {
       clock_.advance(kTick);
       fleet_.step();
+      lists_.emplace_back(clock_.now(), fleet_.registered());
+      while (clock_.now() - lists_.front().first > listLag_) {
+        lists_.pop_front();
+      }
       for (const auto& daemon : daemons_) {
         if (!daemon->paused_) {
           step(*daemon);
@@ -130,18 +136,22 @@
     return nullptr;
   }
 
-  FakeClock clock_;                                     ///< Clock.
+  state::Duration listLag_{}; ///< Age of the list of VMs that daemons know.
+  FakeClock clock_;           ///< Clock.
   std::shared_ptr<FakeStoreData> store_;                ///< The store.
   FakeReplicaFleet fleet_;                              ///< The engines.
   std::vector<std::unique_ptr<ReplicaDaemon>> daemons_; ///< The daemons.
 
 private:
+  std::deque<std::pair<state::TimePoint, std::vector<state::Instance>>>
+    lists_; ///< Lists of VMs that daemons do not know yet.
+
   void step(ReplicaDaemon& aDaemon)
   {
     aDaemon.store_.step();
     aDaemon.engines_.step();
     aDaemon.lease_.tick(std::chrono::milliseconds(200));
-    aDaemon.coordinator_.setInstances(fleet_.registered());
+    aDaemon.coordinator_.setInstances(lists_.front().second);
     aDaemon.coordinator_.tick();
   }
 };
