Take stream events as evidence of sound and of lost replicas

Daemons tell coordinators of replicas whose streams are all silent; these poll the members at once, and dispatchers avoid the replica. Before a replica is closed for unanswered polls, all daemons are asked for its newest event.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -230,6 +230,16 @@
                 targets_,
                 log_,
                 settings_.listeners_.digests_)
+  , activity_(clock_)
+  , activities_(
+      clock_,
+      digests_,
+      activity_,
+      targets_,
+      settings_.listeners_.digests_,
+      [this](const protocol::ActivityNotice& aNotice,
+             state::TimePoint aCountedAt,
+             bool aAsked) { takeActivity(aNotice, aCountedAt, aAsked); })
   , budget_(budgetSettings(settings_.retries_))
   , relay_({ clock_,
              targets_,
@@ -239,7 +249,8 @@
              trafficClients_,
              log_,
              metrics_,
-             &placements_ },
+             &placements_,
+             &activity_ },
            {})
   , status_(settings_.readyPath_, metrics_)
 {
@@ -368,6 +379,8 @@
   registration_.tick(mayRegister
                        ? std::optional<state::Duration>(kRegistrationRetry)
                        : std::nullopt);
+  activities_.tick();
+  askForActivity();
   const bool due = clock_.now() >= digestAt_;
   if (due) {
     digestAt_ = clock_.now() + kDigestPeriod;
@@ -446,6 +459,8 @@
                                            place.expected_,
                                            place.retryAfter_,
                                            place.candidates_ }));
+  } else if (activities_.take(aFrom, aDatagram)) {
+    return;
   } else if (const auto digest =
                protocol::decodeZoneDigest(aDatagram, clock_.now())) {
     targets_.setDispatcher(digest->zone_, aFrom);
@@ -484,15 +499,59 @@
   sendToDaemons(*digest);
 }
 
+std::vector<state::Endpoint>
+RelayDaemon::otherDaemons() const
+{
+  std::vector<state::Endpoint> others;
+  for (state::Endpoint daemon : registry_.endpoints()) {
+    if (daemon != settings_.listeners_.peers_) {
+      daemon.port_ = settings_.listeners_.digests_.port_;
+      others.push_back(daemon);
+    }
+  }
+  return others;
+}
+
 void
 RelayDaemon::sendToDaemons(const coordination::ZoneDigest& aDigest)
 {
   const std::string datagram =
     protocol::encodeZoneDigest(aDigest, clock_.now());
-  for (state::Endpoint daemon : registry_.endpoints()) {
-    if (daemon != settings_.listeners_.peers_) {
-      daemon.port_ = settings_.listeners_.digests_.port_;
-      digests_.send(daemon, datagram);
+  for (const state::Endpoint& daemon : otherDaemons()) {
+    digests_.send(daemon, datagram);
+  }
+}
+
+void
+RelayDaemon::askForActivity()
+{
+  std::vector<state::VmId> heads;
+  for (const auto& [zone, duty] : duties_) {
+    const auto doubted = duty->coordinator().headsInDoubt();
+    heads.insert(heads.end(), doubted.begin(), doubted.end());
+  }
+  if (!heads.empty()) {
+    activities_.ask(heads, otherDaemons());
+  }
+}
+
+void
+RelayDaemon::takeActivity(const protocol::ActivityNotice& aNotice,
+                          state::TimePoint aCountedAt,
+                          bool aAsked)
+{
+  for (auto& [zone, duty] : duties_) {
+    if (aAsked) {
+      duty->coordinator().noteActivity(aNotice.replicas_, aCountedAt);
+    }
+  }
+  if (aAsked) {
+    return;
+  }
+  for (const coordination::ReplicaActivity& replica : aNotice.replicas_) {
+    targets_.noteSilence(replica.head_, replica.streams_);
+    for (auto& [zone, duty] : duties_) {
+      duty->coordinator().noteSilence(replica.head_);
     }
   }
 }
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -19,6 +19,7 @@
 #include "transport/event_log_writer.h"
 #include "transport/http_client.h"
 #include "transport/peer_links.h"
+#include "transport/relay/activity_exchange.h"
 #include "transport/relay/relay_handler.h"
 #include "transport/relay/status_handler.h"
 #include "transport/service_caller.h"
@@ -57,6 +58,11 @@
   void takeDatagram(const state::Endpoint& aFrom, const std::string& aDatagram);
   void takeDigest(const coordination::ZoneDigest& aDigest);
   void sendDigest(coordination::ZoneLeadership& aDuty);
+  void askForActivity();
+  void takeActivity(const protocol::ActivityNotice& aNotice,
+                    state::TimePoint aCountedAt,
+                    bool aAsked);
+  std::vector<state::Endpoint> otherDaemons() const;
   void sendToDaemons(const coordination::ZoneDigest& aDigest);
   void handBack(coordination::ZoneLeadership& aDuty);
   void noteStoreCalls();
@@ -104,11 +110,13 @@
     duties_;                       ///< Coordination of each zone.
   transport::TrafficPool traffic_; ///< Traffic thread.
   std::vector<std::unique_ptr<transport::HttpClient>>
-    trafficClients_;                      ///< HTTP of each traffic thread.
-  coordination::TargetPool targets_;      ///< Choice of targets.
-  transport::PlacementClient placements_; ///< Asks for places at copies.
-  coordination::RetryBudget budget_;      ///< Budget of repeated sends.
-  platform::RequestDialect dialect_;      ///< Request headers.
+    trafficClients_;                       ///< HTTP of each traffic thread.
+  coordination::TargetPool targets_;       ///< Choice of targets.
+  transport::PlacementClient placements_;  ///< Asks for places at copies.
+  coordination::StreamActivity activity_;  ///< Events of the streams relayed.
+  transport::ActivityExchange activities_; ///< Tells and asks for such events.
+  coordination::RetryBudget budget_;       ///< Budget of repeated sends.
+  platform::RequestDialect dialect_;       ///< Request headers.
   transport::SnapshotHolder<coordination::RouteTable> routes_; ///< Routes.
   transport::RelayHandler relay_;                   ///< Answers callers.
   transport::StatusHandler status_;                 ///< Answers the balancer.
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/replica/replica_coordinator.h"
 
+#include "coordination/routing/engine_timing_func.h"
 #include "state/routing_func.h"
 
 #include <algorithm>
@@ -139,6 +140,7 @@
   , zone_(aZone)
   , limits_(aLimits)
   , monitor_(aClock, aEngines, aLimits)
+  , evidence_(aClock)
   , loadLimiter_(aClock)
   , startedAt_(aClock.now())
 {
@@ -286,6 +288,7 @@
   replicas_.clear();
   dissolved_.clear();
   warming_.clear();
+  evidence_.clear();
   orders_.clear();
   stableSince_.clear();
   monitor_.discardReports();
@@ -561,11 +564,76 @@
          placeIn(aReplica, aMember.vm_) == nullptr;
 }
 
+void
+ReplicaCoordinator::noteActivity(const std::vector<ReplicaActivity>& aReplicas,
+                                 state::TimePoint aCountedAt)
+{
+  evidence_.note(aReplicas, aCountedAt);
+}
+
+void
+ReplicaCoordinator::noteSilence(const state::VmId& aHead)
+{
+  for (const auto& [id, replica] : replicas_) {
+    if (!takesRequests(replica.phase_) ||
+        replica.members_.front().vm_ != aHead) {
+      continue;
+    }
+    for (const ReplicaMember& member : replica.members_) {
+      monitor_.pollAt(member.vm_, clock_.now());
+    }
+  }
+}
+
+std::vector<state::VmId>
+ReplicaCoordinator::headsInDoubt() const
+{
+  std::vector<state::VmId> heads;
+  for (const auto& [id, replica] : replicas_) {
+    const bool doubted =
+      lease_.holds() && takesRequests(replica.phase_) &&
+      std::any_of(replica.members_.begin(),
+                  replica.members_.end(),
+                  [&](const ReplicaMember& aMember) {
+                    return !monitor_.isResponding(aMember.vm_);
+                  });
+    if (doubted) {
+      heads.push_back(replica.members_.front().vm_);
+    }
+  }
+  return heads;
+}
+
+bool
+ReplicaCoordinator::isMemberLost(const Replica& aReplica,
+                                 const state::VmId& aVm) const
+{
+  const MonitoredEngine* engine = monitor_.find(aVm);
+  const bool misses = engine != nullptr && engine->missedReports_ > 0;
+  if (!misses || !takesRequests(aReplica.phase_)) {
+    return monitor_.isLost(aVm);
+  }
+  // A head that is no longer registered must get no requests.
+  const state::VmId& head = aReplica.members_.front().vm_;
+  const MonitoredEngine* headEngine = monitor_.find(head);
+  const bool headListed = headEngine != nullptr && headEngine->registered_;
+  if (headListed && evidence_.showsEventsSince(head, engine->firstMissAt_)) {
+    return false;
+  }
+  const state::ModelSpec* model = state::findModel(*engine_, aReplica.model_);
+  const bool silent =
+    model != nullptr &&
+    evidence_.showsSilence(head,
+                           std::chrono::duration_cast<state::Duration>(
+                             silenceLimit(*engine_, *model)));
+  return silent || monitor_.isLost(aVm);
+}
+
 std::string_view
 ReplicaCoordinator::faultOf(const Replica& aReplica, bool aPlaced) const
 {
   for (const ReplicaMember& member : aReplica.members_) {
-    if (monitor_.isLost(member.vm_)) {
+    if (isMemberLost(aReplica, member.vm_)) {
       return "member lost";
     }
     const MonitoredEngine* engine = monitor_.find(member.vm_);
--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/leader_lease.h"
+#include "coordination/replica/activity_evidence.h"
 #include "coordination/replica/engine_monitor.h"
 #include "coordination/replica/replica_plan_func.h"
 #include "coordination/replica/replica_type.h"
@@ -69,6 +70,22 @@
   /** Notes that client requests have arrived; from then on loads are not
    * assumed to be fast. */
   void noteTraffic() { trafficSeen_ = true; }
+  /**
+   * Notes an answer of a daemon to the question for headsInDoubt().
+   * @param aReplicas What it knows of the streams from replicas.
+   * @param aCountedAt Time of which the ages were counted at the earliest.
+   */
+  void noteActivity(const std::vector<ReplicaActivity>& aReplicas,
+                    state::TimePoint aCountedAt);
+  /**
+   * Polls all members of a replica at once, because a daemon's streams from it
+   * are silent. Unknown replicas are ignored.
+   * @param aHead Head of the replica.
+   */
+  void noteSilence(const state::VmId& aHead);
+  /** @return Heads of the open replicas that may have lost a member; the events
+   * of their streams tell. */
+  std::vector<state::VmId> headsInDoubt() const;
   /** Runs the coordination; does nothing without the lease. To be called about
    * every 50 ms. */
   void tick();
@@ -128,6 +145,7 @@
   void startClosing(Replica& aReplica, std::string_view aWhy);
   void dissolve(Replica& aReplica, std::string_view aWhy);
   std::string_view faultOf(const Replica& aReplica, bool aPlaced) const;
+  bool isMemberLost(const Replica& aReplica, const state::VmId& aVm) const;
   bool hasLeavingMember(const Replica& aReplica) const;
   const state::MemberPlace* placeIn(const Replica& aReplica,
                                     const state::VmId& aVm) const;
@@ -173,6 +191,7 @@
   ReplicaZoneSettings zone_;          ///< Settings of the zone.
   ReplicaLimits limits_;              ///< Time limits and poll intervals.
   EngineMonitor monitor_;             ///< Monitor of the engines.
+  ActivityEvidence evidence_;         ///< Stream events of the replicas.
   state::RateLimiter
     loadLimiter_;            ///< Rate limit of loads from the weight store.
   state::ServiceId service_; ///< Service whose engines form replicas.
--- a/src/coordination/replica/replica_limits_type.h
+++ b/src/coordination/replica/replica_limits_type.h
@@ -22,7 +22,7 @@
   state::Duration lostReportPeriod_ =
     std::chrono::milliseconds(400); ///< Poll interval of a lost VM.
   state::Duration reportTimeout_ =
-    std::chrono::milliseconds(300); ///< Timeout of a poll.
+    std::chrono::milliseconds(200); ///< Timeout of a poll.
   std::uint32_t missedReportLimit_ =
     2; ///< Consecutive polls without an answer after which a VM is lost.
   state::Duration orderTimeout_ =
--- a/src/coordination/routing/engine_timing_func.cpp
+++ b/src/coordination/routing/engine_timing_func.cpp
@@ -50,6 +50,13 @@
            : decodeStepTime(aEngine, aModel, aRunning) * aEngine.stepsPerPass_;
 }
 
+state::FloatMs
+silenceLimit(const state::EngineSpec& aEngine, const state::ModelSpec& aModel)
+{
+  constexpr double kPasses = 3; // A pass may also process prompts.
+  return decodePassTime(aEngine, aModel, aEngine.batchSlots_) * kPasses;
+}
+
 state::FloatMs
 interleavedPrefillTime(const state::EngineSpec& aEngine,
                        const state::ModelSpec& aModel,
--- a/src/coordination/routing/engine_timing_func.h
+++ b/src/coordination/routing/engine_timing_func.h
@@ -52,6 +52,15 @@
                const state::ModelSpec& aModel,
                std::uint32_t aRunning);
 
+/**
+ * @param aEngine Engine settings of the service.
+ * @param aModel The model.
+ * @return Time without an event of any of its streams after which a replica may
+ * have lost a member. Thread-safe.
+ */
+state::FloatMs
+silenceLimit(const state::EngineSpec& aEngine, const state::ModelSpec& aModel);
+
 /**
  * Estimates the time to process a prompt in chunks that alternate with decode
  * steps of the other requests. Pure.
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -111,6 +111,10 @@
     0.85; ///< Utilization of all slots of a model below which its replicas
           ///< accept any request. It is not applied per replica, since the
           ///< requests refused by the fuller half would overload the rest.
+  state::Duration silenceBackoff_ = std::chrono::milliseconds(
+    300); ///< How long a replica is avoided whose streams are silent.
+  std::uint32_t minSilentStreams_ =
+    2;                      ///< Silent streams for which a replica is avoided.
   double roomCap_ = 0.7;    ///< Free fraction of a replica's slots above which
                             ///< more room attracts no more requests.
   double quotaSlack_ = 1.2; ///< Factor by which a daemon may exceed its equal
@@ -200,6 +204,22 @@
    * not be used.
    */
   TargetDecision take(const TargetNeed& aNeed, const state::VmId& aVm);
+  /** @return Datagram endpoints of all coordinators that sent a recent
+   * digest. */
+  std::vector<state::Endpoint> dispatchers() const;
+  /**
+   * @param aVm Head of a replica.
+   * @return Time without any stream event after which the replica may have lost
+   * a member; nothing for targets that are no replicas.
+   */
+  std::optional<state::Duration> silenceLimitOf(const state::VmId& aVm) const;
+  /**
+   * Notes that a daemon's streams from a replica are silent. A replica whose
+   * streams are silent is avoided for a moment.
+   * @param aVm Head of the replica.
+   * @param aStreams Number of silent streams.
+   */
+  void noteSilence(const state::VmId& aVm, std::uint32_t aStreams);
   /** @param aDaemons Number of daemons that send to the same targets. */
   void setDaemons(std::size_t aDaemons);
   /**
@@ -268,6 +288,8 @@
     state::TimePoint reportedAt_{};      ///< Time of the reported load.
     std::vector<std::pair<state::TimePoint, int>>
       ownChanges_; ///< Recent sends (+1) of this daemon and their ends (-1).
+    std::uint32_t silentStreams_ = 0; ///< Streams told to be silent of late.
+    state::TimePoint silentAt_{};     ///< When the latest of these were told.
     state::TimePoint
       backoffUntil_{}; ///< Avoided until then after a failure or rejection.
   };
--- a/src/coordination/routing/target_pool_place.cpp
+++ b/src/coordination/routing/target_pool_place.cpp
@@ -33,6 +33,61 @@
   digests_[aZone].dispatcher_ = aEndpoint;
 }
 
+std::vector<state::Endpoint>
+TargetPool::dispatchers() const
+{
+  const std::lock_guard lock(mutex_);
+  std::vector<state::Endpoint> endpoints;
+  for (const auto& [zone, digest] : digests_) {
+    const bool known =
+      digest.dispatcher_ &&
+      std::find(endpoints.begin(), endpoints.end(), *digest.dispatcher_) !=
+        endpoints.end();
+    if (digest.dispatcher_ && !known && hasFreshDigest(zone, clock_.now())) {
+      endpoints.push_back(*digest.dispatcher_);
+    }
+  }
+  return endpoints;
+}
+
+std::optional<state::Duration>
+TargetPool::silenceLimitOf(const state::VmId& aVm) const
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = targets_.find(aVm);
+  if (!config_ || found == targets_.end()) {
+    return std::nullopt;
+  }
+  const Target& target = found->second;
+  const auto timing = timingOf(target.service_, target.model_);
+  if (!timing) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<state::Duration>(
+    silenceLimit(*timing->engine_, *timing->model_) * target.slowness_);
+}
+
+void
+TargetPool::noteSilence(const state::VmId& aVm, std::uint32_t aStreams)
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = targets_.find(aVm);
+  if (found == targets_.end()) {
+    return;
+  }
+  Target& target = found->second;
+  const state::TimePoint now = clock_.now();
+  if (now - target.silentAt_ > settings_.silenceBackoff_) {
+    target.silentStreams_ = 0;
+  }
+  target.silentAt_ = now;
+  target.silentStreams_ += aStreams;
+  if (target.silentStreams_ >= settings_.minSilentStreams_) {
+    target.backoffUntil_ =
+      std::max(target.backoffUntil_, now + settings_.silenceBackoff_);
+  }
+}
+
 std::map<state::ZoneId, TargetPool::ZoneLoad>
 TargetPool::loadByZone(const TargetNeed& aNeed, state::TimePoint aNow) const
 {
--- a/src/protocol/datagram_func.h
+++ b/src/protocol/datagram_func.h
@@ -35,4 +35,25 @@
   }
 }
 
+/**
+ * Decodes a datagram whose first field is a mark. Thread-safe.
+ * @param aDatagram The datagram.
+ * @param aMark Mark of the expected message.
+ * @param aRead Reads the message; throws when it is malformed.
+ * @return What aRead returns, or nothing when the datagram is another message
+ * or malformed.
+ */
+template<class Read>
+auto
+decodeMarked(const std::string& aDatagram, int aMark, Read aRead)
+{
+  return decodeDatagram(aDatagram, [&](const nlohmann::json& aMessage) {
+    if (aMessage.at(0).get<int>() != aMark) {
+      throw nlohmann::json::other_error::create(
+        501, "another message", &aMessage);
+    }
+    return aRead(aMessage);
+  });
+}
+
 } // namespace auburnhaven::protocol
--- a/src/protocol/placement_codec.cpp
+++ b/src/protocol/placement_codec.cpp
@@ -14,19 +14,6 @@
 constexpr int kQuestionMark = 1; ///< First field of a question.
 constexpr int kAnswerMark = 2;   ///< First field of an answer.
 
-/** @return What a function reads of a message with a mark, or nothing. */
-template<class Read>
-auto
-decodeMarked(const std::string& aDatagram, int aMark, Read aRead)
-{
-  return decodeDatagram(aDatagram, [&](const Json& aMessage) {
-    if (aMessage.at(0).get<int>() != aMark) {
-      throw Json::other_error::create(501, "another message", &aMessage);
-    }
-    return aRead(aMessage);
-  });
-}
-
 } // namespace
 
 std::string
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -486,11 +486,51 @@
   return SendOutcome::kDelivered;
 }
 
+/** Records the events of one stream. */
+class RelayExchange::StreamRecorder
+{
+public:
+  StreamRecorder(coordination::StreamActivity* aActivity,
+                 const state::VmId& aTarget)
+    : activity_(aActivity)
+    , target_(aTarget)
+  {
+  }
+  ~StreamRecorder()
+  {
+    if (activity_ != nullptr && begun_) {
+      activity_->noteEnd(target_);
+    }
+  }
+  StreamRecorder(const StreamRecorder&) = delete;
+  StreamRecorder& operator=(const StreamRecorder&) = delete;
+
+  /** Notes that events have arrived. */
+  void noteEvents()
+  {
+    if (activity_ == nullptr) {
+      return;
+    }
+    if (begun_) {
+      activity_->noteEvent(target_);
+    } else {
+      activity_->noteBegin(target_);
+    }
+    begun_ = true;
+  }
+
+private:
+  coordination::StreamActivity* activity_; ///< Record of all streams.
+  const state::VmId& target_;              ///< The stream's target.
+  bool begun_ = false;                     ///< Whether an event has arrived.
+};
+
 SendOutcome
 RelayExchange::forwardStream(HttpCall& aCall, const TargetDecision& aTarget)
 {
   state::TimePoint lastEventAt = dependencies_.clock_.now();
   bool started = false;
+  StreamRecorder recorder(dependencies_.activity_, aTarget.vm_);
   for (;;) {
     // Bytes that complete no event do not extend the timeout.
     aCall.setIdleTimeout(eventTimeout(aTarget, lastEventAt, started));
@@ -501,6 +541,7 @@
     }
     if (piece.status_ == HttpReadStatus::kData) {
       events_.add(piece.data_);
+      recorder.noteEvents();
       const std::uint64_t before = events_.eventCount();
       const SendOutcome forwarded = forwardEvents(aCall);
       if (events_.eventCount() > before) {
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -69,6 +69,7 @@
 
 private:
   class TargetMonitor;
+  class StreamRecorder;
 
   bool findRoute();
   void serve();
--- a/src/transport/relay/relay_handler.h
+++ b/src/transport/relay/relay_handler.h
@@ -3,6 +3,7 @@
 
 #include "coordination/request/retry_budget.h"
 #include "coordination/routing/route_table.h"
+#include "coordination/routing/stream_activity.h"
 #include "coordination/routing/target_pool.h"
 #include "state/event_log.h"
 #include "transport/http_client.h"
@@ -71,6 +72,8 @@
   Metrics& metrics_;                                  ///< Metrics.
   PlacementClient* placements_ =
     nullptr; ///< Asks dispatchers for targets; null to choose without them.
+  coordination::StreamActivity* activity_ =
+    nullptr; ///< Records events of streams; null to record none.
 };
 
 /** Forwards callers' requests to targets. */
