Keep a replica whose cut member answers before it has registered again

Silence of small replicas was taken too early: three passes of theirs are 0.1 s.

A head that is no longer registered is still closed at once.

--- a/src/coordination/replica/engine_monitor.cpp
+++ b/src/coordination/replica/engine_monitor.cpp
@@ -54,6 +54,7 @@
     if (engine.registered_ && !present.contains(vm)) {
       engine.registered_ = false;
       engine.unregisteredAt_ = clock_.now();
+      engine.silentAtRemoval_ = engine.missedReports_ > 0;
     }
   }
 }
@@ -147,7 +148,14 @@
 bool
 EngineMonitor::isLost(const state::VmId& aVm) const
 {
-  return isUnresponsive(aVm) || !find(aVm)->registered_;
+  if (isUnresponsive(aVm)) {
+    return true;
+  }
+  const MonitoredEngine& engine = *find(aVm);
+  const bool mayRegister =
+    engine.silentAtRemoval_ &&
+    clock_.now() - engine.respondingSince_ < limits_.registrationGrace_;
+  return !engine.registered_ && !mayRegister;
 }
 
 std::optional<state::VmId>
@@ -215,6 +223,9 @@
   }
   if (aReport) {
     engine.report_ = aReport;
+    if (engine.missedReports_ > 0) {
+      engine.respondingSince_ = now;
+    }
     engine.missedReports_ = 0;
     engine.lastReportAt_ = now;
     lastReportAt_ = now;
--- a/src/coordination/replica/engine_monitor.h
+++ b/src/coordination/replica/engine_monitor.h
@@ -29,6 +29,9 @@
     report_; ///< Latest report; absent until the first one arrives.
   bool registered_ = false;           ///< Whether the engine is registered.
   state::TimePoint unregisteredAt_{}; ///< When its registration disappeared.
+  bool silentAtRemoval_ = false; ///< Whether it did not answer when its
+                                 ///< registration disappeared.
+  state::TimePoint respondingSince_{}; ///< When it began to answer again.
   std::uint32_t missedReports_ = 0;   ///< Consecutive polls without an answer.
   state::TimePoint lastReportAt_{};   ///< When the latest answer arrived.
   state::TimePoint firstMissAt_{}; ///< When the first of these polls timed out.
@@ -116,7 +119,9 @@
   bool isAvailable(const state::VmId& aVm) const;
   /**
    * @param aVm A VM.
-   * @return Whether it is no longer registered or has stopped answering.
+   * @return Whether it has stopped answering or is no longer registered. A VM
+   * that was cut off from the store and the daemons answers before its
+   * registration is back, and counts as lost only if that takes too long.
    */
   bool isLost(const state::VmId& aVm) const;
   /** @return Whether each engine has reported or is unresponsive. */
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -42,6 +42,13 @@
 constexpr char kSparePrefix =
   's'; ///< First letter of the identifier under which a spare VM alone joins a
        ///< replica of its own. Such a replica is incomplete and never opened.
+constexpr std::chrono::milliseconds kEventTransit{
+  100
+}; ///< Longest time that an event is on its way to the caller's daemon; one
+   ///< that arrives later was sent after an unanswered poll.
+constexpr int kSilenceLimits =
+  2; ///< Silence that shows a loss together with an unanswered poll, in limits
+     ///< after which daemons tell of silence.
 constexpr char kNameSeparator =
   '.'; ///< Separates the parts of a replica identifier.
 constexpr std::chrono::seconds kMissingLogPeriod(
@@ -608,16 +615,18 @@
 ReplicaCoordinator::isMemberLost(const Replica& aReplica,
                                  const state::VmId& aVm) const
 {
+  const state::VmId& head = aReplica.members_.front().vm_;
   const MonitoredEngine* engine = monitor_.find(aVm);
-  const bool misses = engine != nullptr && engine->missedReports_ > 0;
-  if (!misses || !takesRequests(aReplica.phase_)) {
+  if (engine == nullptr || (aVm == head && !engine->registered_)) {
+    // A head that is no longer registered must get no requests.
+    return true;
+  }
+  if (engine->missedReports_ == 0 || !takesRequests(aReplica.phase_)) {
     return monitor_.isLost(aVm);
   }
-  // A head that is no longer registered must get no requests.
-  const state::VmId& head = aReplica.members_.front().vm_;
-  const MonitoredEngine* headEngine = monitor_.find(head);
-  const bool headListed = headEngine != nullptr && headEngine->registered_;
-  if (headListed && evidence_.showsEventsSince(head, engine->firstMissAt_)) {
+  const state::TimePoint firstPollAt =
+    engine->firstMissAt_ - limits_.reportTimeout_;
+  if (evidence_.showsEventsSince(head, firstPollAt + kEventTransit)) {
     return false;
   }
   const state::ModelSpec* model = state::findModel(*engine_, aReplica.model_);
@@ -625,7 +634,7 @@
     model != nullptr &&
     evidence_.showsSilence(head,
                            std::chrono::duration_cast<state::Duration>(
-                             silenceLimit(*engine_, *model)));
+                             silenceLimit(*engine_, *model) * kSilenceLimits));
   return silent || monitor_.isLost(aVm);
 }
 
