Extend a coordinator's authority by promises while the store is silent

A first try lost its grants after 0.5 s: each reply went through four decoders that threw an exception, and the holder of three zones became too slow. Messages are told apart by two bytes now.

--- /dev/null
+++ b/src/app/lease_extender.cpp
@@ -0,0 +1,79 @@
+// Extends the authority of this daemon's coordinators by datagrams.
+
+#include "app/lease_extender.h"
+
+#include <algorithm>
+
+namespace auburnhaven::app {
+
+LeaseExtender::LeaseExtender(const state::Clock& aClock,
+                             transport::DatagramSocket& aSocket,
+                             Leaderships& aLeaderships)
+  : socket_(aSocket)
+  , leaderships_(aLeaderships)
+  , promises_(aClock)
+{
+}
+
+void
+LeaseExtender::tick(const std::vector<state::Endpoint>& aDaemons)
+{
+  daemons_ = aDaemons.size() + 1;
+  for (auto& [zone, leadership] : leaderships_) {
+    const auto number = leadership->extension().nextRequest();
+    if (!number) {
+      continue;
+    }
+    const std::string datagram = protocol::encodeExtensionRequest(
+      { *number, zone, leadership->authority() });
+    for (const state::Endpoint& daemon : aDaemons) {
+      socket_.send(daemon, datagram);
+    }
+  }
+}
+
+bool
+LeaseExtender::take(const state::Endpoint& aFrom, const std::string& aDatagram)
+{
+  if (const auto request = protocol::decodeExtensionRequest(aDatagram)) {
+    noteAuthority(request->zone_, request->authority_);
+    const coordination::ExtensionReply reply =
+      promises_.answer(request->zone_, request->authority_, storeAnswers());
+    socket_.send(aFrom,
+                 protocol::encodeExtensionReply(
+                   { request->number_, request->zone_, reply }));
+    return true;
+  }
+  const auto reply = protocol::decodeExtensionReply(aDatagram);
+  if (!reply) {
+    return false;
+  }
+  const auto found = leaderships_.find(reply->zone_);
+  if (found != leaderships_.end()) {
+    found->second->extension().noteReply(
+      reply->number_, aFrom, reply->reply_, daemons_);
+  }
+  return true;
+}
+
+void
+LeaseExtender::noteAuthority(const state::ZoneId& aZone,
+                             std::uint64_t aAuthority)
+{
+  promises_.noteAuthority(aZone, aAuthority);
+  const auto found = leaderships_.find(aZone);
+  if (found != leaderships_.end()) {
+    found->second->noteAuthority(aAuthority);
+  }
+}
+
+bool
+LeaseExtender::storeAnswers() const
+{
+  return std::any_of(
+    leaderships_.begin(), leaderships_.end(), [](const auto& aEntry) {
+      return aEntry.second->isRenewed();
+    });
+}
+
+} // namespace auburnhaven::app
--- /dev/null
+++ b/src/app/lease_extender.h
@@ -0,0 +1,73 @@
+// Extends the authority of this daemon's coordinators by datagrams.
+#pragma once
+
+#include "coordination/lease_extension.h"
+#include "coordination/replica/zone_leadership.h"
+#include "protocol/extension_codec.h"
+#include "transport/datagram_socket.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace auburnhaven::app {
+
+/**
+ * Sends the requests of the leases that this daemon holds to all other daemons,
+ * and answers theirs. Control thread only.
+ */
+class LeaseExtender
+{
+public:
+  using Leaderships =
+    std::map<state::ZoneId,
+             std::unique_ptr<coordination::ZoneLeadership>>; ///< By zone.
+
+  /**
+   * @param aClock Clock; outlives this object.
+   * @param aSocket Sends datagrams; outlives this object.
+   * @param aLeaderships Candidacies of this daemon; outlive this object.
+   */
+  LeaseExtender(const state::Clock& aClock,
+                transport::DatagramSocket& aSocket,
+                Leaderships& aLeaderships);
+
+  /**
+   * Sends the requests that are due.
+   * @param aDaemons Datagram endpoints of the other registered daemons.
+   */
+  void tick(const std::vector<state::Endpoint>& aDaemons);
+  /**
+   * Takes a datagram.
+   * @param aFrom Its sender.
+   * @param aDatagram Any bytes.
+   * @return Whether it was a request or a reply.
+   */
+  bool take(const state::Endpoint& aFrom, const std::string& aDatagram);
+  /**
+   * Notes a lease of a zone; a coordinator of this daemon with a lower number
+   * ends.
+   * @param aZone The zone.
+   * @param aAuthority Number of the lease.
+   */
+  void noteAuthority(const state::ZoneId& aZone, std::uint64_t aAuthority);
+  /**
+   * @param aZone A zone.
+   * @return Whether this daemon has promised not to acquire its lease.
+   */
+  bool isPromised(const state::ZoneId& aZone) const
+  {
+    return promises_.isPromised(aZone);
+  }
+
+private:
+  bool storeAnswers() const;
+
+  transport::DatagramSocket& socket_;        ///< Sends datagrams.
+  Leaderships& leaderships_;                 ///< Candidacies of this daemon.
+  coordination::ExtensionPromises promises_; ///< Promises of this daemon.
+  std::size_t daemons_ = 1;                  ///< Registered daemons.
+};
+
+} // namespace auburnhaven::app
--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -240,6 +240,7 @@
       [this](const protocol::ActivityNotice& aNotice,
              state::TimePoint aCountedAt,
              bool aAsked) { takeActivity(aNotice, aCountedAt, aAsked); })
+  , extender_(clock_, digests_, duties_)
   , budget_(budgetSettings(settings_.retries_))
   , relay_({ clock_,
              targets_,
@@ -362,7 +363,7 @@
     if (relay_.requests() > 0) {
       duty->coordinator().noteTraffic();
     }
-    duty->tick(mayTry);
+    duty->tick(mayTry && !extender_.isPromised(zone));
     urgent = urgent || duty->coordinator().isFormingReplica();
   }
   const bool coordinates =
@@ -381,6 +382,7 @@
                        : std::nullopt);
   activities_.tick();
   askForActivity();
+  extender_.tick(otherDaemons());
   const bool due = clock_.now() >= digestAt_;
   if (due) {
     digestAt_ = clock_.now() + kDigestPeriod;
@@ -459,7 +461,8 @@
                                            place.expected_,
                                            place.retryAfter_,
                                            place.candidates_ }));
-  } else if (activities_.take(aFrom, aDatagram)) {
+  } else if (activities_.take(aFrom, aDatagram) ||
+             extender_.take(aFrom, aDatagram)) {
     return;
   } else if (const auto digest =
                protocol::decodeZoneDigest(aDatagram, clock_.now())) {
@@ -478,6 +481,7 @@
   targets_.setDigest(aDigest);
   sharedRevision_ = std::max(sharedRevision_, aDigest.sharedRevision_);
   hearing_.noteDigest(aDigest.zone_, clock_.now());
+  extender_.noteAuthority(aDigest.zone_, aDigest.authority_);
   const auto duty = duties_.find(aDigest.zone_);
   if (aDigest.released_ && duty != duties_.end()) {
     hearing_.noteRelease(aDigest.zone_);
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -1,6 +1,7 @@
 // The relay daemon: wiring, periodic work and graceful stop.
 #pragma once
 
+#include "app/lease_extender.h"
 #include "app/relay_settings_type.h"
 #include "coordination/leader_lease.h"
 #include "coordination/replica/zone_leadership.h"
@@ -115,8 +116,9 @@
   transport::PlacementClient placements_;  ///< Asks for places at copies.
   coordination::StreamActivity activity_;  ///< Events of the streams relayed.
   transport::ActivityExchange activities_; ///< Tells and asks for such events.
-  coordination::RetryBudget budget_;       ///< Budget of repeated sends.
-  platform::RequestDialect dialect_;       ///< Request headers.
+  LeaseExtender extender_;           ///< Extends the authority of coordinators.
+  coordination::RetryBudget budget_; ///< Budget of repeated sends.
+  platform::RequestDialect dialect_; ///< Request headers.
   transport::SnapshotHolder<coordination::RouteTable> routes_; ///< Routes.
   transport::RelayHandler relay_;                   ///< Answers callers.
   transport::StatusHandler status_;                 ///< Answers the balancer.
--- a/src/coordination/leader_lease.cpp
+++ b/src/coordination/leader_lease.cpp
@@ -7,6 +7,15 @@
 
 namespace auburnhaven::coordination {
 
+namespace {
+
+constexpr std::chrono::milliseconds kAnswerAge(
+  600); ///< Age of the latest answer after which the store counts as silent.
+constexpr std::chrono::milliseconds kAnswerWait(
+  200); ///< Wait for an answer after which the store counts as silent.
+
+} // namespace
+
 LeaderLease::LeaderLease(state::Clock& aClock,
                          Store& aStore,
                          std::string aName,
@@ -64,6 +73,22 @@
   return lastReplyTime_;
 }
 
+bool
+LeaderLease::isAnswered() const
+{
+  const state::TimePoint now = clock_.now();
+  const bool waits = requestInFlight_ && now - requestedAt_ > kAnswerWait;
+  return !waits && now - lastReplyTime_ < kAnswerAge;
+}
+
+void
+LeaderLease::extend(state::TimePoint aUntil)
+{
+  if (holds()) {
+    authorityEnd_ = std::max(authorityEnd_, aUntil);
+  }
+}
+
 void
 LeaderLease::release(DoneHandler aHandler)
 {
@@ -83,6 +108,7 @@
 {
   const state::TimePoint sentAt = clock_.now();
   requestInFlight_ = true;
+  requestedAt_ = sentAt;
   nextRequest_ = std::max(nextRequest_, sentAt + timing_.renewal_);
   const std::weak_ptr<bool> alive = alive_;
   store_.acquireLease(name_,
@@ -118,10 +144,12 @@
   if (aReply.status_ != StoreStatus::kOk || released_) {
     return;
   }
-  if (aReply.number_ != number_) {
-    number_ = aReply.number_;
+  // After an extension, the store may grant the lease anew to its holder.
+  const bool continues = holds();
+  if (aReply.number_ != number_ && !continues) {
     authorityStart_ = now;
   }
+  number_ = aReply.number_;
   authorityEnd_ = aSentAt + timing_.timeToLive_ - timing_.margin_;
   nextRequest_ = aSentAt + timing_.renewal_;
 }
--- a/src/coordination/leader_lease.h
+++ b/src/coordination/leader_lease.h
@@ -74,6 +74,19 @@
   std::uint64_t number() const;
   /** @return When the store last replied to a lease request. */
   state::TimePoint lastReplyTime() const;
+  /**
+   * @return Whether the store answers: it has answered of late, and no request
+   * has waited for long.
+   */
+  bool isAnswered() const;
+  /**
+   * Extends the current authority without the store; does nothing when it has
+   * ended.
+   * @param aUntil New end, unless the present one is later.
+   */
+  void extend(state::TimePoint aUntil);
+  /** Ends the authority at once, because another process holds the lease. */
+  void yield() { authorityEnd_ = {}; }
   /**
    * Releases the lease and never acquires it again.
    * @param aHandler Called when the store has replied or the call has failed.
@@ -95,6 +108,7 @@
   std::uint64_t number_ = 0;          ///< Lease number when last held.
   state::TimePoint authorityEnd_{};   ///< End of the local authority.
   state::TimePoint authorityStart_{}; ///< Start of the local authority.
+  state::TimePoint requestedAt_{};    ///< When the latest request was sent.
   state::TimePoint nextRequest_{};    ///< Earliest time of the next request.
   state::TimePoint lastReplyTime_{};  ///< When the store last replied.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(
--- a/src/coordination/replica/engine_monitor.h
+++ b/src/coordination/replica/engine_monitor.h
@@ -27,13 +27,13 @@
   state::Instance instance_; ///< Registration of the engine.
   std::optional<state::EngineReport>
     report_; ///< Latest report; absent until the first one arrives.
-  bool registered_ = false;           ///< Whether the engine is registered.
-  state::TimePoint unregisteredAt_{}; ///< When its registration disappeared.
-  bool silentAtRemoval_ = false; ///< Whether it did not answer when its
-                                 ///< registration disappeared.
+  bool registered_ = false;            ///< Whether the engine is registered.
+  state::TimePoint unregisteredAt_{};  ///< When its registration disappeared.
+  bool silentAtRemoval_ = false;       ///< Whether it did not answer when its
+                                       ///< registration disappeared.
   state::TimePoint respondingSince_{}; ///< When it began to answer again.
-  std::uint32_t missedReports_ = 0;   ///< Consecutive polls without an answer.
-  state::TimePoint lastReportAt_{};   ///< When the latest answer arrived.
+  std::uint32_t missedReports_ = 0;    ///< Consecutive polls without an answer.
+  state::TimePoint lastReportAt_{};    ///< When the latest answer arrived.
   state::TimePoint firstMissAt_{}; ///< When the first of these polls timed out.
   /** @return Whether the latest report comes from the registered incarnation.
    * After a restart, another VM may answer at the registered address, or a new
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -176,8 +176,10 @@
   if (!lease_.holds() || !engine_) {
     return;
   }
-  if (leaseTerm_ != lease_.number()) {
+  if (termStart_ != lease_.heldSince()) {
     startTerm();
+  } else if (leaseTerm_ != lease_.number()) {
+    continueTerm();
   }
   monitor_.tick();
   if (monitor_.suspectsLocalFault() || (!adopted_ && !monitor_.isComplete())) {
@@ -288,6 +290,7 @@
 void
 ReplicaCoordinator::startTerm()
 {
+  termStart_ = lease_.heldSince();
   leaseTerm_ = lease_.number();
   epochs_ = 0;
   adopted_ = false;
@@ -307,6 +310,20 @@
                state::logField("engines", monitor_.engines().size()) });
 }
 
+void
+ReplicaCoordinator::continueTerm()
+{
+  // The store granted the lease anew, but this daemon has had the authority all
+  // the time, so what it knows still holds.
+  leaseTerm_ = lease_.number();
+  epochs_ = 0;
+  log_.write(state::LogWeight::kChange,
+             kLogPart,
+             "coordination continues",
+             { state::logField("zone", std::string_view(zone_.zone_.value())),
+               state::logField("authority", leaseTerm_) });
+}
+
 bool
 ReplicaCoordinator::isKnown(const state::MemberPlace& aPlace) const
 {
--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -125,6 +125,7 @@
     void (ReplicaCoordinator::*)(Replica&); ///< Handler of one phase.
 
   void startTerm();
+  void continueTerm();
   void logMissingReports();
   void removeDissolved();
   void adoptReported();
@@ -214,6 +215,7 @@
     staging_; ///< Deadline of the latest staging order to each VM.
   std::map<state::VmId, state::TimePoint>
     warming_; ///< Until when each spare VM is expected to load its model.
+  state::TimePoint termStart_{};  ///< When the current authority began.
   std::uint64_t leaseTerm_ = 0;   ///< Number of the current lease term.
   std::uint64_t epochs_ = 0;      ///< Replicas formed in this term.
   std::uint64_t openChanges_ = 0; ///< Changes to the replicas that take
--- a/src/coordination/replica/zone_leadership.cpp
+++ b/src/coordination/replica/zone_leadership.cpp
@@ -19,6 +19,7 @@
            settings_.key_,
            settings_.holderName_,
            settings_.lease_)
+  , extension_(aClock, lease_)
   , coordinator_(aClock,
                  aEngines,
                  lease_,
@@ -50,6 +51,14 @@
   coordinator_.tick();
 }
 
+void
+ZoneLeadership::noteAuthority(std::uint64_t aAuthority)
+{
+  if (lease_.holds() && aAuthority > lease_.number()) {
+    lease_.yield();
+  }
+}
+
 void
 ZoneLeadership::handBack(LeaderLease::DoneHandler aHandler)
 {
--- a/src/coordination/replica/zone_leadership.h
+++ b/src/coordination/replica/zone_leadership.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/leader_lease.h"
+#include "coordination/lease_extension.h"
 #include "coordination/replica/replica_coordinator.h"
 
 #include <optional>
@@ -67,6 +68,15 @@
   ReplicaCoordinator& coordinator() { return coordinator_; }
   /** @return Whether this daemon holds the lease. */
   bool isHeld() const { return lease_.holds(); }
+  /** @return Number of the lease under which this daemon last had authority. */
+  std::uint64_t authority() const { return lease_.number(); }
+  /** @return Whether this daemon holds the lease and the store answers it. */
+  bool isRenewed() const { return lease_.holds() && lease_.isAnswered(); }
+  /** Ends the authority of this daemon when another one holds the lease under
+   * a newer number. @param aAuthority Number of a lease of the zone. */
+  void noteAuthority(std::uint64_t aAuthority);
+  /** @return Extension of the authority while the store is silent. */
+  LeaseExtension& extension() { return extension_; }
   /**
    * Releases the lease. Without the lease nothing happens, and the handler is
    * not called.
@@ -81,6 +91,7 @@
   std::optional<std::string> holder_; ///< Last known holder of the lease.
   state::TimePoint vacantSince_; ///< Since when the lease is known to be free.
   LeaderLease lease_;            ///< The lease.
+  LeaseExtension extension_;     ///< Extends the authority in an outage.
   ReplicaCoordinator coordinator_; ///< The coordinator.
 };
 
--- a/src/protocol/datagram_func.h
+++ b/src/protocol/datagram_func.h
@@ -36,9 +36,10 @@
 }
 
 /**
- * Decodes a datagram whose first field is a mark. Thread-safe.
+ * Decodes a datagram whose first field is a mark. Other messages are recognized
+ * by two bytes, so that each kind of message can be tried in turn. Thread-safe.
  * @param aDatagram The datagram.
- * @param aMark Mark of the expected message.
+ * @param aMark Mark of the expected message, below 24.
  * @param aRead Reads the message; throws when it is malformed.
  * @return What aRead returns, or nothing when the datagram is another message
  * or malformed.
@@ -46,14 +47,16 @@
 template<class Read>
 auto
 decodeMarked(const std::string& aDatagram, int aMark, Read aRead)
+  -> std::optional<decltype(aRead(nlohmann::json()))>
 {
-  return decodeDatagram(aDatagram, [&](const nlohmann::json& aMessage) {
-    if (aMessage.at(0).get<int>() != aMark) {
-      throw nlohmann::json::other_error::create(
-        501, "another message", &aMessage);
-    }
-    return aRead(aMessage);
-  });
+  // CBOR encodes a short list as one byte and a number below 24 as itself.
+  constexpr unsigned char kListType = 0x80;
+  constexpr unsigned char kTypeBits = 0xe0;
+  const bool matches =
+    aDatagram.size() >= 2 &&
+    (static_cast<unsigned char>(aDatagram[0]) & kTypeBits) == kListType &&
+    static_cast<unsigned char>(aDatagram[1]) == aMark;
+  return matches ? decodeDatagram(aDatagram, aRead) : std::nullopt;
 }
 
 } // namespace auburnhaven::protocol
--- /dev/null
+++ b/src/protocol/extension_codec.cpp
@@ -0,0 +1,60 @@
+// Datagrams by which a lease holder asks for an extension, and their replies.
+
+#include "protocol/extension_codec.h"
+
+#include "protocol/datagram_func.h"
+
+namespace auburnhaven::protocol {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kRequestMark = 5; ///< First field of a request.
+constexpr int kReplyMark = 6;   ///< First field of a reply.
+
+} // namespace
+
+std::string
+encodeExtensionRequest(const ExtensionRequestMessage& aRequest)
+{
+  return encodeDatagram({ kRequestMark,
+                          aRequest.number_,
+                          aRequest.zone_.value(),
+                          aRequest.authority_ });
+}
+
+std::optional<ExtensionRequestMessage>
+decodeExtensionRequest(const std::string& aDatagram)
+{
+  return decodeMarked(aDatagram, kRequestMark, [](const Json& aMessage) {
+    return ExtensionRequestMessage{ aMessage.at(1).get<std::uint64_t>(),
+                                    state::ZoneId(
+                                      aMessage.at(2).get<std::string>()),
+                                    aMessage.at(3).get<std::uint64_t>() };
+  });
+}
+
+std::string
+encodeExtensionReply(const ExtensionReplyMessage& aReply)
+{
+  const bool promised =
+    aReply.reply_ == coordination::ExtensionReply::kPromised;
+  return encodeDatagram(
+    { kReplyMark, aReply.number_, aReply.zone_.value(), promised });
+}
+
+std::optional<ExtensionReplyMessage>
+decodeExtensionReply(const std::string& aDatagram)
+{
+  return decodeMarked(aDatagram, kReplyMark, [](const Json& aMessage) {
+    return ExtensionReplyMessage{
+      aMessage.at(1).get<std::uint64_t>(),
+      state::ZoneId(aMessage.at(2).get<std::string>()),
+      aMessage.at(3).get<bool>() ? coordination::ExtensionReply::kPromised
+                                 : coordination::ExtensionReply::kRefused
+    };
+  });
+}
+
+} // namespace auburnhaven::protocol
