Hand a coordinator's authority over when its daemon stops in an outage of the store

It hands over to a daemon that has promised, which goes on under the same lease number with greater epochs.

--- a/src/app/lease_extender.cpp
+++ b/src/app/lease_extender.cpp
@@ -35,7 +35,14 @@
 bool
 LeaseExtender::take(const state::Endpoint& aFrom, const std::string& aDatagram)
 {
+  if (const auto handover = protocol::decodeHandover(aDatagram)) {
+    takeOver(*handover);
+    return true;
+  }
   if (const auto request = protocol::decodeExtensionRequest(aDatagram)) {
+    if (stopping_) {
+      return true;
+    }
     noteAuthority(request->zone_, request->authority_);
     const coordination::ExtensionReply reply =
       promises_.answer(request->zone_, request->authority_, storeAnswers());
@@ -56,6 +63,29 @@
   return true;
 }
 
+void
+LeaseExtender::handOver(const state::ZoneId& aZone)
+{
+  coordination::ZoneLeadership& leadership = *leaderships_.at(aZone);
+  if (const auto heir = leadership.extension().heir()) {
+    socket_.send(
+      *heir,
+      protocol::encodeHandover({ aZone,
+                                 leadership.authority(),
+                                 leadership.coordinator().epochsUsed() }));
+  }
+}
+
+void
+LeaseExtender::takeOver(const protocol::HandoverMessage& aHandover)
+{
+  const auto found = leaderships_.find(aHandover.zone_);
+  const auto until = promises_.takeOver(aHandover.zone_, aHandover.authority_);
+  if (found != leaderships_.end() && until && !stopping_) {
+    found->second->takeOver(aHandover.authority_, aHandover.epochs_, *until);
+  }
+}
+
 void
 LeaseExtender::noteAuthority(const state::ZoneId& aZone,
                              std::uint64_t aAuthority)
--- a/src/app/lease_extender.h
+++ b/src/app/lease_extender.h
@@ -45,6 +45,14 @@
    * @return Whether it was a request or a reply.
    */
   bool take(const state::Endpoint& aFrom, const std::string& aDatagram);
+  /**
+   * Hands the authority for a zone over to another daemon, if this daemon has
+   * it by an extension. This daemon must release the lease right after.
+   * @param aZone The zone.
+   */
+  void handOver(const state::ZoneId& aZone);
+  /** Makes no promises any more, because this daemon stops. */
+  void stop() { stopping_ = true; }
   /**
    * Notes a lease of a zone; a coordinator of this daemon with a lower number
    * ends.
@@ -63,11 +71,13 @@
 
 private:
   bool storeAnswers() const;
+  void takeOver(const protocol::HandoverMessage& aHandover);
 
   transport::DatagramSocket& socket_;        ///< Sends datagrams.
   Leaderships& leaderships_;                 ///< Candidacies of this daemon.
   coordination::ExtensionPromises promises_; ///< Promises of this daemon.
   std::size_t daemons_ = 1;                  ///< Registered daemons.
+  bool stopping_ = false;                    ///< Whether this daemon stops.
 };
 
 } // namespace auburnhaven::app
--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -687,7 +687,9 @@
   control_.post([this] {
     stopping_ = true;
     status_.setReady(false);
+    extender_.stop();
     for (auto& [zone, duty] : duties_) {
+      extender_.handOver(zone);
       handBack(*duty);
     }
     if (registration_.holds()) {
--- a/src/coordination/leader_lease.cpp
+++ b/src/coordination/leader_lease.cpp
@@ -89,6 +89,17 @@
   }
 }
 
+void
+LeaderLease::assume(std::uint64_t aNumber, state::TimePoint aUntil)
+{
+  if (released_ || holds()) {
+    return;
+  }
+  number_ = aNumber;
+  authorityStart_ = clock_.now();
+  authorityEnd_ = aUntil;
+}
+
 void
 LeaderLease::release(DoneHandler aHandler)
 {
--- a/src/coordination/leader_lease.h
+++ b/src/coordination/leader_lease.h
@@ -85,6 +85,13 @@
    * @param aUntil New end, unless the present one is later.
    */
   void extend(state::TimePoint aUntil);
+  /**
+   * Takes over the authority that its holder has handed over without the store.
+   * Does nothing while this process has authority or after release().
+   * @param aNumber Number of the holder's lease.
+   * @param aUntil End of the authority unless it is extended.
+   */
+  void assume(std::uint64_t aNumber, state::TimePoint aUntil);
   /** Ends the authority at once, because another process holds the lease. */
   void yield() { authorityEnd_ = {}; }
   /**
--- a/src/coordination/lease_extension.cpp
+++ b/src/coordination/lease_extension.cpp
@@ -50,6 +50,14 @@
   }
 }
 
+std::optional<state::Endpoint>
+LeaseExtension::heir() const
+{
+  const bool current = lease_.holds() && !lease_.isAnswered() && !refused_;
+  return current && !granted_.empty() ? std::optional(*granted_.begin())
+                                      : std::nullopt;
+}
+
 ExtensionPromises::ExtensionPromises(const state::Clock& aClock,
                                      const ExtensionTiming& aTiming)
   : clock_(aClock)
@@ -71,6 +79,17 @@
   return ExtensionReply::kPromised;
 }
 
+std::optional<state::TimePoint>
+ExtensionPromises::takeOver(const state::ZoneId& aZone,
+                            std::uint64_t aAuthority) const
+{
+  const auto found = zones_.find(aZone);
+  const bool bound =
+    isPromised(aZone) && found->second.authority_ == aAuthority;
+  return bound ? std::optional(found->second.until_ - timing_.margin_)
+               : std::nullopt;
+}
+
 void
 ExtensionPromises::noteAuthority(const state::ZoneId& aZone,
                                  std::uint64_t aAuthority)
--- a/src/coordination/lease_extension.h
+++ b/src/coordination/lease_extension.h
@@ -67,6 +67,10 @@
                  ExtensionReply aReply,
                  std::size_t aDaemons);
 
+  /** @return A daemon that may take over the authority when the holder stops
+   * while the store is silent: one of those that promised last. */
+  std::optional<state::Endpoint> heir() const;
+
 private:
   const state::Clock& clock_;         ///< Clock.
   LeaderLease& lease_;                ///< The lease.
@@ -102,6 +106,16 @@
   ExtensionReply answer(const state::ZoneId& aZone,
                         std::uint64_t aAuthority,
                         bool aStoreAnswers);
+  /**
+   * Decides whether this daemon takes over the authority of a holder that
+   * stops.
+   * @param aZone Zone of the lease.
+   * @param aAuthority Number of the holder's lease.
+   * @return When the authority ends unless it is extended; nothing without a
+   * promise to this holder, since another one may have the authority.
+   */
+  std::optional<state::TimePoint> takeOver(const state::ZoneId& aZone,
+                                           std::uint64_t aAuthority) const;
   /**
    * Notes a holder of a zone's lease.
    * @param aZone The zone.
--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -292,7 +292,7 @@
 {
   termStart_ = lease_.heldSince();
   leaseTerm_ = lease_.number();
-  epochs_ = 0;
+  epochs_ = leaseTerm_ == usedEpochs_.first ? usedEpochs_.second : 0;
   adopted_ = false;
   waitingSince_ = {};
   replicas_.clear();
--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -101,6 +101,18 @@
   /** @return Whether a replica is being formed, so that changes to its members
    * should be read from the store without delay. */
   bool isFormingReplica() const;
+  /** @return Epochs used under the present lease. */
+  std::uint64_t epochsUsed() const { return epochs_; }
+  /**
+   * Notes the epochs that a former holder has used under a lease which this
+   * daemon takes over under the same number.
+   * @param aNumber Number of the lease.
+   * @param aEpochs Epochs used.
+   */
+  void noteEpochsUsed(std::uint64_t aNumber, std::uint64_t aEpochs)
+  {
+    usedEpochs_ = { aNumber, aEpochs };
+  }
   /** @return Number of changes to the replicas that take requests; the digest
    * is worth sending at once after each. */
   std::uint64_t openChanges() const { return openChanges_; }
@@ -215,9 +227,12 @@
     staging_; ///< Deadline of the latest staging order to each VM.
   std::map<state::VmId, state::TimePoint>
     warming_; ///< Until when each spare VM is expected to load its model.
-  state::TimePoint termStart_{};  ///< When the current authority began.
-  std::uint64_t leaseTerm_ = 0;   ///< Number of the current lease term.
-  std::uint64_t epochs_ = 0;      ///< Replicas formed in this term.
+  state::TimePoint termStart_{}; ///< When the current authority began.
+  std::uint64_t leaseTerm_ = 0;  ///< Number of the current lease term.
+  std::uint64_t epochs_ = 0;     ///< Replicas formed in this term.
+  std::pair<std::uint64_t, std::uint64_t>
+    usedEpochs_; ///< Number of a lease that was handed over, and the epochs
+                 ///< that its former holder used.
   std::uint64_t openChanges_ = 0; ///< Changes to the replicas that take
                                   ///< requests.
   state::TimePoint
--- a/src/coordination/replica/zone_leadership.cpp
+++ b/src/coordination/replica/zone_leadership.cpp
@@ -59,6 +59,15 @@
   }
 }
 
+void
+ZoneLeadership::takeOver(std::uint64_t aAuthority,
+                         std::uint64_t aEpochs,
+                         state::TimePoint aUntil)
+{
+  coordinator_.noteEpochsUsed(aAuthority, aEpochs);
+  lease_.assume(aAuthority, aUntil);
+}
+
 void
 ZoneLeadership::handBack(LeaderLease::DoneHandler aHandler)
 {
--- a/src/coordination/replica/zone_leadership.h
+++ b/src/coordination/replica/zone_leadership.h
@@ -75,6 +75,15 @@
   /** Ends the authority of this daemon when another one holds the lease under
    * a newer number. @param aAuthority Number of a lease of the zone. */
   void noteAuthority(std::uint64_t aAuthority);
+  /**
+   * Takes over from a holder that stops while the store is silent.
+   * @param aAuthority Number of its lease.
+   * @param aEpochs Epochs that it used.
+   * @param aUntil End of the authority unless it is extended.
+   */
+  void takeOver(std::uint64_t aAuthority,
+                std::uint64_t aEpochs,
+                state::TimePoint aUntil);
   /** @return Extension of the authority while the store is silent. */
   LeaseExtension& extension() { return extension_; }
   /**
--- a/src/protocol/extension_codec.cpp
+++ b/src/protocol/extension_codec.cpp
@@ -10,8 +10,9 @@
 
 using Json = nlohmann::json;
 
-constexpr int kRequestMark = 5; ///< First field of a request.
-constexpr int kReplyMark = 6;   ///< First field of a reply.
+constexpr int kRequestMark = 5;  ///< First field of a request.
+constexpr int kReplyMark = 6;    ///< First field of a reply.
+constexpr int kHandoverMark = 7; ///< First field of a handover.
 
 } // namespace
 
@@ -35,6 +36,25 @@
   });
 }
 
+std::string
+encodeHandover(const HandoverMessage& aHandover)
+{
+  return encodeDatagram({ kHandoverMark,
+                          aHandover.zone_.value(),
+                          aHandover.authority_,
+                          aHandover.epochs_ });
+}
+
+std::optional<HandoverMessage>
+decodeHandover(const std::string& aDatagram)
+{
+  return decodeMarked(aDatagram, kHandoverMark, [](const Json& aMessage) {
+    return HandoverMessage{ state::ZoneId(aMessage.at(1).get<std::string>()),
+                            aMessage.at(2).get<std::uint64_t>(),
+                            aMessage.at(3).get<std::uint64_t>() };
+  });
+}
+
 std::string
 encodeExtensionReply(const ExtensionReplyMessage& aReply)
 {
--- a/src/protocol/extension_codec.h
+++ b/src/protocol/extension_codec.h
@@ -28,6 +28,26 @@
   bool operator==(const ExtensionReplyMessage&) const = default;
 };
 
+/** A holder that stops hands its authority over to another daemon. */
+struct HandoverMessage
+{
+  state::ZoneId zone_;          ///< Zone of the lease.
+  std::uint64_t authority_ = 0; ///< Number of the lease.
+  std::uint64_t epochs_ = 0;    ///< Epochs that the holder used under it.
+  bool operator==(const HandoverMessage&) const = default;
+};
+
+/** @param aHandover A handover. @return Its datagram. Thread-safe. */
+std::string
+encodeHandover(const HandoverMessage& aHandover);
+
+/**
+ * @param aDatagram A datagram.
+ * @return The handover, or nothing when it is none. Thread-safe.
+ */
+std::optional<HandoverMessage>
+decodeHandover(const std::string& aDatagram);
+
 /** @param aRequest A request. @return Its datagram. Thread-safe. */
 std::string
 encodeExtensionRequest(const ExtensionRequestMessage& aRequest);
