--- a/tests/coordination/replica_coordinator_test.cpp
+++ b/tests/coordination/replica_coordinator_test.cpp
@@ -51,6 +51,10 @@
   CPPUNIT_TEST(ordersAreCountedAsTheEnginesCountThem);
   CPPUNIT_TEST(spareReplacesLostMemberWithinTarget);
   CPPUNIT_TEST(successorLeavesSparesFree);
+  CPPUNIT_TEST(cutMemberKeepsReplicaOpenWhileEventsCome);
+  CPPUNIT_TEST(returningMemberMayRegisterLater);
+  CPPUNIT_TEST(cutHeadThatIsNotRegisteredGetsNoRequests);
+  CPPUNIT_TEST(silentStreamsShowLossSooner);
   CPPUNIT_TEST(membersOfLostHeadStayReservedUntilItIsBroken);
   CPPUNIT_TEST(membersOfVanishedReplicaAreNotFreeOnReturn);
   CPPUNIT_TEST(unregisteredHeadThatRespondsIsClosedAtOnce);
@@ -208,6 +212,83 @@
     checkInvariants(world);
   }
 
+  // A member is cut off from the store and from polls while its replica goes
+  // on serving. Closing the replica would turn its requests away for nothing.
+  void cutMemberKeepsReplicaOpenWhileEventsCome()
+  {
+    ReplicaWorld world(1, 1);
+    world.run(80s);
+    const state::VmId head = headOf(world, "large");
+    const state::VmId member = memberOf(world, head);
+    world.fleet_.engines_.at(member).reachable_ = false;
+    runWithEvents(world, head, 3s);
+    world.fleet_.setRegistered(member, false);
+    runWithEvents(world, head, 2s);
+    CPPUNIT_ASSERT(headOf(world, "large") == head);
+    const auto doubted = world.coordinator()->coordinator_.headsInDoubt();
+    CPPUNIT_ASSERT(doubted == std::vector{ head });
+    // The member dies: the events stop.
+    world.fleet_.kill(member);
+    world.run(2s);
+    CPPUNIT_ASSERT(headOf(world, "large") != head);
+    checkInvariants(world);
+  }
+
+  void returningMemberMayRegisterLater()
+  {
+    ReplicaWorld world(1, 1);
+    world.run(80s);
+    const state::VmId head = headOf(world, "large");
+    const state::VmId member = memberOf(world, head);
+    world.fleet_.engines_.at(member).reachable_ = false;
+    runWithEvents(world, head, 2s);
+    world.fleet_.setRegistered(member, false);
+    runWithEvents(world, head, 1s);
+    world.fleet_.engines_.at(member).reachable_ = true;
+    world.run(1500ms);
+    world.fleet_.setRegistered(member, true);
+    world.run(2s);
+    CPPUNIT_ASSERT(headOf(world, "large") == head);
+    world.fleet_.setRegistered(member, false);
+    world.run(1s);
+    CPPUNIT_ASSERT(!world.fleet_.engines_.at(head).state_.place_ ||
+                   headOf(world, "large") != head);
+  }
+
+  void cutHeadThatIsNotRegisteredGetsNoRequests()
+  {
+    ReplicaWorld world(1, 1);
+    world.run(80s);
+    const state::VmId head = headOf(world, "large");
+    world.fleet_.engines_.at(head).reachable_ = false;
+    runWithEvents(world, head, 1s);
+    CPPUNIT_ASSERT(isTold(world, head));
+    world.fleet_.setRegistered(head, false);
+    runWithEvents(world, head, 100ms);
+    CPPUNIT_ASSERT(!isTold(world, head));
+  }
+
+  // Daemons tell that all streams of a replica are silent. One unanswered poll
+  // is enough then.
+  void silentStreamsShowLossSooner()
+  {
+    ReplicaWorld world(1, 1);
+    world.run(80s);
+    const state::VmId head = headOf(world, "large");
+    const state::TimePoint lostAt = world.clock_.now();
+    world.fleet_.kill(memberOf(world, head));
+    world.run(100ms);
+    auto& coordinator = world.coordinator()->coordinator_;
+    coordinator.noteSilence(head);
+    state::Duration took{};
+    while (isTold(world, head) && took < 2s) {
+      world.run(20ms);
+      took = world.clock_.now() - lostAt;
+      coordinator.noteActivity({ { head, took, 3 } }, world.clock_.now());
+    }
+    CPPUNIT_ASSERT(took <= 400ms);
+  }
+
   void membersOfLostHeadStayReservedUntilItIsBroken()
   {
     ReplicaWorld world(1, 1);
@@ -450,6 +531,28 @@
   }
 
 private:
+  /** Runs the world while daemons tell of events from a replica. */
+  static void runWithEvents(ReplicaWorld& aWorld,
+                            const state::VmId& aHead,
+                            state::Duration aTime)
+  {
+    for (state::Duration past{}; past < aTime; past += ReplicaWorld::kTick) {
+      aWorld.coordinator()->coordinator_.noteActivity({ { aHead, 10ms, 2 } },
+                                                      aWorld.clock_.now());
+      aWorld.run(ReplicaWorld::kTick);
+    }
+  }
+
+  /** @return Whether the coordinator tells daemons to use a replica. */
+  static bool isTold(ReplicaWorld& aWorld, const state::VmId& aHead)
+  {
+    const auto digest = aWorld.coordinator()->coordinator_.digest();
+    return digest &&
+           std::any_of(digest->copies_.begin(),
+                       digest->copies_.end(),
+                       [&](const auto& aCopy) { return aCopy.head_ == aHead; });
+  }
+
   /** @return The highest epoch that any engine has seen. */
   static std::uint64_t newestEpoch(const ReplicaWorld& aWorld)
   {
