Poll members once a second, split the coordinator by what its parts do, no age without a report

Members of open replicas are polled each second instead of each half.

The age of a load that was never reported is absent, not 48,215,784 ms; test unreportedLoadHasNoAge.

--- /dev/null
+++ b/src/coordination/replica/replica_coordinator_adopt.cpp
@@ -0,0 +1,207 @@
+// Adopts the replicas of a zone from the reports of its VMs.
+
+#include "coordination/replica/replica_coordinator.h"
+
+#include "coordination/replica/replica_func.h"
+#include "state/routing_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnhaven::coordination {
+
+void
+ReplicaCoordinator::startTerm()
+{
+  termStart_ = lease_.heldSince();
+  leaseTerm_ = lease_.number();
+  epochs_ = leaseTerm_ == usedEpochs_.first ? usedEpochs_.second : 0;
+  adopted_ = false;
+  waitingSince_ = {};
+  replicas_.clear();
+  dissolved_.clear();
+  warming_.clear();
+  evidence_.clear();
+  orders_.clear();
+  stableSince_.clear();
+  monitor_.discardReports();
+  log_.write(state::LogWeight::kChange,
+             kReplicaLogPart,
+             "coordination started",
+             { state::logField("zone", std::string_view(zone_.zone_.value())),
+               state::logField("authority", leaseTerm_),
+               state::logField("engines", monitor_.engines().size()) });
+}
+
+void
+ReplicaCoordinator::continueTerm()
+{
+  // The store granted the lease anew, but this daemon has had the authority all
+  // the time, so what it knows still holds.
+  leaseTerm_ = lease_.number();
+  epochs_ = 0;
+  log_.write(state::LogWeight::kChange,
+             kReplicaLogPart,
+             "coordination continues",
+             { state::logField("zone", std::string_view(zone_.zone_.value())),
+               state::logField("authority", leaseTerm_) });
+}
+
+bool
+ReplicaCoordinator::isKnown(const state::MemberPlace& aPlace) const
+{
+  return replicas_.contains(aPlace.replica_) ||
+         dissolved_.contains(aPlace.replica_);
+}
+
+void
+ReplicaCoordinator::adoptReported()
+{
+  waitsForMembers_ = monitor_.engines().empty();
+  for (const auto& [vm, engine] : monitor_.engines()) {
+    if (!monitor_.isResponding(vm) || !engine.report_->state_.place_) {
+      continue;
+    }
+    const state::MemberPlace& place = *engine.report_->state_.place_;
+    if (isKnown(place)) {
+      addMember(vm, place);
+    } else if (!isSpare(place.replica_)) {
+      adopt(place);
+    }
+  }
+  if (!waitsForMembers_) {
+    waitingSince_ = {};
+  } else if (waitingSince_ == state::TimePoint{}) {
+    waitingSince_ = clock_.now();
+  }
+}
+
+void
+ReplicaCoordinator::addMember(const state::VmId& aVm,
+                              const state::MemberPlace& aPlace)
+{
+  const auto found = replicas_.find(aPlace.replica_);
+  const bool missing = found != replicas_.end() &&
+                       found->second.epoch_ == aPlace.epoch_ &&
+                       (found->second.members_.size() <= aPlace.rank_ ||
+                        found->second.members_[aPlace.rank_].vm_.empty());
+  if (!missing) {
+    return;
+  }
+  auto& members = found->second.members_;
+  members.resize(std::max<std::size_t>(members.size(), aPlace.rank_ + 1));
+  members[aPlace.rank_] = { aVm,
+                            monitor_.find(aVm)->report_->state_.bornAtMs_ };
+}
+
+Replica
+ReplicaCoordinator::collectMembers(const state::MemberPlace& aPlace) const
+{
+  Replica replica;
+  replica.id_ = aPlace.replica_;
+  replica.epoch_ = aPlace.epoch_;
+  replica.model_ = modelOf(aPlace.replica_);
+  replica.maybeOpened_ = true;
+  replica.since_ = clock_.now();
+  for (const auto& [vm, engine] : monitor_.engines()) {
+    const auto& place = engine.report_ ? engine.report_->state_.place_
+                                       : std::optional<state::MemberPlace>();
+    const bool here = monitor_.isResponding(vm) && place &&
+                      place->replica_ == replica.id_ &&
+                      place->epoch_ == replica.epoch_;
+    if (!here) {
+      continue;
+    }
+    if (replica.members_.size() <= place->rank_) {
+      replica.members_.resize(place->rank_ + 1);
+    }
+    replica.members_[place->rank_] = { vm, engine.report_->state_.bornAtMs_ };
+    replica.domain_ = engine.report_->state_.domain_;
+  }
+  return replica;
+}
+
+bool
+ReplicaCoordinator::isComplete(const Replica& aReplica) const
+{
+  const state::ModelSpec* model = state::findModel(*engine_, aReplica.model_);
+  return model != nullptr && aReplica.members_.size() == model->size_ &&
+         knownMembers(aReplica) == model->size_;
+}
+
+bool
+ReplicaCoordinator::isAccountedFor(const Replica& aReplica) const
+{
+  const state::ModelSpec* model = state::findModel(*engine_, aReplica.model_);
+  std::size_t known = knownMembers(aReplica);
+  for (const auto& [vm, engine] : monitor_.engines()) {
+    const auto& registered = engine.instance_.engine_;
+    const bool silent = !monitor_.isResponding(vm) && registered &&
+                        registered->place_ &&
+                        registered->place_->replica_ == aReplica.id_;
+    known += silent ? 1 : 0;
+  }
+  return model != nullptr && known >= model->size_;
+}
+
+void
+ReplicaCoordinator::adopt(const state::MemberPlace& aPlace)
+{
+  Replica replica = collectMembers(aPlace);
+  const bool complete = isComplete(replica);
+  const state::TimePoint now = clock_.now();
+  const bool mayGrow =
+    now - monitor_.memberRegisteredAt() < limits_.registrationGrace_ &&
+    !isAccountedFor(replica);
+  const bool mayWait = waitingSince_ == state::TimePoint{} ||
+                       now - waitingSince_ < limits_.registrationGrace_ * 2;
+  if (!complete && mayGrow && mayWait) {
+    waitsForMembers_ = true;
+    return;
+  }
+  const std::size_t present = knownMembers(replica);
+  ReplicaMember& head = replica.members_.front();
+  if (head.vm_.empty()) {
+    head.vm_ = headOf(replica.id_);
+  }
+  if (!complete) {
+    replica.phase_ = ReplicaPhase::kShutting;
+  } else if (placeIn(replica, head.vm_)->state_ == state::MemberState::kOpen) {
+    replica.phase_ = ReplicaPhase::kOpen;
+  }
+  log_.write(
+    state::LogWeight::kChange,
+    kReplicaLogPart,
+    "replica adopted",
+    { state::logField("replica", std::string_view(replica.id_.value())),
+      state::logField("model", std::string_view(replica.model_.value())),
+      state::logField("members", present),
+      state::logField("phase", nameOf(replica.phase_)) });
+  if (takesRequests(replica.phase_)) {
+    ++openChanges_;
+  }
+  replicas_.emplace(replica.id_, std::move(replica));
+}
+
+void
+ReplicaCoordinator::updateLastModels()
+{
+  for (const auto& [vm, engine] : monitor_.engines()) {
+    if (!engine.isIdentified()) {
+      continue;
+    }
+    const state::EngineState& state = engine.report_->state_;
+    auto& [born, model] = lastModels_[vm];
+    if (born != state.bornAtMs_) {
+      born = state.bornAtMs_;
+      model = state::ModelId();
+    }
+    const bool holds = state.place_ && !state.model_.empty() &&
+                       state.place_->state_ != state::MemberState::kJoining;
+    if (holds) {
+      model = state.model_;
+    }
+  }
+}
+
+} // namespace auburnhaven::coordination
--- a/src/coordination/replica/replica_limits_type.h
+++ b/src/coordination/replica/replica_limits_type.h
@@ -14,7 +14,7 @@
   state::Duration headReportPeriod_ = std::chrono::milliseconds(
     300); ///< Poll interval of the head of an open replica.
   state::Duration memberReportPeriod_ = std::chrono::milliseconds(
-    500); ///< Poll interval of the other members of an open replica.
+    1000); ///< Poll interval of the other members of an open replica.
   state::Duration joiningReportPeriod_ = std::chrono::milliseconds(
     150); ///< Poll interval of a VM whose state is about to change.
   state::Duration idleReportPeriod_ = std::chrono::milliseconds(
--- a/src/coordination/routing/target_pool.cpp
+++ b/src/coordination/routing/target_pool.cpp
@@ -189,9 +189,12 @@
   if (!aContext.timing_) {
     return aReported;
   }
-  const state::FloatMs age = aContext.now_ - aTarget.reportedAt_;
-  const double remaining = std::clamp(
-    1 - age / (aContext.timing_->slotTime_ * aTarget.slowness_), 0.0, 1.0);
+  const auto reportAge = loadAgeOf(aTarget, aContext.now_);
+  const state::FloatMs slotTime =
+    aContext.timing_->slotTime_ * aTarget.slowness_;
+  // Without a report, nothing but the mean of all replicas is known.
+  const state::FloatMs age = reportAge ? state::FloatMs(*reportAge) : slotTime;
+  const double remaining = std::clamp(1 - age / slotTime, 0.0, 1.0);
   const double total = aReported.running_ + aReported.waiting_;
   const double mean = aContext.utilization_ * aTarget.slots_;
   const auto present = static_cast<std::uint32_t>(
@@ -375,11 +378,20 @@
   aTarget.ownChanges_.emplace_back(aNow, aChange);
 }
 
+std::optional<state::Duration>
+TargetPool::loadAgeOf(const Target& aTarget, state::TimePoint aNow)
+{
+  return aTarget.reportedAt_ == state::TimePoint{}
+           ? std::nullopt
+           : std::optional(aNow - aTarget.reportedAt_);
+}
+
 state::TargetLoad
 TargetPool::loadOf(const Target& aTarget, state::TimePoint aNow) const
 {
   std::int64_t total = aTarget.ownRequests_;
-  if (aNow - aTarget.reportedAt_ < settings_.reportMaxAge_) {
+  const auto age = loadAgeOf(aTarget, aNow);
+  if (age && *age < settings_.reportMaxAge_) {
     total = aTarget.reportedRequests_;
     for (const auto& [at, change] : aTarget.ownChanges_) {
       total += at > aTarget.reportedAt_ ? change : 0;
@@ -465,7 +477,7 @@
   decision.vm_ = *aChosen.vm_;
   decision.endpoint_ = target.endpoint_;
   decision.load_ = aChosen.load_;
-  decision.loadAge_ = aNow - target.reportedAt_;
+  decision.loadAge_ = loadAgeOf(target, aNow);
   decision.expected_ = aChosen.expected_;
   decision.keptConnections_ = keptConnections(target.service_);
   return decision;
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -66,7 +66,8 @@
   state::VmId vm_;                                  ///< The target.
   state::Endpoint endpoint_;                        ///< Its endpoint.
   state::TargetLoad load_;                          ///< Its estimated load.
-  state::Duration loadAge_{};    ///< Age of the report behind the estimate.
+  std::optional<state::Duration>
+    loadAge_; ///< Age of the report behind the estimate; absent without one.
   state::Duration expected_{};   ///< Expected time to the first event.
   state::Duration retryAfter_{}; ///< When refused: time until there is room.
   std::uint32_t candidates_ = 0; ///< Targets of the service and model.
@@ -366,6 +367,8 @@
   static double utilizationOf(const std::vector<Candidate>& aCandidates);
   bool isAdmitted(const Target& aTarget, double aUtilization) const;
   bool isUsable(const Target& aTarget, state::TimePoint aNow) const;
+  static std::optional<state::Duration> loadAgeOf(const Target& aTarget,
+                                                  state::TimePoint aNow);
   bool matches(const Target& aTarget,
                const TargetNeed& aNeed,
                state::TimePoint aNow) const;
--- a/src/coordination/routing/target_pool_place.cpp
+++ b/src/coordination/routing/target_pool_place.cpp
@@ -259,10 +259,11 @@
 {
   const Target& target = *aCandidate.target_;
   // Only requests that held a slot can have ended since the report.
-  const state::FloatMs age = aNow - target.reportedAt_;
-  const double ended =
-    std::min(target.reportedRequests_, target.slots_) *
-    std::min(1.0, age / (aTiming.slotTime_ * target.slowness_));
+  const state::FloatMs slotTime = aTiming.slotTime_ * target.slowness_;
+  const auto reportAge = loadAgeOf(target, aNow);
+  const state::FloatMs age = reportAge ? state::FloatMs(*reportAge) : slotTime;
+  const double ended = std::min(target.reportedRequests_, target.slots_) *
+                       std::min(1.0, age / slotTime);
   const auto count =
     static_cast<std::uint32_t>(std::lround(target.reportedRequests_ - ended)) +
     placements_.countSince(*aCandidate.vm_, target.reportedAt_);
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -694,7 +694,8 @@
       state::logField("end", nameOf(aSendOutcome)),
       state::logField("candidates", aTarget.candidates_),
       state::logField("load", aTarget.load_.running_ + aTarget.load_.waiting_),
-      state::logField("load_age_ms", logMs(aTarget.loadAge_)),
+      state::logField("load_age_ms",
+                      aTarget.loadAge_ ? logMs(*aTarget.loadAge_) : -1.0),
       state::logField("expected_ms", logMs(aTarget.expected_)),
       state::logField("detail", std::string_view(lastDetail_)) });
 }
--- a/tests/coordination/routing_pool_test.cpp
+++ b/tests/coordination/routing_pool_test.cpp
@@ -96,6 +96,8 @@
 {
   CPPUNIT_TEST_SUITE(RoutingPoolTest);
   CPPUNIT_TEST(onlyOpenHeadsAreChosen);
+  CPPUNIT_TEST(unreportedLoadHasNoAge);
+  CPPUNIT_TEST(replicaWithSilentStreamsIsAvoided);
   CPPUNIT_TEST(digestOverridesRegistration);
   CPPUNIT_TEST(outdatedDigestIsIgnored);
   CPPUNIT_TEST(replicaMissingFromPartialDigestIsNotGone);
@@ -116,6 +118,33 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // After a restart, targets are known from their registrations before any load
+  // is reported.
+  void unreportedLoadHasNoAge()
+  {
+    Pool pool(clock_);
+    state::InstanceMap instances;
+    instances[state::VmId("a")] = head("a", state::MemberState::kOpen);
+    pool.pool_.setView(config(),
+                       std::make_shared<state::InstanceMap>(instances));
+    CPPUNIT_ASSERT(!pool.pool_.choose(need()).loadAge_);
+    pool.pool_.noteLoad(state::VmId("a"), { 1, 0, 26 });
+    clock_.advance(40ms);
+    CPPUNIT_ASSERT(pool.pool_.choose(need()).loadAge_ == 40ms);
+  }
+
+  void replicaWithSilentStreamsIsAvoided()
+  {
+    Pool pool(clock_);
+    pool.pool_.setDigest(digest(1, { { "a", 2 }, { "b", 12 } }, clock_.now()));
+    pool.pool_.noteSilence(state::VmId("a"), 1);
+    CPPUNIT_ASSERT(countOf(pool, "a") > 0);
+    pool.pool_.noteSilence(state::VmId("a"), 1);
+    CPPUNIT_ASSERT_EQUAL(0, countOf(pool, "a"));
+    clock_.advance(350ms);
+    CPPUNIT_ASSERT(countOf(pool, "a") > 0);
+  }
+
   void onlyOpenHeadsAreChosen()
   {
     Pool pool(clock_);
@@ -378,6 +407,18 @@
   }
 
 private:
+  /** @return How many of several requests go to a target. */
+  static int countOf(Pool& aPool, const std::string& aTarget)
+  {
+    int count = 0;
+    for (int round = 0; round < 10; ++round) {
+      const TargetDecision decision = aPool.pool_.choose(need());
+      count += decision.vm_ == state::VmId(aTarget) ? 1 : 0;
+      aPool.pool_.finish(decision.vm_, SendResult::kAnswered);
+    }
+    return count;
+  }
+
   /** Result of a simulated load. */
   struct SimulationResult
   {
