Refuse an extension where the store answers, log extensions, write the account

Ruled out: lost datagrams (the holders were heard all the time).

A daemon that is asked for a promise asks the store, and refuses from the moment it answers. Test holderThatStoreTurnsAwayIsSucceeded.

--- a/src/app/lease_extender.cpp
+++ b/src/app/lease_extender.cpp
@@ -8,10 +8,15 @@
 
 LeaseExtender::LeaseExtender(const state::Clock& aClock,
                              transport::DatagramSocket& aSocket,
-                             Leaderships& aLeaderships)
-  : socket_(aSocket)
+                             Leaderships& aLeaderships,
+                             coordination::LeaderLease& aRegistration,
+                             state::EventLog& aLog)
+  : clock_(aClock)
+  , socket_(aSocket)
   , leaderships_(aLeaderships)
   , promises_(aClock)
+  , registration_(aRegistration)
+  , log_(aLog)
 {
 }
 
@@ -19,6 +24,7 @@
 LeaseExtender::tick(const std::vector<state::Endpoint>& aDaemons)
 {
   daemons_ = aDaemons.size() + 1;
+  logEndedExtensions();
   for (auto& [zone, leadership] : leaderships_) {
     const auto number = leadership->extension().nextRequest();
     if (!number) {
@@ -45,7 +51,7 @@
     }
     noteAuthority(request->zone_, request->authority_);
     const coordination::ExtensionReply reply =
-      promises_.answer(request->zone_, request->authority_, storeAnswers());
+      promises_.answer(request->zone_, request->authority_, storeAnsweredAt());
     socket_.send(aFrom,
                  protocol::encodeExtensionReply(
                    { request->number_, request->zone_, reply }));
@@ -56,13 +62,44 @@
     return false;
   }
   const auto found = leaderships_.find(reply->zone_);
-  if (found != leaderships_.end()) {
-    found->second->extension().noteReply(
-      reply->number_, aFrom, reply->reply_, daemons_);
+  const bool extends = found != leaderships_.end() &&
+                       found->second->extension().noteReply(
+                         reply->number_, aFrom, reply->reply_, daemons_);
+  if (extends && extended_.insert(reply->zone_).second) {
+    log("authority extended", reply->zone_, found->second->authority());
   }
   return true;
 }
 
+void
+LeaseExtender::logEndedExtensions()
+{
+  std::erase_if(extended_, [&](const state::ZoneId& aZone) {
+    const coordination::ZoneLeadership& leadership = *leaderships_.at(aZone);
+    const bool ended = !leadership.isHeld() || leadership.isRenewed();
+    if (ended) {
+      log(leadership.isHeld() ? "lease renewed after an extension"
+                              : "extended authority ended",
+          aZone,
+          leadership.authority());
+    }
+    return ended;
+  });
+}
+
+void
+LeaseExtender::log(std::string_view aEvent,
+                   const state::ZoneId& aZone,
+                   std::uint64_t aAuthority)
+{
+  log_.write(state::LogWeight::kChange,
+             "lease",
+             aEvent,
+             { state::logField("zone", std::string_view(aZone.value())),
+               state::logField("authority", aAuthority),
+               state::logField("daemons", daemons_) });
+}
+
 void
 LeaseExtender::handOver(const state::ZoneId& aZone)
 {
@@ -73,6 +110,7 @@
       protocol::encodeHandover({ aZone,
                                  leadership.authority(),
                                  leadership.coordinator().epochsUsed() }));
+    log("authority handed over", aZone, leadership.authority());
   }
 }
 
@@ -83,6 +121,7 @@
   const auto until = promises_.takeOver(aHandover.zone_, aHandover.authority_);
   if (found != leaderships_.end() && until && !stopping_) {
     found->second->takeOver(aHandover.authority_, aHandover.epochs_, *until);
+    log("authority taken over", aHandover.zone_, aHandover.authority_);
   }
 }
 
@@ -97,13 +136,18 @@
   }
 }
 
-bool
-LeaseExtender::storeAnswers() const
+state::TimePoint
+LeaseExtender::storeAnsweredAt()
 {
-  return std::any_of(
-    leaderships_.begin(), leaderships_.end(), [](const auto& aEntry) {
-      return aEntry.second->isRenewed();
-    });
+  const bool renews =
+    std::any_of(leaderships_.begin(),
+                leaderships_.end(),
+                [](const auto& aEntry) { return aEntry.second->isRenewed(); });
+  if (renews) {
+    return clock_.now();
+  }
+  registration_.probe();
+  return registration_.lastReplyTime();
 }
 
 } // namespace auburnhaven::app
--- a/src/app/lease_extender.h
+++ b/src/app/lease_extender.h
@@ -4,11 +4,14 @@
 #include "coordination/lease_extension.h"
 #include "coordination/replica/zone_leadership.h"
 #include "protocol/extension_codec.h"
+#include "state/event_log.h"
 #include "transport/datagram_socket.h"
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburnhaven::app {
@@ -28,10 +31,15 @@
    * @param aClock Clock; outlives this object.
    * @param aSocket Sends datagrams; outlives this object.
    * @param aLeaderships Candidacies of this daemon; outlive this object.
+   * @param aRegistration Lease of this daemon's registration, by which it asks
+   * the store; outlives this object.
+   * @param aLog Log; outlives this object.
    */
   LeaseExtender(const state::Clock& aClock,
                 transport::DatagramSocket& aSocket,
-                Leaderships& aLeaderships);
+                Leaderships& aLeaderships,
+                coordination::LeaderLease& aRegistration,
+                state::EventLog& aLog);
 
   /**
    * Sends the requests that are due.
@@ -70,12 +78,20 @@
   }
 
 private:
-  bool storeAnswers() const;
+  state::TimePoint storeAnsweredAt();
   void takeOver(const protocol::HandoverMessage& aHandover);
+  void logEndedExtensions();
+  void log(std::string_view aEvent,
+           const state::ZoneId& aZone,
+           std::uint64_t aAuthority);
 
+  const state::Clock& clock_;                ///< Clock.
   transport::DatagramSocket& socket_;        ///< Sends datagrams.
   Leaderships& leaderships_;                 ///< Candidacies of this daemon.
   coordination::ExtensionPromises promises_; ///< Promises of this daemon.
+  coordination::LeaderLease& registration_;  ///< Lease of its registration.
+  state::EventLog& log_;                     ///< Log.
+  std::set<state::ZoneId> extended_;         ///< Zones with an extension.
   std::size_t daemons_ = 1;                  ///< Registered daemons.
   bool stopping_ = false;                    ///< Whether this daemon stops.
 };
--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -240,7 +240,7 @@
       [this](const protocol::ActivityNotice& aNotice,
              state::TimePoint aCountedAt,
              bool aAsked) { takeActivity(aNotice, aCountedAt, aAsked); })
-  , extender_(clock_, digests_, duties_)
+  , extender_(clock_, digests_, duties_, registration_, log_)
   , budget_(budgetSettings(settings_.retries_))
   , relay_({ clock_,
              targets_,
--- a/src/coordination/leader_lease.cpp
+++ b/src/coordination/leader_lease.cpp
@@ -73,6 +73,14 @@
   return lastReplyTime_;
 }
 
+void
+LeaderLease::probe()
+{
+  if (!released_ && !requestInFlight_ && number_ != 0) {
+    request();
+  }
+}
+
 bool
 LeaderLease::isAnswered() const
 {
--- a/src/coordination/leader_lease.h
+++ b/src/coordination/leader_lease.h
@@ -74,6 +74,9 @@
   std::uint64_t number() const;
   /** @return When the store last replied to a lease request. */
   state::TimePoint lastReplyTime() const;
+  /** Renews the lease at once, to learn whether the store answers. Does nothing
+   * while a request is in flight or without the lease. */
+  void probe();
   /**
    * @return Whether the store answers: it has answered of late, and no request
    * has waited for long.
--- a/src/coordination/lease_extension.cpp
+++ b/src/coordination/lease_extension.cpp
@@ -6,6 +6,13 @@
 
 namespace auburnhaven::coordination {
 
+namespace {
+
+constexpr std::chrono::seconds kSeriesGap(
+  1); ///< Time without a request after which the next one begins a new series.
+
+} // namespace
+
 LeaseExtension::LeaseExtension(const state::Clock& aClock,
                                LeaderLease& aLease,
                                const ExtensionTiming& aTiming)
@@ -30,24 +37,26 @@
   return ++number_;
 }
 
-void
+bool
 LeaseExtension::noteReply(std::uint64_t aNumber,
                           const state::Endpoint& aFrom,
                           ExtensionReply aReply,
                           std::size_t aDaemons)
 {
   if (aNumber != number_) {
-    return;
+    return false;
   }
   if (aReply == ExtensionReply::kRefused) {
     refused_ = true;
-    return;
+    return false;
   }
   granted_.insert(aFrom);
   const std::size_t withHolder = granted_.size() + 1;
-  if (!refused_ && withHolder * 2 > aDaemons) {
+  const bool extends = !refused_ && withHolder * 2 > aDaemons;
+  if (extends) {
     lease_.extend(askedAt_ + timing_.promise_ - timing_.margin_);
   }
+  return extends;
 }
 
 std::optional<state::Endpoint>
@@ -68,14 +77,20 @@
 ExtensionReply
 ExtensionPromises::answer(const state::ZoneId& aZone,
                           std::uint64_t aAuthority,
-                          bool aStoreAnswers)
+                          state::TimePoint aStoreAnsweredAt)
 {
   Zone& zone = zones_[aZone];
-  if (aStoreAnswers || aAuthority < zone.authority_) {
+  const state::TimePoint now = clock_.now();
+  if (now - zone.lastRequestAt_ > kSeriesGap) {
+    zone.firstRequestAt_ = now;
+  }
+  zone.lastRequestAt_ = now;
+  const bool storeAnswers = aStoreAnsweredAt >= zone.firstRequestAt_;
+  if (storeAnswers || aAuthority < zone.authority_) {
     return ExtensionReply::kRefused;
   }
   zone.authority_ = aAuthority;
-  zone.until_ = clock_.now() + timing_.promise_;
+  zone.until_ = now + timing_.promise_;
   return ExtensionReply::kPromised;
 }
 
--- a/src/coordination/lease_extension.h
+++ b/src/coordination/lease_extension.h
@@ -61,8 +61,9 @@
    * @param aFrom The daemon.
    * @param aReply Its reply.
    * @param aDaemons Number of all registered daemons, with this one.
+   * @return Whether the authority is extended.
    */
-  void noteReply(std::uint64_t aNumber,
+  bool noteReply(std::uint64_t aNumber,
                  const state::Endpoint& aFrom,
                  ExtensionReply aReply,
                  std::size_t aDaemons);
@@ -99,13 +100,15 @@
    * Answers a holder's request.
    * @param aZone Zone of the lease.
    * @param aAuthority Number of the holder's lease.
-   * @param aStoreAnswers Whether the store answers this daemon, as far as it
-   * knows.
+   * @param aStoreAnsweredAt When the store last answered this daemon. A daemon
+   * that the store has answered since the holder's first request refuses: it
+   * can be the coordinator and hear of changes. Until then it promises, and the
+   * caller should ask the store.
    * @return The reply; a promise binds this daemon from now on.
    */
   ExtensionReply answer(const state::ZoneId& aZone,
                         std::uint64_t aAuthority,
-                        bool aStoreAnswers);
+                        state::TimePoint aStoreAnsweredAt);
   /**
    * Decides whether this daemon takes over the authority of a holder that
    * stops.
@@ -132,8 +135,11 @@
   /** What is known of one zone. */
   struct Zone
   {
-    std::uint64_t authority_ = 0; ///< Greatest number of a lease.
-    state::TimePoint until_{};    ///< End of the promise.
+    std::uint64_t authority_ = 0;       ///< Greatest number of a lease.
+    state::TimePoint firstRequestAt_{}; ///< First request of the present
+                                        ///< series.
+    state::TimePoint lastRequestAt_{};  ///< Latest request.
+    state::TimePoint until_{};          ///< End of the promise.
   };
 
   const state::Clock& clock_;           ///< Clock.
--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -158,7 +158,8 @@
   void startClosing(Replica& aReplica, std::string_view aWhy);
   void dissolve(Replica& aReplica, std::string_view aWhy);
   std::string_view faultOf(const Replica& aReplica, bool aPlaced) const;
-  bool isMemberLost(const Replica& aReplica, const state::VmId& aVm) const;
+  std::string_view lossOf(const Replica& aReplica,
+                          const state::VmId& aVm) const;
   bool hasLeavingMember(const Replica& aReplica) const;
   const state::MemberPlace* placeIn(const Replica& aReplica,
                                     const state::VmId& aVm) const;
--- a/src/coordination/replica/replica_coordinator_evidence.cpp
+++ b/src/coordination/replica/replica_coordinator_evidence.cpp
@@ -120,23 +120,26 @@
   return heads;
 }
 
-bool
-ReplicaCoordinator::isMemberLost(const Replica& aReplica,
-                                 const state::VmId& aVm) const
+std::string_view
+ReplicaCoordinator::lossOf(const Replica& aReplica,
+                           const state::VmId& aVm) const
 {
+  constexpr std::string_view kLost = "member lost";
   const state::VmId& head = aReplica.members_.front().vm_;
   const MonitoredEngine* engine = monitor_.find(aVm);
   if (engine == nullptr || (aVm == head && !engine->registered_)) {
     // A head that is no longer registered must get no requests.
-    return true;
+    return kLost;
   }
+  const std::string_view polled =
+    monitor_.isLost(aVm) ? kLost : std::string_view();
   if (engine->missedReports_ == 0 || !takesRequests(aReplica.phase_)) {
-    return monitor_.isLost(aVm);
+    return polled;
   }
   const state::TimePoint firstPollAt =
     engine->firstMissAt_ - limits_.reportTimeout_;
   if (evidence_.showsEventsSince(head, firstPollAt + kEventTransit)) {
-    return false;
+    return {};
   }
   const state::ModelSpec* model = state::findModel(*engine_, aReplica.model_);
   const bool silent =
@@ -144,15 +147,16 @@
     evidence_.showsSilence(head,
                            std::chrono::duration_cast<state::Duration>(
                              silenceLimit(*engine_, *model) * kSilenceLimits));
-  return silent || monitor_.isLost(aVm);
+  return silent ? "member lost, streams are silent" : polled;
 }
 
 std::string_view
 ReplicaCoordinator::faultOf(const Replica& aReplica, bool aPlaced) const
 {
   for (const ReplicaMember& member : aReplica.members_) {
-    if (isMemberLost(aReplica, member.vm_)) {
-      return "member lost";
+    const std::string_view loss = lossOf(aReplica, member.vm_);
+    if (!loss.empty()) {
+      return loss;
     }
     const MonitoredEngine* engine = monitor_.find(member.vm_);
     if (engine->report_ &&
--- a/tests/coordination/lease_extension_test.cpp
+++ b/tests/coordination/lease_extension_test.cpp
@@ -157,12 +157,14 @@
       if (number && other.get() != &aDaemon && hears) {
         const std::uint64_t authority = aDaemon.leadership_.authority();
         other->leadership_.noteAuthority(authority);
-        const bool served =
-          !other->store_.faults().down_ && other->leadership_.isRenewed();
+        // A daemon that the store serves learns so one step later.
+        const state::TimePoint answeredAt = other->store_.faults().down_
+                                              ? state::TimePoint{}
+                                              : clock_.now() - kTick;
         aDaemon.leadership_.extension().noteReply(
           *number,
           other->endpoint_,
-          other->promises_.answer(kZone, authority, served),
+          other->promises_.answer(kZone, authority, answeredAt),
           daemons_.size());
       }
     }
@@ -185,6 +187,7 @@
   CPPUNIT_TEST(lossesAreReplacedWhileStoreIsSilent);
   CPPUNIT_TEST(replicasStayKnownWhenStoreReturns);
   CPPUNIT_TEST(minorityGetsNoExtension);
+  CPPUNIT_TEST(holderThatStoreTurnsAwayIsSucceeded);
   CPPUNIT_TEST(pausedHolderDoesNotRegainAuthority);
   CPPUNIT_TEST(refusalEndsExtension);
   CPPUNIT_TEST(stoppingHolderHandsOver);
@@ -245,6 +248,24 @@
     checkInvariants(world);
   }
 
+  // The store turns away the holder and serves the others. These must take
+  // over, since a coordinator without the store hears of no changes.
+  void holderThatStoreTurnsAwayIsSucceeded()
+  {
+    ExtensionWorld world(4);
+    world.run(80s);
+    ExtendingDaemon* old = world.holder();
+    old->store_.faults().down_ = true;
+    world.run(2500ms);
+    CPPUNIT_ASSERT(!old->leadership_.isHeld());
+    for (const auto& daemon : world.daemons_) {
+      daemon->leadership_.setHolder(std::nullopt);
+    }
+    world.run(2s);
+    CPPUNIT_ASSERT(world.holder() != nullptr && world.holder() != old);
+    checkInvariants(world);
+  }
+
   void pausedHolderDoesNotRegainAuthority()
   {
     ExtensionWorld world(3);
@@ -303,14 +324,12 @@
     fakes::FakeClock clock;
     ExtensionPromises promises(clock);
     CPPUNIT_ASSERT(!promises.takeOver(kZone, 7));
-    CPPUNIT_ASSERT(promises.answer(kZone, 7, false) ==
-                   ExtensionReply::kPromised);
+    CPPUNIT_ASSERT(promises.answer(kZone, 7, {}) == ExtensionReply::kPromised);
     CPPUNIT_ASSERT(promises.takeOver(kZone, 7).has_value());
     CPPUNIT_ASSERT(!promises.takeOver(kZone, 6));
     promises.noteAuthority(kZone, 9);
     CPPUNIT_ASSERT(!promises.takeOver(kZone, 7));
-    CPPUNIT_ASSERT(promises.answer(kZone, 7, false) ==
-                   ExtensionReply::kRefused);
+    CPPUNIT_ASSERT(promises.answer(kZone, 7, {}) == ExtensionReply::kRefused);
     clock.advance(1300ms);
     CPPUNIT_ASSERT(!promises.isPromised(kZone));
   }
