Record who ended each send and which requests a stop leaves open

A send that this daemon ended itself, by its silence limit or since a digest did not list the target, looked like one that the target broke off, and requests that were open when the process ended left no record.

New: 'send ended' has ended_by (target, silence, digest, caller, deadline), the events passed on and the time left; the outcome has events and rejections; each request that a stop leaves open is logged with its age, target, events and whether its caller is gone ('request is cut by the stop').

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -7,9 +7,12 @@
 #include "protocol/zone_digest_codec.h"
 #include "state/endpoint_func.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <csignal>
+#include <future>
 #include <unistd.h>
 #include <utility>
 
@@ -22,6 +25,8 @@
 constexpr milliseconds kControlTick(40); ///< Period of the control work.
 constexpr milliseconds kDrainPoll(20);   ///< Period of checks at the stop.
 constexpr milliseconds kStopMargin(500); ///< Kept of the stop limit.
+constexpr milliseconds kLogTimeout(
+  50); ///< Longest wait for a traffic thread's records of open requests.
 constexpr milliseconds kOwnZonePatience(
   150); ///< Longest random wait before a daemon of the zone tries for the
         ///< vacant duty.
@@ -706,6 +711,7 @@
     std::this_thread::sleep_for(kDrainPoll);
     left -= kDrainPoll;
   }
+  logOpenRequests();
   log_.write(state::LogWeight::kChange,
              kPart,
              "stopped",
@@ -716,4 +722,17 @@
   controlThread_.join();
 }
 
+void
+RelayDaemon::logOpenRequests()
+{
+  for (std::size_t thread = 0; thread < traffic_.size(); ++thread) {
+    const auto done = std::make_shared<std::promise<void>>();
+    boost::asio::post(traffic_.context(thread), [this, thread, done] {
+      relay_.logOpenRequests(thread, "request is cut by the stop");
+      done->set_value();
+    });
+    done->get_future().wait_for(kLogTimeout);
+  }
+}
+
 } // namespace auburnhaven::app
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -77,6 +77,7 @@
   void updatePeers();
   void noteSignals();
   void stop();
+  void logOpenRequests();
 
   const RelayDaemonSettings settings_; ///< Settings.
   transport::SystemClock clock_;       ///< Clock.
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -216,6 +216,7 @@
     return false;
   }
   ++sends_;
+  target_ = target.vm_;
   const SendOutcome outcome = sendTo(target);
   logSend(target, outcome);
   if (!staleConnection_) {
@@ -328,6 +329,9 @@
   TargetMonitor(const TargetMonitor&) = delete;
   TargetMonitor& operator=(const TargetMonitor&) = delete;
 
+  /** @return Whether it has aborted the send. */
+  bool hasAborted() const { return state_->gone_; }
+
 private:
   /** Shared with the timer's handler, which may run after the monitor is
    * destroyed. */
@@ -339,6 +343,7 @@
       aborter_; ///< Aborts the send; null once the monitor is destroyed.
     milliseconds period_;             ///< Interval of the checks.
     boost::asio::steady_timer timer_; ///< Expires at the next check.
+    bool gone_ = false;               ///< Whether the send was aborted.
   };
 
   static void scheduleCheck(const std::shared_ptr<CheckState>& aState)
@@ -350,6 +355,7 @@
           return;
         }
         if (state->targets_.isGone(state->target_)) {
+          state->gone_ = true;
           state->aborter_->abort();
         } else {
           scheduleCheck(state);
@@ -377,6 +383,7 @@
   request.freshConnection_ = !isRetrySafe() || staleConnection_;
   request.keptConnections_ = aTarget.keptConnections_;
   staleConnection_ = false;
+  endedBy_ = SendEnder::kTarget;
   HttpAborter aborter;
   aborter_ = &aborter;
   const TargetMonitor monitor(yield_.get_executor(),
@@ -394,13 +401,20 @@
     outcome = handleResponse(call, aTarget);
   } else {
     lastDetail_ = call.failure().message_;
+    if (call.failure().kind_ == HttpFailureKind::kTimeout) {
+      endedBy_ = enderAfterSilence();
+    }
     staleConnection_ = call.failure().kind_ == HttpFailureKind::kClosed &&
                        call.failure().keptConnection_;
     outcome = arrived ? SendOutcome::kUnknown : SendOutcome::kNotRun;
   }
   aborter_ = nullptr;
+  if (monitor.hasAborted()) {
+    endedBy_ = SendEnder::kDigest;
+  }
   if (responder_.callerGone()) {
     outcome = SendOutcome::kOver;
+    endedBy_ = SendEnder::kCaller;
   }
   SendResult result = SendResult::kAnswered;
   if (outcome == SendOutcome::kOver) {
@@ -416,6 +430,12 @@
   return outcome;
 }
 
+SendEnder
+RelayExchange::enderAfterSilence() const
+{
+  return timeLeft() < kMinSendTime ? SendEnder::kDeadline : SendEnder::kSilence;
+}
+
 SendOutcome
 RelayExchange::handleResponse(HttpCall& aCall, const TargetDecision& aTarget)
 {
@@ -567,6 +587,9 @@
       logOutcome(state::LogWeight::kRoutine, "stream delivered");
       return SendOutcome::kDelivered;
     }
+    if (piece.status_ == HttpReadStatus::kTimeout) {
+      endedBy_ = enderAfterSilence();
+    }
     lastDetail_ = piece.status_ == HttpReadStatus::kTimeout
                     ? "stream timed out"
                     : "stream ended prematurely";
@@ -598,6 +621,7 @@
     if (!responder_.writeChunk(event, yield_)) {
       return SendOutcome::kOver;
     }
+    ++forwardedEvents_;
   }
 }
 
@@ -672,6 +696,8 @@
       state::logField("account", std::string_view(account_.value())),
       state::logField("sends", sends_),
       state::logField("runs", runs_),
+      state::logField("rejections", rejections_),
+      state::logField("events", forwardedEvents_),
       state::logField("took_ms", logMs(took)),
       state::logField("first_event_ms",
                       streaming_ ? logMs(firstEventAt_ - startedAt_) : -1.0),
@@ -680,6 +706,25 @@
       state::logField("detail", std::string_view(lastDetail_)) });
 }
 
+void
+RelayExchange::logProgress(std::string_view aEvent) const
+{
+  dependencies_.log_.write(
+    state::LogWeight::kChange,
+    kPart,
+    aEvent,
+    { state::logField("id", std::string_view(info_.id_)),
+      state::logField("open_ms",
+                      logMs(dependencies_.clock_.now() - startedAt_)),
+      state::logField("target", std::string_view(target_.value())),
+      state::logField("sends", sends_),
+      state::logField("runs", runs_),
+      state::logField("rejections", rejections_),
+      state::logField("events", forwardedEvents_),
+      state::logField("caller_gone", responder_.callerGone()),
+      state::logField("detail", std::string_view(lastDetail_)) });
+}
+
 void
 RelayExchange::logSend(const TargetDecision& aTarget, SendOutcome aSendOutcome)
 {
@@ -692,6 +737,9 @@
     { state::logField("id", std::string_view(info_.id_)),
       state::logField("target", std::string_view(aTarget.vm_.value())),
       state::logField("end", nameOf(aSendOutcome)),
+      state::logField("ended_by", nameOf(endedBy_)),
+      state::logField("events", forwardedEvents_),
+      state::logField("time_left_ms", logMs(timeLeft())),
       state::logField("candidates", aTarget.candidates_),
       state::logField("load", aTarget.load_.running_ + aTarget.load_.waiting_),
       state::logField("load_age_ms",
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -31,6 +31,26 @@
   return kNames[static_cast<std::size_t>(aSendOutcome)];
 }
 
+/** Who ended a send. */
+enum class SendEnder : std::uint8_t
+{
+  kTarget,   ///< The target, by its response or by closing its connection.
+  kSilence,  ///< This daemon, since the target was silent.
+  kDigest,   ///< This daemon, since a digest does not list the target.
+  kCaller,   ///< The caller, by closing its connection.
+  kDeadline, ///< The deadline.
+};
+
+/** @return Name of who ended a send for logs. */
+constexpr std::string_view
+nameOf(SendEnder aEnder)
+{
+  constexpr std::string_view kNames[] = {
+    "target", "silence", "digest", "caller", "deadline"
+  };
+  return kNames[static_cast<std::size_t>(aEnder)];
+}
+
 /**
  * Relays one request: finds its route and client account, sends it to targets
  * one after the other as far as the route's kind allows retries, and sends the
@@ -66,6 +86,12 @@
   /** Refuses the request as not run, because this daemon shuts down. The caller
    * can use another daemon at once. */
   void refuseAsStopping();
+  /**
+   * Logs how far the request has come. Call on its thread while its coroutine
+   * is suspended.
+   * @param aEvent Event of the log record.
+   */
+  void logProgress(std::string_view aEvent) const;
 
 private:
   class TargetMonitor;
@@ -91,6 +117,7 @@
     bool aStarted) const;
   HttpTimeouts timeouts(const coordination::TargetDecision& aTarget) const;
   std::chrono::milliseconds timeLeft() const;
+  SendEnder enderAfterSilence() const;
   void refuse(const coordination::TargetDecision& aDecision);
   void giveUp();
   void sendError(std::uint32_t aStatus,
@@ -117,14 +144,17 @@
   state::TimePoint firstEventAt_{};         ///< When its first event was sent.
   HttpAborter* aborter_ = nullptr; ///< Aborts the current send; null when there
                                    ///< is none.
-  EventSplitter events_;           ///< Splits a streamed response.
-  std::uint32_t sends_ = 0;        ///< Sends to targets.
-  std::uint32_t arrivals_ = 0;     ///< Sends that may have reached a target.
-  std::uint32_t runs_ = 0;         ///< Sends that may have run the request.
-  std::uint32_t rejections_ = 0;   ///< Sends that certainly did not run it.
-  bool staleConnection_ = false;   ///< Whether the last send failed on a reused
-                                   ///< connection that its target had closed.
-  bool streaming_ = false;         ///< Whether a streamed response has begun.
+  state::VmId target_;   ///< Target of the last send; empty before the first.
+  EventSplitter events_; ///< Splits a streamed response.
+  std::uint32_t sends_ = 0;           ///< Sends to targets.
+  std::uint32_t arrivals_ = 0;        ///< Sends that may have reached a target.
+  std::uint32_t runs_ = 0;            ///< Sends that may have run the request.
+  std::uint32_t rejections_ = 0;      ///< Sends that certainly did not run it.
+  std::uint32_t forwardedEvents_ = 0; ///< Events written to the caller.
+  SendEnder endedBy_ = SendEnder::kTarget; ///< Who ended the last send.
+  bool staleConnection_ = false; ///< Whether the last send failed on a reused
+                                 ///< connection that its target had closed.
+  bool streaming_ = false;       ///< Whether a streamed response has begun.
   std::optional<HttpResponse> failure_; ///< Last error response of a
                                         ///< target.
   std::string lastDetail_; ///< Reason for the last outcome, for logs.
--- a/src/transport/relay/relay_handler.cpp
+++ b/src/transport/relay/relay_handler.cpp
@@ -15,6 +15,30 @@
 {
 }
 
+/** Lists a request as open for as long as it lives. */
+class RelayHandler::OpenRequest
+{
+public:
+  OpenRequest(RelayHandler& aHandler, OpenEntry aEntry)
+    : handler_(aHandler)
+    , entry_(aEntry)
+  {
+    const std::lock_guard lock(handler_.openMutex_);
+    handler_.open_.insert(entry_);
+  }
+  ~OpenRequest()
+  {
+    const std::lock_guard lock(handler_.openMutex_);
+    handler_.open_.erase(entry_);
+  }
+  OpenRequest(const OpenRequest&) = delete;
+  OpenRequest& operator=(const OpenRequest&) = delete;
+
+private:
+  RelayHandler& handler_; ///< The handler.
+  const OpenEntry entry_; ///< Its entry.
+};
+
 void
 RelayHandler::handle(std::size_t aThread,
                      const HttpRequest& aRequest,
@@ -33,8 +57,21 @@
   } else if (outdated_) {
     exchange.refuseAsOutdated();
   } else {
+    const OpenRequest open(*this, { aThread, &exchange });
     exchange.run();
   }
 }
 
+void
+RelayHandler::logOpenRequests(std::size_t aThread,
+                              std::string_view aEvent) const
+{
+  const std::lock_guard lock(openMutex_);
+  for (const auto& [thread, exchange] : open_) {
+    if (thread == aThread) {
+      exchange->logProgress(aEvent);
+    }
+  }
+}
+
 } // namespace auburnhaven::transport
--- a/src/transport/relay/relay_handler.h
+++ b/src/transport/relay/relay_handler.h
@@ -16,6 +16,10 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <set>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace auburnhaven::transport {
@@ -76,6 +80,8 @@
     nullptr; ///< Records events of streams; null to record none.
 };
 
+class RelayExchange;
+
 /** Forwards callers' requests to targets. */
 class RelayHandler : public HttpHandler
 {
@@ -102,13 +108,26 @@
   void setOutdated(bool aOutdated) { outdated_ = aOutdated; }
   /** @return Requests received since the start. Thread-safe. */
   std::uint64_t requests() const { return requests_; }
+  /**
+   * Logs each request of a traffic thread that has no final response yet. Call
+   * on that thread.
+   * @param aThread Index of the traffic thread.
+   * @param aEvent Event of the log records.
+   */
+  void logOpenRequests(std::size_t aThread, std::string_view aEvent) const;
 
 private:
+  class OpenRequest;
+  using OpenEntry =
+    std::pair<std::size_t, const RelayExchange*>; ///< Thread and request.
+
   RelayDependencies dependencies_;           ///< Dependencies of the requests.
   RelaySettings settings_;                   ///< Timeouts and limits.
   std::atomic<bool> refusing_{ false };      ///< Set by refuseAll().
   std::atomic<bool> outdated_{ false };      ///< Set by setOutdated().
   std::atomic<std::uint64_t> requests_{ 0 }; ///< Requests received.
+  mutable std::mutex openMutex_;             ///< Guards the following member.
+  std::set<OpenEntry> open_; ///< Requests without a final response.
 };
 
 } // namespace auburnhaven::transport
