--- a/tests/platform/relay_world.h
+++ b/tests/platform/relay_world.h
@@ -13,6 +13,7 @@
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <string>
@@ -88,7 +89,7 @@
 class RelayWorld
 {
 public:
-  RelayWorld()
+  explicit RelayWorld(transport::RelaySettings aSettings = {})
     : pool_(1)
     , targets_(clock_,
                {},
@@ -102,7 +103,7 @@
                clients_,
                log_,
                metrics_ },
-             {})
+             aSettings)
     , server_(pool_, { "127.0.0.1", 0 }, {}, relay_)
   {
     clients_.push_back(
@@ -146,7 +147,7 @@
       route.services_ = { { state::ServiceId("app"), 1 } };
       config->routes_.push_back(route);
     }
-    config->services_ = { { state::ServiceId("app"), 100, {} } };
+    config->services_ = { { state::ServiceId("app"), 100, engine_ } };
     config->accounts_ = { { state::AccountId("one"), { "key-1" }, {} } };
     targets_.setView(config, std::make_shared<state::InstanceMap>(instances_));
     routes_.set(std::make_shared<const coordination::RouteTable>(config));
@@ -217,6 +218,8 @@
   transport::RelayHandler relay_; ///< The relay.
   transport::HttpServer server_;  ///< Listener of the relay.
   state::InstanceMap instances_;  ///< Targets by VM.
+  std::optional<state::EngineSpec>
+    engine_; ///< Engine of the service "app"; none for a plain service.
 };
 
 } // namespace auburnhaven::fakes
