Echo the request's identifier in rejections of the stand-in workers

The users' workers echo X-Attempt-Id in all responses (PROTOCOL.md, Workers); the stand-ins left it out of their own 421, 503 and 400, so that a relay that demands it would find no rejection of theirs to be true. A request without an identifier still gets a rejection without one.

--- a/standins/platform/answer_headers.h
+++ b/standins/platform/answer_headers.h
@@ -17,6 +17,22 @@
   bool leaving_ = false;      ///< Whether it is about to stop.
 };
 
+/**
+ * @param aExchange The request.
+ * @param aFurther Further headers.
+ * @return Headers of a rejection, with the identifier of the request if it has
+ * one.
+ */
+inline HeaderList
+rejectionHeaders(const Exchange& aExchange, HeaderList aFurther)
+{
+  const std::string attempt = aExchange.header("X-Attempt-Id");
+  if (!attempt.empty()) {
+    aFurther.emplace_back("X-Attempt-Id", attempt);
+  }
+  return aFurther;
+}
+
 /**
  * @param aExchange The request.
  * @param aSelf The worker.
--- a/standins/platform/model_worker.cpp
+++ b/standins/platform/model_worker.cpp
@@ -71,7 +71,8 @@
   }
   const std::string target = aExchange.header("X-Target-Instance");
   if (!target.empty() && target != place_.id_) {
-    aExchange.replyWith(421, "{}", { { "At-Server", place_.id_ } });
+    aExchange.replyWith(
+      421, "{}", rejectionHeaders(aExchange, { { "At-Server", place_.id_ } }));
     return;
   }
   if (aExchange.is(http::verb::get, "/v1/report")) {
@@ -423,15 +424,17 @@
     return true;
   }
   if (membership_ && membership_->state_ == "broken") {
-    aExchange.replyWith(503, "{}", { notRun, self });
+    aExchange.replyWith(
+      503, "{}", rejectionHeaders(aExchange, { notRun, self }));
     return true;
   }
   if (!isOpenHead() || membership_->model_ != aExchange.header("X-Model-Id")) {
-    aExchange.replyWith(421, "{}", { self });
+    aExchange.replyWith(421, "{}", rejectionHeaders(aExchange, { self }));
     return true;
   }
   if (running_ >= pace_.slots_) {
-    aExchange.replyWith(503, "{}", { notRun, self });
+    aExchange.replyWith(
+      503, "{}", rejectionHeaders(aExchange, { notRun, self }));
     return true;
   }
   return false;
@@ -461,7 +464,10 @@
   aExchange.wait(pace_.event_ * faults_.slowPermille_ / 1000);
   if (!waitWhole(aExchange)) {
     aExchange.replyWith(
-      503, "{}", { { "X-Not-Executed", "1" }, { "At-Server", place_.id_ } });
+      503,
+      "{}",
+      rejectionHeaders(
+        aExchange, { { "X-Not-Executed", "1" }, { "At-Server", place_.id_ } }));
     return;
   }
   book_.partial_ += wasWhole() ? 0 : 1;
--- a/standins/platform/plain_worker.cpp
+++ b/standins/platform/plain_worker.cpp
@@ -62,21 +62,25 @@
 {
   const std::string attempt = aExchange.header("X-Attempt-Id");
   if (aExchange.header("X-Target-Instance") != place_.id_) {
-    aExchange.replyWith(421, "{}", { { "At-Server", place_.id_ } });
+    aExchange.replyWith(
+      421, "{}", rejectionHeaders(aExchange, { { "At-Server", place_.id_ } }));
     return;
   }
   ++book_.arrivals_[place_.id_];
   if (restSeconds_ > 0) {
-    aExchange.replyWith(503,
-                        "{}",
-                        { { "X-Attempt-Id", attempt },
-                          { "X-Not-Executed", "1" },
-                          { "Retry-After", std::to_string(restSeconds_) } });
+    aExchange.replyWith(
+      503,
+      "{}",
+      rejectionHeaders(aExchange,
+                       { { "X-Not-Executed", "1" },
+                         { "Retry-After", std::to_string(restSeconds_) } }));
     return;
   }
   if (attempt.empty() || running_ >= slots_) {
     aExchange.replyWith(
-      attempt.empty() ? 400 : 503, "{}", { { "X-Not-Executed", "1" } });
+      attempt.empty() ? 400 : 503,
+      "{}",
+      rejectionHeaders(aExchange, { { "X-Not-Executed", "1" } }));
     return;
   }
   const transport::ScopedCount<std::uint32_t> slot(running_);
