Believe a rejection only if it carries the identifier of the request

Cause here: RequestDialect took a rejection without an identifier, and status 421 without one, for a statement about the request in flight; only another request's identifier was refused. A worker's 503, 429 or 408 without X-Not-Executed was passed on unchanged, although the status promises the caller what the worker had not. Class: a statement is ascribed to a request by its position on the connection instead of by its identifier.

Certain without a response are only sends of which no byte was written. Load, pause and departure are also read from matching responses only: a copy would pause a sound target again.

Ruled out: a late copy on a kept connection for requests that run once (they use fresh connections); an own rejection's copy after a second send to the same target (fresh connection since; the test fails without that line).

New in the log: the detail of 'send ended' tells the status and which condition failed ("does not match the request", "does not say that it did not run", "is not signed").

--- a/src/transport/relay/relay_attempt.cpp
+++ b/src/transport/relay/relay_attempt.cpp
@@ -137,19 +137,28 @@
 {
   const RelayResponseInfo info =
     dependencies_.dialect_.parseResponse(info_, call_);
-  noteTargetInfo(info);
   const bool success = isSuccess(call_.status());
+  const std::string status = "status " + std::to_string(call_.status());
+  if (!info.matchesRequest_) {
+    call_.abort();
+    return end(SendOutcome::kUnknown,
+               "response with " + status + " does not match the request");
+  }
+  noteTargetInfo(info);
   if (info.notRun_ && !success) {
     call_.limitTime(kRejectionBodyTimeout);
     call_.readAll(kMaxRejectionBytes, aYield);
     return end(SendOutcome::kNotRun,
-               "target rejected the request with status " +
-                 std::to_string(call_.status()));
+               "target rejected the request with " + status);
   }
-  if (!info.matchesRequest_ || (success && !info.signed_)) {
+  if (info.deniesRun_) {
     call_.abort();
     return end(SendOutcome::kUnknown,
-               "response does not match the request or is not signed");
+               "response with " + status + " does not say that it did not run");
+  }
+  if (success && !info.signed_) {
+    call_.abort();
+    return end(SendOutcome::kUnknown, "response is not signed");
   }
   response_ = readResponseHead();
   return AttemptProgress::kNone;
--- a/src/transport/relay/relay_dialect.h
+++ b/src/transport/relay/relay_dialect.h
@@ -41,8 +41,11 @@
 /** Contents of a target's response headers. */
 struct RelayResponseInfo
 {
-  bool notRun_ =
-    false; ///< Whether the target reports that it did not run the request.
+  bool notRun_ = false; ///< Whether the target reports that it did not run this
+                        ///< request; only if it carries its identifier.
+  bool deniesRun_ =
+    false; ///< Whether its status would tell the caller that the request did
+           ///< not run; not to be forwarded, since one that is true is notRun_.
   bool matchesRequest_ =
     false;               ///< Whether it carries the identifier of this request.
   bool signed_ = false;  ///< Whether it carries the target's signature.
--- a/tests/platform/relay_world.h
+++ b/tests/platform/relay_world.h
@@ -26,6 +26,9 @@
                                       "Content-Type: text/event-stream\r\n"
                                       "Transfer-Encoding: chunked\r\n\r\n";
 
+inline constexpr char kLivePath[] =
+  "/live/"; ///< Route of streams that cannot be resumed.
+
 /** @return Data as one chunk of a chunked body. */
 inline std::string
 chunk(const std::string& aData)
@@ -126,7 +129,8 @@
     instances_[instance.id_] = instance;
   }
 
-  /** Applies a configuration with one route per kind and the added targets. */
+  /** Applies a configuration with one route per kind, two for streams, and the
+   * added targets. */
   void start(std::chrono::milliseconds aTimeout = std::chrono::seconds(3))
   {
     auto config = std::make_shared<state::RoutingConfig>();
@@ -134,13 +138,15 @@
     for (const auto& [prefix, kind] :
          { std::pair("/safe/", RouteKind::kIdempotent),
            std::pair("/unsafe/", RouteKind::kNonIdempotent),
-           std::pair("/stream/", RouteKind::kStreaming) }) {
+           std::pair("/stream/", RouteKind::kStreaming),
+           std::pair(kLivePath, RouteKind::kStreaming) }) {
       state::Route route;
       route.id_ = state::RouteId(prefix);
       route.host_ = "shop.example";
       route.prefix_ = prefix;
       route.kind_ = kind;
-      route.resumable_ = kind == RouteKind::kStreaming;
+      route.resumable_ =
+        kind == RouteKind::kStreaming && route.prefix_ != kLivePath;
       route.timeout_ = aTimeout;
       route.latencyTarget_ = std::chrono::seconds(1);
       route.maxAttempts_ = kind == RouteKind::kNonIdempotent ? 1 : 2;
