Send no request on a connection with bytes that belong to no request

Cause: a kept connection was checked when it was taken from the pool, not when the request was written; bytes that arrived between the two (a copy of a large body lies there) were parsed as the response. A connection with bytes after a response stayed in the pool, and open, until it was taken or swept. Class: check and use apart.

Bytes that arrive later than the check can only be told by the identifier in them.

Ruled out: copies that stand in the buffer or the socket when the next request comes (RelayRejectionTest copyBeforeTheNextRequestEndsTheConnection passed before; it fails when usable() and reusable() skip their checks).

Evidence: bytesBeforeARequestEndTheConnection and bytesAfterAResponseEndTheConnection failed before, 2 of 2; now HttpClientTest passes 19 of 19.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -31,19 +31,17 @@
   {
   }
 
-  /** @return A kept connection that still is open, or nothing. */
+  /** @return A kept connection, which may have ended, or nothing. */
   std::shared_ptr<HttpConnection> take(const state::Endpoint& aEndpoint)
   {
     sweep();
     const auto found = idle_.find(aEndpoint);
-    while (found != idle_.end() && !found->second.empty()) {
-      auto connection = std::move(found->second.back());
-      found->second.pop_back();
-      if (connection->usable()) {
-        return connection;
-      }
+    if (found == idle_.end() || found->second.empty()) {
+      return nullptr;
     }
-    return nullptr;
+    auto connection = std::move(found->second.back());
+    found->second.pop_back();
+    return connection;
   }
 
   /** Keeps a connection whose call has ended. */
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -137,6 +137,11 @@
   }
   startParser();
   const http::request<http::string_body> request = encode(endpoint_, aRequest);
+  if (!usable()) {
+    return { aborted_ ? HttpFailureKind::kAborted : HttpFailureKind::kClosed,
+             false,
+             "closed, or bytes arrived before the request" };
+  }
   if (aRequest.sendBefore_ && SystemClock().now() >= *aRequest.sendBefore_) {
     return { HttpFailureKind::kAborted, false, "the right to send has ended" };
   }
@@ -399,7 +404,8 @@
 bool
 HttpConnection::reusable() const
 {
-  return !aborted_ && parser_ && parser_->is_done() && parser_->keep_alive();
+  return !aborted_ && parser_ && parser_->is_done() && parser_->keep_alive() &&
+         buffer_.size() == 0;
 }
 
 std::uint32_t
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -41,7 +41,7 @@
   HttpFailure connect(std::chrono::milliseconds aTimeout,
                       const boost::asio::yield_context& aYield);
   /**
-   * Sends a request.
+   * Sends a request, unless the connection is not usable().
    * @param aRequest The request.
    * @param aTimeouts Time limits.
    * @param aYield The coroutine.
@@ -79,10 +79,11 @@
                      const boost::asio::yield_context& aYield);
   /** Closes the connection; what waits on it ends. */
   void abort();
-  /** @return Whether an unused connection is still open and silent. */
+  /** @return Whether an unused connection is still open and no byte has arrived
+   * that belongs to no request. */
   bool usable();
-  /** @return Whether the response was read whole and the target keeps the
-   * connection. */
+  /** @return Whether the response was read whole, nothing has been read after
+   * it, and the target keeps the connection. */
   bool reusable() const;
   /** @return Status code of the response. */
   std::uint32_t status() const;
--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the HTTP client over loopback sockets.
 
 #include "transport/http_client.h"
+#include "transport/http_connection.h"
 #include "transport/loopback.h"
 #include "transport/system_clock.h"
 
@@ -45,6 +46,8 @@
   CPPUNIT_TEST(abortEndsWait);
   CPPUNIT_TEST(longBodyAndLineAreRefused);
   CPPUNIT_TEST(restOfAnAbandonedRequestNeverArrives);
+  CPPUNIT_TEST(bytesBeforeARequestEndTheConnection);
+  CPPUNIT_TEST(bytesAfterAResponseEndTheConnection);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -317,6 +320,50 @@
     CPPUNIT_ASSERT_EQUAL(0, requests.load());
   }
 
+  // Bytes that arrived between the check of a kept connection and the send were
+  // taken for the response.
+  void bytesBeforeARequestEndTheConnection()
+  {
+    const Server server([](Socket& aSocket, int) {
+      Server::write(aSocket, kSmallAnswer);
+      Server::readUntil(aSocket, "\r\n\r\n");
+    });
+    fakes::runCoroutine(context_, [&](const Yield& aYield) {
+      transport::HttpConnection connection(
+        context_, server.endpoint(), transport::HttpClientLimits());
+      CPPUNIT_ASSERT(connection.connect(fakes::kLoopbackLimit, aYield).kind_ ==
+                     HttpFailureKind::kNone);
+      constexpr int kMaxRounds = 1000; // ends the wait of a test that fails
+      for (int round = 0; round < kMaxRounds && connection.usable(); ++round) {
+        boost::asio::steady_timer timer(context_, std::chrono::milliseconds(1));
+        timer.async_wait(aYield);
+      }
+      const transport::HttpFailure failure =
+        connection.send({ "GET", "/", {}, {} }, {}, aYield);
+      CPPUNIT_ASSERT(failure.kind_ == HttpFailureKind::kClosed);
+      CPPUNIT_ASSERT(!failure.bytesMayHaveArrived_);
+    });
+  }
+
+  void bytesAfterAResponseEndTheConnection()
+  {
+    std::promise<std::string> rest;
+    Server server([&](Socket& aSocket, int) {
+      Server::readUntil(aSocket, "\r\n\r\n");
+      Server::write(aSocket, std::string(kSmallAnswer) + "H");
+      rest.set_value(Server::readUntil(aSocket, "\r\n\r\n"));
+    });
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      aClient.open(server.endpoint(), { "GET", "/", {}, {} }, {}, aYield)
+        .readAll(10, aYield);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, aClient.idleConnections());
+      std::future<std::string> end = rest.get_future();
+      CPPUNIT_ASSERT(end.wait_for(fakes::kLoopbackLimit) ==
+                     std::future_status::ready);
+      CPPUNIT_ASSERT_EQUAL(std::string(), end.get());
+    });
+  }
+
 private:
   /** Sends a body byte by byte until the client closes. */
   static void trickle(Socket& aSocket)
