Play streams that another target must continue: what held

Reported by another operator: a stream broke off, the next worker answered with an error, and clients found its text or head in their stream, or an end.

The own interface does not have this shape: an engine's status other than 200, text, and a head between its lines are no token and no end (TargetStreamTest), and RequestMachine checks offsets and the total, so that a gap, a repetition or an early end is no part of the answer.

--- a/tests/platform/relay_silence_test.cpp
+++ b/tests/platform/relay_silence_test.cpp
@@ -1,14 +1,13 @@
 // Tests of answers of sound targets that are silent for a while.
 
-#include "platform/relay_world.h"
-
-#include <atomic>
+#include "platform/ordered_targets.h"
 
 using namespace auburnhaven;
 using namespace std::chrono_literals;
 using fakes::chunk;
 using fakes::contains;
 using fakes::kStreamHead;
+using fakes::OrderedTargets;
 using fakes::RawServer;
 using fakes::RelayWorld;
 using fakes::respondWith;
@@ -45,47 +44,6 @@
                std::string(1, static_cast<char>('a' + aId)) + "\n\n");
 }
 
-/** What each connection of a target does, in the order of the connections; the
- * last one stands for all further ones. */
-using Scripts = std::vector<RawServer::Script>;
-
-/** Targets that take the connections of a relay by one common order, whichever
- * of them is chosen. */
-class OrderedTargets
-{
-public:
-  /** @param aScripts What each connection does. */
-  explicit OrderedTargets(Scripts aScripts)
-    : scripts_(std::move(aScripts))
-    , one_(follow())
-    , two_(follow())
-    , three_(follow())
-  {
-  }
-  /** @return Endpoints of the targets. */
-  std::vector<state::Endpoint> endpoints() const
-  {
-    return { one_.endpoint(), two_.endpoint(), three_.endpoint() };
-  }
-  /** @return Connections so far. */
-  std::size_t connections() const { return count_; }
-
-private:
-  RawServer::Script follow()
-  {
-    return [this](Socket& aSocket, int aIndex) {
-      const std::size_t number = std::min(count_++, scripts_.size() - 1);
-      scripts_[number](aSocket, aIndex);
-    };
-  }
-
-  Scripts scripts_;                     ///< What each connection does.
-  std::atomic<std::size_t> count_{ 0 }; ///< Connections so far.
-  RawServer one_;                       ///< A target.
-  RawServer two_;                       ///< Another one.
-  RawServer three_;                     ///< A third one.
-};
-
 /** Sends two events with a pause before the event of a number. */
 RawServer::Script
 pauseBefore(int aEvent)
--- a/tests/platform/relay_world.h
+++ b/tests/platform/relay_world.h
@@ -127,7 +127,8 @@
   }
 
   /** Applies a configuration with one route per kind and the added targets. */
-  void start(std::chrono::milliseconds aTimeout = std::chrono::seconds(3))
+  void start(std::chrono::milliseconds aTimeout = std::chrono::seconds(3),
+             bool aStreamsResume = true)
   {
     auto config = std::make_shared<state::RoutingConfig>();
     using state::RouteKind;
@@ -140,7 +141,7 @@
       route.host_ = "shop.example";
       route.prefix_ = prefix;
       route.kind_ = kind;
-      route.resumable_ = kind == RouteKind::kStreaming;
+      route.resumable_ = aStreamsResume && kind == RouteKind::kStreaming;
       route.timeout_ = aTimeout;
       route.latencyTarget_ = std::chrono::seconds(1);
       route.maxAttempts_ = kind == RouteKind::kNonIdempotent ? 1 : 2;
@@ -155,12 +156,13 @@
 
   /** Adds targets i-1, i-2 and so on, and applies the configuration. */
   void startWith(const std::vector<state::Endpoint>& aTargets,
-                 std::chrono::milliseconds aTimeout = std::chrono::seconds(3))
+                 std::chrono::milliseconds aTimeout = std::chrono::seconds(3),
+                 bool aStreamsResume = true)
   {
     for (const state::Endpoint& target : aTargets) {
       addTarget("i-" + std::to_string(instances_.size() + 1), target);
     }
-    start(aTimeout);
+    start(aTimeout, aStreamsResume);
   }
 
   /** Sends a request and reads until the relay closes the connection.
--- a/tests/transport/target_stream_test.cpp
+++ b/tests/transport/target_stream_test.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(duplicateAnswerIsNotDelivered);
   CPPUNIT_TEST(slowlySentAnswerTimesOut);
   CPPUNIT_TEST(truncatedAnswerIsNotComplete);
+  CPPUNIT_TEST(errorOfAnEngineIsNoToken);
+  CPPUNIT_TEST(headInTheMiddleOfAStreamIsNoToken);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -67,7 +69,52 @@
     }
   }
 
+  void errorOfAnEngineIsNoToken()
+  {
+    const std::string token = "{\"offset\":0,\"text\":\"a\"}\n";
+    const std::string done = "{\"done\":true,\"tokens\":0}\n";
+    for (const std::string& body :
+         { std::string(), std::string("Server Error\n"), token, done }) {
+      for (const char* status : { "500 Oops", "404 Not Found", "503 Full" }) {
+        const TargetEvent event =
+          generate("HTTP/1.1 " + std::string(status) + "\r\nContent-Length: " +
+                   std::to_string(body.size()) + "\r\n\r\n" + body)
+            .front();
+        CPPUNIT_ASSERT(event.kind_ != TargetEventKind::kToken);
+        CPPUNIT_ASSERT(event.kind_ != TargetEventKind::kWhole);
+      }
+    }
+    for (const char* text : { "", "Server Error", "{}", "{\"error\":1}" }) {
+      const auto events = generate(answer(text));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, events.size());
+      CPPUNIT_ASSERT(events.front().kind_ == TargetEventKind::kCutShort);
+    }
+  }
+
+  void headInTheMiddleOfAStreamIsNoToken()
+  {
+    const std::string token = "{\"offset\":0,\"text\":\"a\"}\n";
+    const std::string error = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n";
+    const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1c\r\n";
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0x1c }, token.size() + 4);
+    for (const std::string& part :
+         { error, std::string("{\"do\r\n").append(error) }) {
+      expectOneToken(answer(token + part));
+      expectOneToken(std::string(head).append(token).append(part));
+    }
+  }
+
 private:
+  /** Checks that an engine's response counts as one token and no more. */
+  void expectOneToken(const std::string& aResponse)
+  {
+    const auto events = generate(aResponse);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, events.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), events.front().text_);
+    CPPUNIT_ASSERT(events.back().kind_ == TargetEventKind::kCutShort);
+  }
+
   static constexpr std::chrono::milliseconds kTimeout{
     400
   }; ///< Timeout of a call.
@@ -99,6 +146,28 @@
     return event;
   }
 
+  /** Calls an engine that sends a response and closes the connection.
+   * @return Events of the attempt. */
+  std::vector<TargetEvent> generate(const std::string& aResponse)
+  {
+    const Server server([&](Socket& aSocket, int) {
+      Server::readRequest(aSocket);
+      Server::write(aSocket, aResponse);
+    });
+    coordination::Choice choice;
+    choice.endpoint_ = server.endpoint();
+    transport::TargetCall call;
+    call.timeout_ = kTimeout;
+    std::vector<TargetEvent> events;
+    fakes::runCoroutine(context_, [&](const Yield& aYield) {
+      const auto stream = transport::openLocalStream(client_, choice, call);
+      do {
+        events.push_back(stream->next(aYield));
+      } while (events.back().kind_ == TargetEventKind::kToken);
+    });
+    return events;
+  }
+
   boost::asio::io_context context_;          ///< Event loop of the client.
   transport::HttpClient client_{ context_ }; ///< HTTP client.
 };
