Continue a stream only with a response of the same kind, never an encoded one

What callers saw: a stream had begun and broke off; a 2xx of the next worker that is no event stream was taken for the rest. A 204, or a 200 without a body, ended the stream as complete; a body of another type with empty lines, or one with a Content-Encoding, was passed on as events. An encoded body was also passed on as the whole answer of other routes.

Cause: a success was judged by its signature and identifier only.

Ruled out: responses without the signature or with another identifier; they were refused before (in the same test).

Change: StreamPosition tells an attempt what the caller has. A success that continues a stream must have the status and media type of the head that the caller has; a response with a Content-Encoding is not the worker's body (PROTOCOL.md, Answers) and counts as none.

Evidence: RelayResumeTest successOfAnotherKind... and encodedResponse... failed on the code before (first shown: 204 gave the last chunk; a gzip stream gave event 3) and pass. EventSplitter::lastId() became position().lastId_; the three checks of it in EventSplitterTest are as strict.

--- a/src/transport/relay/event_splitter.cpp
+++ b/src/transport/relay/event_splitter.cpp
@@ -3,6 +3,7 @@
 #include "transport/relay/event_splitter.h"
 
 #include <charconv>
+#include <utility>
 
 namespace auburnhaven::transport {
 
@@ -48,12 +49,10 @@
 
 } // namespace
 
-EventSplitter::EventSplitter(const std::string& aLastId)
+EventSplitter::EventSplitter(StreamPosition aPosition)
+  : position_(std::move(aPosition))
+  , lastNumber_(parseNumber(position_.lastId_))
 {
-  if (!aLastId.empty()) {
-    lastId_ = aLastId;
-    lastNumber_ = parseNumber(aLastId);
-  }
 }
 
 std::size_t
@@ -84,7 +83,7 @@
   if (number && lastNumber_ && *number <= *lastNumber_) {
     return false;
   }
-  lastId_ = std::string(*id);
+  position_.lastId_ = std::string(*id);
   lastNumber_ = number;
   return true;
 }
@@ -101,6 +100,7 @@
     }
     ++eventCount_;
     if (isNew(std::string_view(pending_).substr(0, end))) {
+      position_.hasBegun_ = true;
       returnedBytes_ = end;
       return std::string_view(pending_).substr(0, end);
     }
--- a/src/transport/relay/event_splitter.h
+++ b/src/transport/relay/event_splitter.h
@@ -9,6 +9,18 @@
 
 namespace auburnhaven::transport {
 
+/** How far a caller's stream of events has come, for the target that is to
+ * continue it. */
+struct StreamPosition
+{
+  std::string lastId_;    ///< Identifier of the last event that the caller has;
+                          ///< empty for none.
+  bool hasBegun_ = false; ///< Whether the caller has the head of the response.
+  std::uint32_t status_ = 0; ///< Status code in that head.
+  std::string mediaType_;    ///< Media type in that head.
+  bool operator==(const StreamPosition&) const = default;
+};
+
 /**
  * Returns only complete events of a stream, so that a stream that breaks in the
  * middle of an event can be resumed from another target. Events whose numeric
@@ -18,9 +30,8 @@
 class EventSplitter
 {
 public:
-  /** @param aLastId Identifier of the event after which the stream starts;
-   * empty when it starts with its first event. */
-  explicit EventSplitter(const std::string& aLastId = "");
+  /** @param aPosition What the caller has before the first byte. */
+  explicit EventSplitter(StreamPosition aPosition = {});
   /** Appends received bytes. @param aData Next bytes of the stream. */
   void add(std::string_view aData) { pending_.append(aData); }
   /**
@@ -35,8 +46,8 @@
   {
     return pending_.size() - returnedBytes_;
   }
-  /** @return Identifier of the last returned event that had one. */
-  const std::optional<std::string>& lastId() const { return lastId_; }
+  /** @return What the caller has when it has all returned events. */
+  const StreamPosition& position() const { return position_; }
   /** @return Complete events found so far, including skipped duplicates. */
   std::uint64_t eventCount() const { return eventCount_; }
 
@@ -48,10 +59,10 @@
                         ///< next() returned last.
   std::size_t returnedBytes_ = 0; ///< Size of that event.
   std::uint64_t eventCount_ = 0;  ///< Complete events found.
-  std::optional<std::string>
-    lastId_; ///< Identifier of the last returned event that had one.
+  StreamPosition position_;       ///< What the caller has.
   std::optional<std::uint64_t>
-    lastNumber_; ///< lastId_ as a number; nothing when it is not numeric.
+    lastNumber_; ///< Number of the last event that the caller has; nothing
+                 ///< when it is not numeric.
 };
 
 } // namespace auburnhaven::transport
--- a/src/transport/relay/relay_attempt.cpp
+++ b/src/transport/relay/relay_attempt.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/relay/relay_attempt.h"
 
+#include <boost/beast/core/string.hpp>
+
 #include <utility>
 
 namespace auburnhaven::transport {
@@ -28,19 +30,27 @@
   return aStatus / 100 == 2;
 }
 
+/** @return Media type of a Content-Type header, without parameters. */
+std::string_view
+mediaType(std::string_view aContentType)
+{
+  aContentType = aContentType.substr(0, aContentType.find(';'));
+  return aContentType.substr(0, aContentType.find_last_not_of(" \t") + 1);
+}
+
 } // namespace
 
 RelayAttempt::RelayAttempt(const RelayDependencies& aDependencies,
                            const RelayRequestInfo& aInfo,
                            coordination::TargetDecision aTarget,
                            bool aStream,
-                           const std::string& aLastEventId)
+                           const StreamPosition& aPosition)
   : dependencies_(aDependencies)
   , info_(aInfo)
   , target_(std::move(aTarget))
   , stream_(aStream)
   , call_(HttpFailure{ HttpFailureKind::kAborted, false, "not sent" })
-  , events_(aLastEventId)
+  , events_(aPosition)
   , lastNewsAt_(aDependencies.clock_.now())
 {
 }
@@ -72,9 +82,12 @@
 }
 
 void
-RelayAttempt::noteForwarded()
+RelayAttempt::noteForwarded(StreamPosition& aPosition)
 {
   lastNewsAt_ = dependencies_.clock_.now();
+  aPosition = events_.position();
+  aPosition.status_ = call_.status();
+  aPosition.mediaType_ = mediaType(call_.header("Content-Type"));
 }
 
 AttemptProgress
@@ -151,10 +164,32 @@
     return end(SendOutcome::kUnknown,
                "response does not match the request or is not signed");
   }
+  if (const std::string_view fault = headFault(); !fault.empty()) {
+    call_.abort();
+    return end(SendOutcome::kUnknown, std::string(fault));
+  }
   response_ = readResponseHead();
   return AttemptProgress::kNone;
 }
 
+std::string_view
+RelayAttempt::headFault() const
+{
+  // Requests allow no encoding, so that an encoded body is not the target's.
+  if (!call_.header("Content-Encoding").empty()) {
+    return "response has an encoding";
+  }
+  const StreamPosition& position = events_.position();
+  const std::string_view type = mediaType(call_.header("Content-Type"));
+  const bool sameHead =
+    call_.status() == position.status_ &&
+    boost::beast::iequals({ type.data(), type.size() }, position.mediaType_);
+  if (position.hasBegun_ && isSuccess(call_.status()) && !sameHead) {
+    return "response does not continue the stream";
+  }
+  return {};
+}
+
 HttpResponse
 RelayAttempt::readResponseHead() const
 {
--- a/src/transport/relay/relay_attempt.h
+++ b/src/transport/relay/relay_attempt.h
@@ -6,7 +6,6 @@
 #include "transport/relay/relay_handler.h"
 
 #include <functional>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,13 +25,13 @@
    * @param aInfo Contents of the request's headers; must outlive this object.
    * @param aTarget The target.
    * @param aStream Whether a success is a stream of events.
-   * @param aLastEventId Event after which a stream starts; empty for the first.
+   * @param aPosition How far the caller's stream has come.
    */
   RelayAttempt(const RelayDependencies& aDependencies,
                const RelayRequestInfo& aInfo,
                coordination::TargetDecision aTarget,
                bool aStream,
-               const std::string& aLastEventId);
+               const StreamPosition& aPosition);
   ~RelayAttempt();
   RelayAttempt(const RelayAttempt&) = delete;
   RelayAttempt& operator=(const RelayAttempt&) = delete;
@@ -59,9 +58,12 @@
   /** @return The next complete event; empty when there is none. Valid until the
    * next call of poll() or nextEvent(). */
   std::string_view nextEvent() { return events_.next(); }
-  /** Notes that all complete events have been forwarded, so that the time that
-   * the caller took for them is not counted as silence. */
-  void noteForwarded();
+  /**
+   * Notes that the event that nextEvent() returned last has been forwarded; the
+   * time that the caller took for it is not counted as silence.
+   * @param aPosition Set to what the caller has now.
+   */
+  void noteForwarded(StreamPosition& aPosition);
   /** Calls a handler once when poll() may have news. */
   void onReadable(std::function<void()> aHandler)
   {
@@ -91,11 +93,6 @@
   state::TimePoint lastNewsAt() const { return lastNewsAt_; }
   /** @return Whether an event has arrived. */
   bool hasEvents() const { return events_.eventCount() > 0; }
-  /** @return Identifier of the last event that was taken. */
-  const std::optional<std::string>& lastEventId() const
-  {
-    return events_.lastId();
-  }
   /** @return Response for the caller; the body is empty for a stream. */
   const HttpResponse& response() const { return response_; }
 
@@ -108,6 +105,7 @@
   AttemptProgress takeEvents(std::string_view aData);
   void recordActivity();
   void noteTargetInfo(const RelayResponseInfo& aInfo);
+  std::string_view headFault() const;
   HttpResponse readResponseHead() const;
 
   const RelayDependencies& dependencies_;     ///< Dependencies.
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -109,7 +109,7 @@
   need_.tokens_ = info_.tokens_;
   need_.latencyTarget_ = route_->latencyTarget_;
   dependencies_.budget_.requestStarted();
-  lastEventId_ = info_.lastEventId_;
+  position_.lastId_ = info_.lastEventId_;
   responder_.onCallerGone([this] {
     if (aborter_ != nullptr) {
       aborter_->abort();
@@ -239,7 +239,7 @@
 RelayExchange::requestFor(const TargetDecision& aTarget) const
 {
   const RelayForwardInfo forward{
-    aTarget.vm_, account_, timeLeft(), lastEventId_
+    aTarget.vm_, account_, timeLeft(), position_.lastId_
   };
   HttpClientRequest request;
   request.method_ = request_.method_;
@@ -264,7 +264,7 @@
   const HttpClientRequest request = requestFor(aTarget);
   staleConnection_ = false;
   auto attempt = std::make_unique<RelayAttempt>(
-    dependencies_, info_, aTarget, isStream(), lastEventId_);
+    dependencies_, info_, aTarget, isStream(), position_);
   HttpAborter aborter;
   aborter_ = &aborter;
   attempt->send(client_,
@@ -353,8 +353,7 @@
       return;
     }
     ++forwardedEvents_;
-    lastEventId_ = aAttempt.lastEventId().value_or(lastEventId_);
-    aAttempt.noteForwarded();
+    aAttempt.noteForwarded(position_);
     if (dependencies_.clock_.now() >= deadline_) {
       return;
     }
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -122,7 +122,7 @@
     wait_;                         ///< Wait for news; null when there is none.
   HttpAborter* aborter_ = nullptr; ///< Aborts the request that is being sent;
                                    ///< null when there is none.
-  std::string lastEventId_;        ///< Last event that the caller has.
+  StreamPosition position_;        ///< How far the caller's stream has come.
   std::uint32_t sends_ = 0;        ///< Sends to targets.
   std::uint32_t arrivals_ = 0;     ///< Sends that may have reached a target.
   std::uint32_t runs_ = 0;       ///< Ended sends that may have run the request.
--- a/tests/platform/relay_resume_test.cpp
+++ b/tests/platform/relay_resume_test.cpp
@@ -209,6 +209,8 @@
   CPPUNIT_TEST_SUITE(RelayResumeTest);
   CPPUNIT_TEST(errorOfTheNextTargetIsNoPartOfTheStream);
   CPPUNIT_TEST(rejectionOfTheNextTargetIsNoPartOfTheStream);
+  CPPUNIT_TEST(successOfAnotherKindDoesNotContinueAStream);
+  CPPUNIT_TEST(encodedResponseIsNeverPassedOn);
   CPPUNIT_TEST(bytesBehindAStreamAreNotPassedOn);
   CPPUNIT_TEST(interimResponsesAreNoPartOfTheStream);
   CPPUNIT_TEST(continuationMayIncreaseAsTheStreamDid);
@@ -264,6 +266,51 @@
       kShortRoute);
   }
 
+  void successOfAnotherKindDoesNotContinueAStream()
+  {
+    const std::string body = text("3");
+    const std::string whole = streamHead() + event(3) + kEnd;
+    expectAfterBreaks(
+      events(1, 2),
+      { { "text", sized("200 OK", "Content-Type: text/plain\r\n", body) },
+        { "JSON", sized("200 OK", "Content-Type: application/json\r\n", body) },
+        { "JSON chunk",
+          head("200 OK",
+               std::string("Content-Type: application/json\r\n") + kChunked) +
+            event(3) + kEnd },
+        { "no type", sized("200 OK", "", body) },
+        { "empty without a type", sized("200 OK", "", "") },
+        { "empty text", sized("200 OK", "Content-Type: text/plain\r\n", "") },
+        { "204", head("204 No Content", "") },
+        { "206", sized("206 Partial Content", kEventType, body) },
+        { "no signature", without(whole, "X-Origin-Signature: next\r\n") },
+        { "no id", without(whole, "X-Attempt-Id: a1\r\n") },
+        { "other id", replaced(whole, "Id: a1", "Id: a2") } });
+  }
+
+  void encodedResponseIsNeverPassedOn()
+  {
+    const std::string encoding =
+      std::string("Content-Encoding: gzip\r\n") + kEventType;
+    const std::string stream =
+      head("200 OK", encoding + kChunked) + event(3) + kEnd;
+    expectAfterBreaks(events(1, 2),
+                      { { "sized", sized("200 OK", encoding, text("3")) },
+                        { "chunked", stream } });
+    for (const std::string& response : { sized("200 OK", encoding, text("3")),
+                                         sized("500 Oops", encoding, text("3")),
+                                         stream }) {
+      for (const char* path : { "/safe/", "/unsafe/", "/stream/" }) {
+        const OrderedTargets targets({ respondWith(response) });
+        RelayWorld world;
+        world.startWith(targets.endpoints());
+        const std::string got =
+          world.ask(RelayWorld::request("POST", path, "x"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(got, std::string("502"), statusOf(got));
+      }
+    }
+  }
+
   void bytesBehindAStreamAreNotPassedOn()
   {
     const std::string whole = stream(events(3, 4));
--- a/tests/transport/event_splitter_test.cpp
+++ b/tests/transport/event_splitter_test.cpp
@@ -29,7 +29,7 @@
     events.add("ta: b\n\n");
     CPPUNIT_ASSERT(events.next() == "id: 2\ndata: b\n\n");
     CPPUNIT_ASSERT(!events.hasPartialEvent());
-    CPPUNIT_ASSERT_EQUAL(std::string("2"), *events.lastId());
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), events.position().lastId_);
   }
 
   void carriageReturnsAreKept()
@@ -37,7 +37,7 @@
     EventSplitter events;
     events.add("id: 7\r\ndata: a\r\n\r\n");
     CPPUNIT_ASSERT(events.next() == "id: 7\r\ndata: a\r\n\r\n");
-    CPPUNIT_ASSERT_EQUAL(std::string("7"), *events.lastId());
+    CPPUNIT_ASSERT_EQUAL(std::string("7"), events.position().lastId_);
   }
 
   void repeatedEventsAreSkipped()
@@ -54,9 +54,9 @@
     EventSplitter torn;
     torn.add("id: 1\ndata: a\n\nid: 2\ndata: torn");
     torn.next();
-    EventSplitter resumed(*torn.lastId());
+    EventSplitter resumed(torn.position());
     CPPUNIT_ASSERT(!resumed.hasPartialEvent());
-    CPPUNIT_ASSERT_EQUAL(std::string("1"), *resumed.lastId());
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), resumed.position().lastId_);
     resumed.add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     CPPUNIT_ASSERT(resumed.next() == "id: 2\ndata: b\n\n");
   }
