Let the body of an error not hold up a stream that another target began

What callers saw: a stream broke off, the next worker answered with an error whose body came slowly or not at all, and nothing followed until the deadline.

Cause: an error's body was read whole although a caller that has the head of another response can have no use for it.

Change: once the caller has a head, an error's status ends the attempt.

--- a/src/transport/relay/relay_attempt.cpp
+++ b/src/transport/relay/relay_attempt.cpp
@@ -169,6 +169,11 @@
     return end(SendOutcome::kUnknown, std::string(fault));
   }
   response_ = readResponseHead();
+  if (events_.position().hasBegun_ && !success) {
+    // The caller has the head of another response, and no use for the body.
+    call_.abort();
+    return endWithError();
+  }
   return AttemptProgress::kNone;
 }
 
@@ -190,6 +195,13 @@
   return {};
 }
 
+AttemptProgress
+RelayAttempt::endWithError()
+{
+  return end(SendOutcome::kRan,
+             "target failed with status " + std::to_string(response_.status_));
+}
+
 HttpResponse
 RelayAttempt::readResponseHead() const
 {
@@ -228,9 +240,7 @@
       result_ = SendResult::kAnswered;
       return AttemptProgress::kComplete;
     }
-    return end(SendOutcome::kRan,
-               "target failed with status " +
-                 std::to_string(response_.status_));
+    return endWithError();
   }
 }
 
--- a/src/transport/relay/relay_attempt.h
+++ b/src/transport/relay/relay_attempt.h
@@ -99,6 +99,7 @@
 private:
   AttemptProgress end(SendOutcome aOutcome, std::string aDetail);
   AttemptProgress endWithoutResponse();
+  AttemptProgress endWithError();
   AttemptProgress takeHead(const boost::asio::yield_context& aYield);
   AttemptProgress pollStream();
   AttemptProgress pollBody();
--- a/tests/platform/relay_resume_test.cpp
+++ b/tests/platform/relay_resume_test.cpp
@@ -208,6 +208,7 @@
 {
   CPPUNIT_TEST_SUITE(RelayResumeTest);
   CPPUNIT_TEST(errorOfTheNextTargetIsNoPartOfTheStream);
+  CPPUNIT_TEST(slowErrorOfTheNextTargetDoesNotHoldTheStream);
   CPPUNIT_TEST(rejectionOfTheNextTargetIsNoPartOfTheStream);
   CPPUNIT_TEST(successOfAnotherKindDoesNotContinueAStream);
   CPPUNIT_TEST(encodedResponseIsNeverPassedOn);
@@ -242,6 +243,21 @@
     expectAfterBreaks(events(1, 2), next);
   }
 
+  void slowErrorOfTheNextTargetDoesNotHoldTheStream()
+  {
+    const auto from = std::chrono::steady_clock::now();
+    expectStream("slow error",
+                 events(1, 2),
+                 { breaks()["closed"], [](Socket& aSocket, int) {
+                    RawServer::readRequest(aSocket);
+                    RawServer::write(aSocket,
+                                     head("500 Oops", "Content-Length: 9\r\n"));
+                    RawServer::readUntil(aSocket, "never sent");
+                  } });
+    // The caller waits for 2.5 s.
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - from < 2s);
+  }
+
   void rejectionOfTheNextTargetIsNoPartOfTheStream()
   {
     const std::string notRun = "X-Not-Executed: 1\r\n";
