Pass on no text that is not an event of the stream

What callers saw: the text of an error, at times a whole response head, in the middle of their stream, and then an end as if it were complete.

Cause: whatever stood between two empty lines counted as an event. A head ends with an empty line, so one in a chunk, or in the rest of a chunk that broke off within an event, was passed on.

Ruled out: a head instead of a chunk or in a chunk's size; the parser refused these before (in the same test).

Change: EventSplitter ends with a fault, and so the attempt, at a text without an identifier whose lines are neither fields nor comments, at a line that begins like a head, and at an event whose lines end in different ways. An event with an identifier is not checked further, as its fields are the worker's. Not recognised: a CRLF stream that breaks off within a data line, followed by a head in the same chunk.

--- a/src/transport/relay/event_splitter.cpp
+++ b/src/transport/relay/event_splitter.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/relay/event_splitter.h"
 
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <utility>
 
@@ -11,15 +13,25 @@
 
 constexpr std::string_view kIdField =
   "id:"; ///< Field with the event identifier.
+constexpr std::string_view kHttpVersion =
+  "HTTP/1."; ///< Begins the head of a response, and no field.
+
+/** Takes the first line off a text. @return The line without its line feed. */
+std::string_view
+takeLine(std::string_view& aText)
+{
+  const std::size_t end = std::min(aText.find('\n'), aText.size());
+  const std::string_view line = aText.substr(0, end);
+  aText.remove_prefix(std::min(end + 1, aText.size()));
+  return line;
+}
 
 /** @return Identifier of an event; nothing when it has no such field. */
 std::optional<std::string_view>
 eventId(std::string_view aEvent)
 {
-  std::size_t start = 0;
-  while (start < aEvent.size()) {
-    const std::size_t end = aEvent.find('\n', start);
-    std::string_view line = aEvent.substr(start, end - start);
+  while (!aEvent.empty()) {
+    std::string_view line = takeLine(aEvent);
     if (line.starts_with(kIdField)) {
       line.remove_prefix(kIdField.size());
       const std::size_t first = line.find_first_not_of(' ');
@@ -28,10 +40,6 @@
                ? std::string_view()
                : line.substr(first, last + 1 - first);
     }
-    if (end == std::string_view::npos) {
-      break;
-    }
-    start = end + 1;
   }
   return std::nullopt;
 }
@@ -47,6 +55,44 @@
   return complete ? std::optional(number) : std::nullopt;
 }
 
+/** @return Whether a line is empty, apart from its carriage return. */
+bool
+isBlank(std::string_view aLine)
+{
+  return aLine.empty() || aLine == "\r";
+}
+
+/** @return Whether a line is empty, a comment, or a field with a name. */
+bool
+isField(std::string_view aLine)
+{
+  const std::string_view name = aLine.substr(0, aLine.find(':'));
+  return isBlank(aLine) ||
+         std::all_of(name.begin(), name.end(), [](char aChar) {
+           const auto byte = static_cast<unsigned char>(aChar);
+           return std::isalnum(byte) != 0 || aChar == '-' || aChar == '_' ||
+                  aChar == '\r';
+         });
+}
+
+/** @return Whether a text between two empty lines is one event, and not the
+ * text of an error, the head of a response, or part of an event that runs into
+ * one. */
+bool
+isEvent(std::string_view aText)
+{
+  const bool hasId = eventId(aText).has_value();
+  const bool returns = aText.substr(0, aText.find('\n')).ends_with('\r');
+  while (!aText.empty()) {
+    const std::string_view line = takeLine(aText);
+    if (line.ends_with('\r') != returns || line.starts_with(kHttpVersion) ||
+        (!hasId && !isField(line))) {
+      return false;
+    }
+  }
+  return true;
+}
+
 } // namespace
 
 EventSplitter::EventSplitter(StreamPosition aPosition)
@@ -72,20 +118,29 @@
   return std::string::npos;
 }
 
-bool
-EventSplitter::isNew(std::string_view aEvent)
+EventSplitter::Verdict
+EventSplitter::fail(std::string_view aFault)
 {
-  const std::optional<std::string_view> id = eventId(aEvent);
-  if (!id) {
-    return true;
+  fault_ = aFault;
+  return Verdict::kFault;
+}
+
+EventSplitter::Verdict
+EventSplitter::judge(std::string_view aEvent)
+{
+  if (!isEvent(aEvent)) {
+    return fail("stream has text that is no event");
   }
-  const std::optional<std::uint64_t> number = parseNumber(*id);
-  if (number && lastNumber_ && *number <= *lastNumber_) {
-    return false;
+  if (const std::optional<std::string_view> id = eventId(aEvent)) {
+    const std::optional<std::uint64_t> number = parseNumber(*id);
+    if (number && lastNumber_ && *number <= *lastNumber_) {
+      return Verdict::kSkip;
+    }
+    position_.lastId_ = std::string(*id);
+    lastNumber_ = number;
   }
-  position_.lastId_ = std::string(*id);
-  lastNumber_ = number;
-  return true;
+  position_.hasBegun_ = true;
+  return Verdict::kReturn;
 }
 
 std::string_view
@@ -93,19 +148,22 @@
 {
   pending_.erase(0, returnedBytes_);
   returnedBytes_ = 0;
-  for (;;) {
+  while (fault_.empty()) {
     const std::size_t end = findEventEnd(0);
     if (end == std::string::npos) {
       return {};
     }
     ++eventCount_;
-    if (isNew(std::string_view(pending_).substr(0, end))) {
-      position_.hasBegun_ = true;
+    const Verdict verdict = judge(std::string_view(pending_).substr(0, end));
+    if (verdict == Verdict::kReturn) {
       returnedBytes_ = end;
       return std::string_view(pending_).substr(0, end);
     }
-    pending_.erase(0, end);
+    if (verdict == Verdict::kSkip) {
+      pending_.erase(0, end);
+    }
   }
+  return {};
 }
 
 } // namespace auburnhaven::transport
--- a/src/transport/relay/event_splitter.h
+++ b/src/transport/relay/event_splitter.h
@@ -24,8 +24,8 @@
 /**
  * Returns only complete events of a stream, so that a stream that breaks in the
  * middle of an event can be resumed from another target. Events whose numeric
- * identifier is not above the last returned one are skipped as duplicates. Not
- * thread-safe.
+ * identifier is not above the last returned one are skipped as duplicates. Text
+ * that is no event ends the stream with a fault. Not thread-safe.
  */
 class EventSplitter
 {
@@ -39,6 +39,8 @@
    * when there is none. Valid until the next call of a non-const function.
    */
   std::string_view next();
+  /** @return Why there are no further events; empty without a fault. */
+  const std::string& fault() const { return fault_; }
   /** @return Whether an incomplete event is buffered. */
   bool hasPartialEvent() const { return partialEventBytes() > 0; }
   /** @return Buffered bytes that have not been returned yet. */
@@ -52,8 +54,17 @@
   std::uint64_t eventCount() const { return eventCount_; }
 
 private:
+  /** What becomes of a complete event. */
+  enum class Verdict : std::uint8_t
+  {
+    kReturn, ///< It is the next event.
+    kSkip,   ///< The caller has it.
+    kFault,  ///< It ends the stream.
+  };
+
   std::size_t findEventEnd(std::size_t aFrom) const;
-  bool isNew(std::string_view aEvent);
+  Verdict judge(std::string_view aEvent);
+  Verdict fail(std::string_view aFault);
 
   std::string pending_; ///< Buffered bytes, starting with the event that
                         ///< next() returned last.
@@ -61,8 +72,9 @@
   std::uint64_t eventCount_ = 0;  ///< Complete events found.
   StreamPosition position_;       ///< What the caller has.
   std::optional<std::uint64_t>
-    lastNumber_; ///< Number of the last event that the caller has; nothing
-                 ///< when it is not numeric.
+    lastNumber_;      ///< Number of the last event that the caller has; nothing
+                      ///< when it is not numeric.
+  std::string fault_; ///< Why there are no further events.
 };
 
 } // namespace auburnhaven::transport
--- a/src/transport/relay/relay_attempt.cpp
+++ b/src/transport/relay/relay_attempt.cpp
@@ -247,6 +247,10 @@
 AttemptProgress
 RelayAttempt::pollStream()
 {
+  if (!events_.fault().empty()) {
+    call_.abort();
+    return end(SendOutcome::kUnknown, events_.fault());
+  }
   const HttpPiece piece = call_.poll();
   if (piece.status_ == HttpReadStatus::kPending) {
     return AttemptProgress::kNone;
--- a/tests/platform/relay_resume_test.cpp
+++ b/tests/platform/relay_resume_test.cpp
@@ -212,6 +212,8 @@
   CPPUNIT_TEST(rejectionOfTheNextTargetIsNoPartOfTheStream);
   CPPUNIT_TEST(successOfAnotherKindDoesNotContinueAStream);
   CPPUNIT_TEST(encodedResponseIsNeverPassedOn);
+  CPPUNIT_TEST(textThatIsNoEventEndsAnAttempt);
+  CPPUNIT_TEST(headInTheMiddleOfAStreamIsNotPassedOn);
   CPPUNIT_TEST(bytesBehindAStreamAreNotPassedOn);
   CPPUNIT_TEST(interimResponsesAreNoPartOfTheStream);
   CPPUNIT_TEST(continuationMayIncreaseAsTheStreamDid);
@@ -327,6 +329,51 @@
     }
   }
 
+  void textThatIsNoEventEndsAnAttempt()
+  {
+    expectAfterBreaks(
+      events(1, 2),
+      { { "text", stream(chunk("Internal Server Error\n\n") + event(3)) },
+        { "JSON", stream(chunk("{\"error\": \"full\"}\n\n") + event(3)) },
+        { "page", stream(chunk("<html>\n<p>Oops</p>\n\n") + event(3)) } });
+    expectAfterBreaks(
+      events(1, 3),
+      { { "text behind", stream(event(3) + chunk("Server Error\n\n")) },
+        { "JSON behind", stream(event(3) + chunk("{\"error\": 5}\n\n")) },
+        { "text at the end", stream(event(3) + chunk("error")) } });
+    for (const char* error : { "Server Error\n\n", "{\"error\": 5}\n\n" }) {
+      expectStream("of the first target",
+                   events(1, 3) + kEnd,
+                   { respondWith(firstHead() + events(1, 2) + chunk(error)),
+                     respondWith(stream(event(3))) });
+    }
+  }
+
+  void headInTheMiddleOfAStreamIsNotPassedOn()
+  {
+    const std::string error = sized("500 Oops", "", "error\r\n\r\n");
+    const std::string torn = "400\r\nid: 3\ndata: some"; // Of 1 KiB.
+    const Cases middles = {
+      { "in a chunk", chunk(error) + kEnd },
+      { "with an event", chunk(error + text("3")) + kEnd },
+      { "in an event", chunk("id: 3\n" + error + "\n\n") + kEnd },
+      { "instead of a chunk", error },
+      { "in a torn chunk", torn + error + error },
+      { "after a torn line", torn + "\n" + error + error },
+      { "in a chunk's size", "1" + error },
+    };
+    Cases next;
+    for (const auto& [name, middle] : middles) {
+      next[name] = streamHead() + middle;
+      // The first target's own stream breaks off in the same way.
+      expectStream("first, " + name,
+                   events(1, 3) + kEnd,
+                   { respondWith(firstHead() + events(1, 2) + middle),
+                     respondWith(stream(event(3))) });
+    }
+    expectAfterBreaks(events(1, 2), next);
+  }
+
   void bytesBehindAStreamAreNotPassedOn()
   {
     const std::string whole = stream(events(3, 4));
--- a/tests/transport/event_splitter_test.cpp
+++ b/tests/transport/event_splitter_test.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(repeatedEventsAreSkipped);
   CPPUNIT_TEST(resumedStreamHasNoPartOfATornEvent);
   CPPUNIT_TEST(eventsDoNotDependOnInputChunks);
+  CPPUNIT_TEST(textThatIsNoEventIsAFault);
+  CPPUNIT_TEST(eventsOfAnyFormAreReturned);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -83,6 +85,42 @@
     });
     CPPUNIT_ASSERT(same);
   }
+
+  void textThatIsNoEventIsAFault()
+  {
+    for (const char* text : { "Server Error\n\n",
+                              "{\"error\": 1}\n\n",
+                              "<p>Oops</p>\n\n",
+                              "HTTP/1.1 500 Oops\r\nServer: x\r\n\r\n",
+                              "id: 2\nHTTP/1.1 500 Oops\n\n",
+                              "id: 2\ndata: bHTTP/1.1 500 Oops\r\n\r\n" }) {
+      EventSplitter events;
+      events.add("id: 1\ndata: a\n\n" + std::string(text) +
+                 "id: 3\ndata: c\n\n");
+      CPPUNIT_ASSERT(events.next() == "id: 1\ndata: a\n\n");
+      CPPUNIT_ASSERT(events.fault().empty());
+      CPPUNIT_ASSERT(events.next().empty());
+      CPPUNIT_ASSERT_MESSAGE(text, !events.fault().empty());
+      CPPUNIT_ASSERT(events.next().empty());
+    }
+  }
+
+  void eventsOfAnyFormAreReturned()
+  {
+    for (const std::string event : { ": comment\n\n",
+                                     "\n\n",
+                                     "data: HTTP/1.1 500 Oops\n\n",
+                                     "data\n\n",
+                                     "event: end\r\ndata: x\r\n\r\n",
+                                     "x-version: 7\nid: 2\ndata: {}\n\n",
+                                     "id: 2\nretry: 5\nany text\n\n" }) {
+      EventSplitter events;
+      events.add("id: 1\ndata: a\n\n" + event);
+      events.next();
+      CPPUNIT_ASSERT_EQUAL(event, std::string(events.next()));
+      CPPUNIT_ASSERT(events.fault().empty());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
