Resume a stream only with the event that must follow

After a break the next target's events were passed on although one was missing between, or although they had no number; a stream without numbers was begun anew from its first event, so that all came twice.

Cause: only a number that was not above the last one was refused.

Change: the first event of a run that continues a stream needs a number, and where the numbers have so far increased by one, at least twice, and never otherwise, it must be the next number. Where they merely increase (2, 4, 9) nothing can be concluded from a jump, and it is passed on. Numbers that the caller has are skipped, whatever their data. A stream whose last event has no number is cut when its target breaks off, and no other target is asked. Comments before the seam are left out.

--- a/src/transport/relay/event_splitter.cpp
+++ b/src/transport/relay/event_splitter.cpp
@@ -15,6 +15,8 @@
   "id:"; ///< Field with the event identifier.
 constexpr std::string_view kHttpVersion =
   "HTTP/1."; ///< Begins the head of a response, and no field.
+constexpr std::uint64_t kMinUnitSteps =
+  2; ///< Steps by one after which a larger one shows that an event is missing.
 
 /** Takes the first line off a text. @return The line without its line feed. */
 std::string_view
@@ -75,6 +77,19 @@
          });
 }
 
+/** @return Whether an event has no other lines than comments. */
+bool
+isComment(std::string_view aEvent)
+{
+  while (!aEvent.empty()) {
+    const std::string_view line = takeLine(aEvent);
+    if (!isBlank(line) && !line.starts_with(':')) {
+      return false;
+    }
+  }
+  return true;
+}
+
 /** @return Whether a text between two empty lines is one event, and not the
  * text of an error, the head of a response, or part of an event that runs into
  * one. */
@@ -97,6 +112,7 @@
 
 EventSplitter::EventSplitter(StreamPosition aPosition)
   : position_(std::move(aPosition))
+  , continues_(position_.hasBegun_)
   , lastNumber_(parseNumber(position_.lastId_))
 {
 }
@@ -118,6 +134,27 @@
   return std::string::npos;
 }
 
+bool
+EventSplitter::isResuming() const
+{
+  return continues_ && newEventCount_ == 0;
+}
+
+bool
+EventSplitter::isRepeated(std::uint64_t aNumber) const
+{
+  return lastNumber_ && aNumber <= *lastNumber_;
+}
+
+bool
+EventSplitter::isGap(std::uint64_t aNumber) const
+{
+  // Numbers need not be consecutive, so only a change of their steps shows it.
+  const bool consecutive =
+    !position_.hasOtherSteps_ && position_.unitSteps_ >= kMinUnitSteps;
+  return consecutive && lastNumber_ && aNumber != *lastNumber_ + 1;
+}
+
 EventSplitter::Verdict
 EventSplitter::fail(std::string_view aFault)
 {
@@ -131,18 +168,61 @@
   if (!isEvent(aEvent)) {
     return fail("stream has text that is no event");
   }
-  if (const std::optional<std::string_view> id = eventId(aEvent)) {
-    const std::optional<std::uint64_t> number = parseNumber(*id);
-    if (number && lastNumber_ && *number <= *lastNumber_) {
-      return Verdict::kSkip;
-    }
-    position_.lastId_ = std::string(*id);
-    lastNumber_ = number;
+  const std::optional<std::string_view> id = eventId(aEvent);
+  if (!id) {
+    return judgeWithoutId(aEvent);
+  }
+  const std::optional<std::uint64_t> number = parseNumber(*id);
+  if (number && isRepeated(*number)) {
+    return Verdict::kSkip;
+  }
+  if (isResuming() && !number) {
+    return fail("resumed stream has an event without a number");
+  }
+  if (isResuming() && isGap(*number)) {
+    return fail("resumed stream lacks an event");
+  }
+  noteEvent(*id, number);
+  return Verdict::kReturn;
+}
+
+EventSplitter::Verdict
+EventSplitter::judgeWithoutId(std::string_view aEvent)
+{
+  const bool comment = isComment(aEvent);
+  if (isResuming()) {
+    return comment ? Verdict::kSkip
+                   : fail("resumed stream has an event without a number");
   }
   position_.hasBegun_ = true;
+  if (!comment) {
+    ++newEventCount_;
+    ++position_.events_;
+    position_.isNumbered_ = false;
+  }
   return Verdict::kReturn;
 }
 
+void
+EventSplitter::noteEvent(std::string_view aId,
+                         std::optional<std::uint64_t> aNumber)
+{
+  const bool isFirst = position_.events_ == 0 && position_.lastId_.empty();
+  const std::optional<std::uint64_t> before =
+    isFirst ? std::optional<std::uint64_t>(0) : lastNumber_;
+  if (aNumber && before && *aNumber == *before + 1) {
+    ++position_.unitSteps_;
+  } else if (!isFirst) {
+    position_.hasOtherSteps_ = true;
+  }
+  ++newEventCount_;
+  ++position_.events_;
+  position_.hasBegun_ = true;
+  position_.isNumbered_ = aNumber.has_value();
+  position_.lastId_ = std::string(aId);
+  lastNumber_ = aNumber;
+}
+
 std::string_view
 EventSplitter::next()
 {
--- a/src/transport/relay/event_splitter.h
+++ b/src/transport/relay/event_splitter.h
@@ -13,9 +13,15 @@
  * continue it. */
 struct StreamPosition
 {
-  std::string lastId_;    ///< Identifier of the last event that the caller has;
-                          ///< empty for none.
-  bool hasBegun_ = false; ///< Whether the caller has the head of the response.
+  std::string lastId_; ///< Identifier of the last event that the caller has;
+                       ///< empty for none.
+  std::uint64_t events_ = 0;    ///< Events that the caller has.
+  std::uint64_t unitSteps_ = 0; ///< Events whose number is the one before plus
+                                ///< one.
+  bool hasOtherSteps_ = false; ///< Whether the number of another event was not.
+  bool isNumbered_ = true; ///< Whether the last event has a number, so that the
+                           ///< next one can be told from a repeated one.
+  bool hasBegun_ = false;  ///< Whether the caller has the head of the response.
   std::uint32_t status_ = 0; ///< Status code in that head.
   std::string mediaType_;    ///< Media type in that head.
   bool operator==(const StreamPosition&) const = default;
@@ -25,7 +31,8 @@
  * Returns only complete events of a stream, so that a stream that breaks in the
  * middle of an event can be resumed from another target. Events whose numeric
  * identifier is not above the last returned one are skipped as duplicates. Text
- * that is no event ends the stream with a fault. Not thread-safe.
+ * that is no event, and an event that cannot be the next one of a resumed
+ * stream, end the stream with a fault. Not thread-safe.
  */
 class EventSplitter
 {
@@ -58,19 +65,26 @@
   enum class Verdict : std::uint8_t
   {
     kReturn, ///< It is the next event.
-    kSkip,   ///< The caller has it.
+    kSkip,   ///< The caller has it, or needs it not.
     kFault,  ///< It ends the stream.
   };
 
   std::size_t findEventEnd(std::size_t aFrom) const;
   Verdict judge(std::string_view aEvent);
+  Verdict judgeWithoutId(std::string_view aEvent);
   Verdict fail(std::string_view aFault);
+  bool isResuming() const;
+  bool isGap(std::uint64_t aNumber) const;
+  bool isRepeated(std::uint64_t aNumber) const;
+  void noteEvent(std::string_view aId, std::optional<std::uint64_t> aNumber);
 
   std::string pending_; ///< Buffered bytes, starting with the event that
                         ///< next() returned last.
-  std::size_t returnedBytes_ = 0; ///< Size of that event.
-  std::uint64_t eventCount_ = 0;  ///< Complete events found.
-  StreamPosition position_;       ///< What the caller has.
+  std::size_t returnedBytes_ = 0;   ///< Size of that event.
+  std::uint64_t eventCount_ = 0;    ///< Complete events found.
+  std::uint64_t newEventCount_ = 0; ///< Events returned, without comments.
+  StreamPosition position_;         ///< What the caller has.
+  const bool continues_; ///< Whether another target began the stream.
   std::optional<std::uint64_t>
     lastNumber_;      ///< Number of the last event that the caller has; nothing
                       ///< when it is not numeric.
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -509,7 +509,7 @@
 RelayExchange::isRetrySafe() const
 {
   return route_->kind_ == state::RouteKind::kIdempotent ||
-         (isStream() && route_->resumable_);
+         (isStream() && route_->resumable_ && position_.isNumbered_);
 }
 
 bool
--- a/tests/platform/relay_resume_test.cpp
+++ b/tests/platform/relay_resume_test.cpp
@@ -216,9 +216,14 @@
   CPPUNIT_TEST(headInTheMiddleOfAStreamIsNotPassedOn);
   CPPUNIT_TEST(bytesBehindAStreamAreNotPassedOn);
   CPPUNIT_TEST(interimResponsesAreNoPartOfTheStream);
+  CPPUNIT_TEST(repeatedEventsArePassedOnOnce);
+  CPPUNIT_TEST(continuationWithAMissingEventIsNotPassedOn);
   CPPUNIT_TEST(continuationMayIncreaseAsTheStreamDid);
+  CPPUNIT_TEST(eventsWithoutNumbersDoNotContinueAStream);
+  CPPUNIT_TEST(streamWithoutNumbersIsNotResumed);
   CPPUNIT_TEST(emptyContinuationEndsAStreamThatMayBeComplete);
   CPPUNIT_TEST(streamThatMayNotBeResumedIsCut);
+  CPPUNIT_TEST(errorBesideASilentTargetDoesNotHarmItsStream);
   CPPUNIT_TEST(halfAnEventOfTheSecondTargetOutlivesTheFirst);
   CPPUNIT_TEST(eventOfBothTargetsIsPassedOnOnce);
   CPPUNIT_TEST(secondTargetThatStartsAnewRepeatsNothing);
@@ -400,6 +405,31 @@
             whole } });
   }
 
+  void repeatedEventsArePassedOnOnce()
+  {
+    const std::string other = chunk(text("2", "other"));
+    expectAfterBreaks(
+      events(1, 4) + kEnd,
+      { { "anew", stream(events(1, 4)) },
+        { "one chunk",
+          stream(chunk(text("1") + text("2") + text("3") + text("4"))) },
+        { "from event 0", stream(chunk(text("0")) + events(1, 4)) },
+        { "equal", stream(events(2, 4)) },
+        { "equal with other data", stream(other + events(3, 4)) },
+        { "smaller", stream(event(1) + events(3, 4)) },
+        { "smaller behind", stream(event(3) + events(1, 4)) },
+        { "comment first", stream(chunk(": comment\n\n") + events(3, 4)) } });
+  }
+
+  void continuationWithAMissingEventIsNotPassedOn()
+  {
+    expectAfterBreaks(
+      events(1, 2),
+      { { "one missing", stream(events(4, 5)) },
+        { "many missing", stream(events(90, 95)) },
+        { "after known ones", stream(events(1, 2) + event(4)) } });
+  }
+
   void continuationMayIncreaseAsTheStreamDid()
   {
     const std::string first =
@@ -416,6 +446,36 @@
       { respondWith(firstHead() + event(4)), respondWith(stream(rest)) });
   }
 
+  void eventsWithoutNumbersDoNotContinueAStream()
+  {
+    expectAfterBreaks(
+      events(1, 2),
+      { { "word", stream(chunk("error\n\n") + event(3)) },
+        { "no ids", stream(chunk("data: c\n\n") + chunk("data: d\n\n")) },
+        { "no ids, then ids", stream(chunk("data: c\n\n") + event(3)) },
+        { "named event", stream(chunk("event: error\ndata: x\n\n")) },
+        { "words", stream(chunk(text("c")) + chunk(text("d"))) },
+        { "empty id", stream(chunk(text(""))) },
+        { "negative", stream(chunk(text("-3"))) },
+        { "too large", stream(chunk(text("99999999999999999999"))) } });
+  }
+
+  void streamWithoutNumbersIsNotResumed()
+  {
+    for (const std::string& begun :
+         { chunk("data: a\n\n") + chunk("data: b\n\n"),
+           event(1) + chunk("data: b\n\n"),
+           chunk(text("a")) + chunk(text("b")) }) {
+      const OrderedTargets targets(
+        { respondWith(firstHead() + begun),
+          respondWith(stream(begun + chunk("data: c\n\n"))) });
+      RelayWorld world;
+      world.startWith(targets.endpoints());
+      expectBody("without numbers", begun, postStream(world));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, targets.connections());
+    }
+  }
+
   void emptyContinuationEndsAStreamThatMayBeComplete()
   {
     // The first target broke off just before its end, as far as is known.
@@ -440,6 +500,18 @@
     }
   }
 
+  void errorBesideASilentTargetDoesNotHarmItsStream()
+  {
+    for (const std::string& next :
+         { sized("500 Oops", kEventType, text("2")),
+           head("404 Not Found", kChunked) + event(2) + kEnd,
+           sized("200 OK", "Content-Type: text/plain\r\n", text("2")),
+           stream(chunk("data: no id\n\n")),
+           stream(event(9)) }) {
+      expectBesideSilence(next);
+    }
+  }
+
   void halfAnEventOfTheSecondTargetOutlivesTheFirst()
   {
     for (const std::string& last :
--- a/tests/transport/event_splitter_test.cpp
+++ b/tests/transport/event_splitter_test.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(eventsDoNotDependOnInputChunks);
   CPPUNIT_TEST(textThatIsNoEventIsAFault);
   CPPUNIT_TEST(eventsOfAnyFormAreReturned);
+  CPPUNIT_TEST(jumpOfConsecutiveNumbersIsAFaultWhenResumed);
+  CPPUNIT_TEST(resumedRunsMakeOneStream);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -121,6 +123,81 @@
       CPPUNIT_ASSERT(events.fault().empty());
     }
   }
+
+  void jumpOfConsecutiveNumbersIsAFaultWhenResumed()
+  {
+    CPPUNIT_ASSERT_EQUAL(0, resumedAt({ 1, 2 }, 4));
+    CPPUNIT_ASSERT_EQUAL(0, resumedAt({ 7, 8, 9 }, 11));
+    CPPUNIT_ASSERT_EQUAL(0, resumedAt({ 0, 1, 2 }, 9));
+    CPPUNIT_ASSERT_EQUAL(3, resumedAt({ 1, 2 }, 3));
+    // Too little is known of the steps, or they differ.
+    CPPUNIT_ASSERT_EQUAL(4, resumedAt({ 1 }, 4));
+    CPPUNIT_ASSERT_EQUAL(11, resumedAt({ 7, 8 }, 11));
+    CPPUNIT_ASSERT_EQUAL(11, resumedAt({ 1, 2, 3, 5, 6, 7 }, 11));
+    CPPUNIT_ASSERT_EQUAL(7, resumedAt({ 2, 4 }, 7));
+  }
+
+  // Each run breaks off somewhere, and the next one starts anywhere at or
+  // before the event that must follow, or after a gap.
+  void resumedRunsMakeOneStream()
+  {
+    const bool one = rc::check("resumed runs make one stream", [] {
+      const int last = *rc::gen::inRange(1, 9);
+      transport::StreamPosition position;
+      std::string out;
+      for (int run = *rc::gen::inRange(1, 6); run > 0; --run) {
+        const int from = *rc::gen::inRange(1, last + 2);
+        const bool gap = std::uint64_t(from) > position.events_ + 1;
+        const std::string sent = eventsFrom(from, last);
+        EventSplitter events(position);
+        events.add(
+          sent.substr(0, *rc::gen::inRange<std::size_t>(0, sent.size() + 1)));
+        const bool known = position.events_ >= 2;
+        if (gap && !known) {
+          continue;
+        }
+        for (auto event = events.next(); !event.empty();
+             event = events.next()) {
+          out += event;
+        }
+        position = events.position();
+      }
+      RC_ASSERT(out == eventsFrom(1, int(position.events_)));
+    });
+    CPPUNIT_ASSERT(one);
+  }
+
+private:
+  /** @return Events with the numbers of a range. */
+  static std::string eventsFrom(int aFirst, int aLast)
+  {
+    std::string all;
+    for (int id = aFirst; id <= aLast; ++id) {
+      all += "id: " + std::to_string(id) + "\ndata: x\n\n";
+    }
+    return all;
+  }
+
+  /** @return What a caller has after events with some numbers. */
+  static transport::StreamPosition positionAfter(
+    const std::vector<int>& aNumbers)
+  {
+    EventSplitter events;
+    for (const int number : aNumbers) {
+      events.add(eventsFrom(number, number));
+      events.next();
+    }
+    return events.position();
+  }
+
+  /** @return Number with which a resumed stream goes on; 0 if it is a fault. */
+  static int resumedAt(const std::vector<int>& aNumbers, int aNext)
+  {
+    EventSplitter resumed(positionAfter(aNumbers));
+    resumed.add(eventsFrom(aNext, aNext));
+    resumed.next();
+    return resumed.fault().empty() ? std::stoi(resumed.position().lastId_) : 0;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
