End a resumed stream only where nothing shows that it goes on

Cause: a whole response without a new event ended the stream, even when the first target had broken off within the next event, when it still was at work (a silent target beside which another one was asked), or when the second run ended before the caller's last event.

Not concluded: when a target broke off at the end of an event, an empty whole event stream of another one is accepted. It may have broken off just before its end, and the answer says so with signature and end; nothing contradicts it.

Change: StreamPosition::isTorn_ keeps that a target had begun the next event; such a stream, and one of which another attempt is open, needs a new event before it can be complete. An empty first answer after a torn first event is 502.

Evidence: RelayResumeTest emptyContinuationDoesNotEndATornStream, shorterRun..., emptyStreamBesideASilent... and emptyStreamAfterATornEvent... failed on the code before and pass.

--- a/src/transport/relay/event_splitter.cpp
+++ b/src/transport/relay/event_splitter.cpp
@@ -174,6 +174,7 @@
   }
   const std::optional<std::uint64_t> number = parseNumber(*id);
   if (number && isRepeated(*number)) {
+    skippedNumber_ = std::max(skippedNumber_.value_or(0), *number);
     return Verdict::kSkip;
   }
   if (isResuming() && !number) {
@@ -246,4 +247,29 @@
   return {};
 }
 
+bool
+EventSplitter::goesOn() const
+{
+  const std::string_view rest =
+    std::string_view(pending_).substr(returnedBytes_);
+  if (!fault_.empty()) {
+    return true;
+  }
+  if (rest.find_first_not_of("\r\n") == std::string_view::npos) {
+    return false;
+  }
+  // An identifier is known once its line is complete.
+  const std::size_t lines = rest.rfind('\n') + 1;
+  const std::optional<std::string_view> id = eventId(rest.substr(0, lines));
+  const auto number = id ? parseNumber(*id) : std::nullopt;
+  return !number || !isRepeated(*number);
+}
+
+bool
+EventSplitter::endsEarly() const
+{
+  return newEventCount_ == 0 && skippedNumber_ && lastNumber_ &&
+         *skippedNumber_ < *lastNumber_;
+}
+
 } // namespace auburnhaven::transport
--- a/src/transport/relay/event_splitter.h
+++ b/src/transport/relay/event_splitter.h
@@ -21,7 +21,8 @@
   bool hasOtherSteps_ = false; ///< Whether the number of another event was not.
   bool isNumbered_ = true; ///< Whether the last event has a number, so that the
                            ///< next one can be told from a repeated one.
-  bool hasBegun_ = false;  ///< Whether the caller has the head of the response.
+  bool isTorn_ = false;   ///< Whether a target broke off within the next event.
+  bool hasBegun_ = false; ///< Whether the caller has the head of the response.
   std::uint32_t status_ = 0; ///< Status code in that head.
   std::string mediaType_;    ///< Media type in that head.
   bool operator==(const StreamPosition&) const = default;
@@ -50,6 +51,12 @@
   const std::string& fault() const { return fault_; }
   /** @return Whether an incomplete event is buffered. */
   bool hasPartialEvent() const { return partialEventBytes() > 0; }
+  /** @return Whether the stream goes on beyond the last returned event: part of
+   * a later one has arrived, or there is a fault in its place. */
+  bool goesOn() const;
+  /** @return Whether the stream, if it is whole, ends before the last event
+   * that the caller had from another target. */
+  bool endsEarly() const;
   /** @return Buffered bytes that have not been returned yet. */
   std::size_t partialEventBytes() const
   {
@@ -59,6 +66,8 @@
   const StreamPosition& position() const { return position_; }
   /** @return Complete events found so far, including skipped duplicates. */
   std::uint64_t eventCount() const { return eventCount_; }
+  /** @return Events returned so far, without comments. */
+  std::uint64_t newEventCount() const { return newEventCount_; }
 
 private:
   /** What becomes of a complete event. */
@@ -86,8 +95,10 @@
   StreamPosition position_;         ///< What the caller has.
   const bool continues_; ///< Whether another target began the stream.
   std::optional<std::uint64_t>
-    lastNumber_;      ///< Number of the last event that the caller has; nothing
-                      ///< when it is not numeric.
+    lastNumber_; ///< Number of the last event that the caller has; nothing
+                 ///< when it is not numeric.
+  std::optional<std::uint64_t>
+    skippedNumber_;   ///< Largest number of a skipped event.
   std::string fault_; ///< Why there are no further events.
 };
 
--- a/src/transport/relay/relay_attempt.cpp
+++ b/src/transport/relay/relay_attempt.cpp
@@ -85,11 +85,25 @@
 RelayAttempt::noteForwarded(StreamPosition& aPosition)
 {
   lastNewsAt_ = dependencies_.clock_.now();
+  const bool isTorn =
+    aPosition.isTorn_ && aPosition.events_ == events_.position().events_;
   aPosition = events_.position();
+  aPosition.isTorn_ = isTorn;
   aPosition.status_ = call_.status();
   aPosition.mediaType_ = mediaType(call_.header("Content-Type"));
 }
 
+bool
+RelayAttempt::mayEnd(bool aGoesOn)
+{
+  const bool mayEnd = events_.newEventCount() > 0 ||
+                      (!aGoesOn && !events_.endsEarly()) || !stream_;
+  if (!mayEnd) {
+    end(SendOutcome::kUnknown, "stream ended before its last event");
+  }
+  return mayEnd;
+}
+
 AttemptProgress
 RelayAttempt::poll(const boost::asio::yield_context& aYield)
 {
--- a/src/transport/relay/relay_attempt.h
+++ b/src/transport/relay/relay_attempt.h
@@ -64,6 +64,13 @@
    * @param aPosition Set to what the caller has now.
    */
   void noteForwarded(StreamPosition& aPosition);
+  /**
+   * Checks after kComplete whether the caller's stream may end here. A response
+   * without any new event is no proof of that.
+   * @param aGoesOn Whether another target has shown that the stream goes on.
+   * @return Whether it may; otherwise this attempt has failed.
+   */
+  bool mayEnd(bool aGoesOn);
   /** Calls a handler once when poll() may have news. */
   void onReadable(std::function<void()> aHandler)
   {
@@ -93,6 +100,9 @@
   state::TimePoint lastNewsAt() const { return lastNewsAt_; }
   /** @return Whether an event has arrived. */
   bool hasEvents() const { return events_.eventCount() > 0; }
+  /** @return Whether the target has shown that the stream goes on beyond the
+   * events that were returned. */
+  bool streamGoesOn() const { return events_.goesOn(); }
   /** @return Response for the caller; the body is empty for a stream. */
   const HttpResponse& response() const { return response_; }
 
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -325,9 +325,11 @@
 void
 RelayExchange::takeProgress(RelayAttempt& aAttempt, AttemptProgress aProgress)
 {
+  const bool goesOn = position_.isTorn_ || (streaming_ && attempts_.size() > 1);
   if (aProgress == AttemptProgress::kEvents) {
     forwardEvents(aAttempt);
-  } else if (aProgress == AttemptProgress::kComplete) {
+  } else if (aProgress == AttemptProgress::kComplete &&
+             aAttempt.mayEnd(goesOn)) {
     deliver(aAttempt);
   } else {
     conclude(aAttempt);
@@ -388,6 +390,7 @@
   const SendOutcome outcome = ended->outcome();
   lastDetail_ = ended->detail();
   logSend(*ended, outcome, SendEnder::kTarget);
+  position_.isTorn_ = position_.isTorn_ || ended->streamGoesOn();
   staleConnection_ = ended->hadStaleConnection();
   if (!staleConnection_) {
     need_.excluded_.push_back(ended->target().vm_);
@@ -417,7 +420,7 @@
       continue;
     }
     // A target that a later send overtakes is slow.
-    const bool overtaken = attempt.get() == attempts_.front().get();
+    const bool overtaken = attempt == attempts_.front();
     attempt->setResult(overtaken ? SendResult::kFailed : SendResult::kAborted);
     need_.excluded_.push_back(attempt->target().vm_);
     ++runs_;
--- a/tests/platform/relay_resume_test.cpp
+++ b/tests/platform/relay_resume_test.cpp
@@ -222,11 +222,15 @@
   CPPUNIT_TEST(eventsWithoutNumbersDoNotContinueAStream);
   CPPUNIT_TEST(streamWithoutNumbersIsNotResumed);
   CPPUNIT_TEST(emptyContinuationEndsAStreamThatMayBeComplete);
+  CPPUNIT_TEST(emptyContinuationDoesNotEndATornStream);
+  CPPUNIT_TEST(shorterRunDoesNotEndAStream);
   CPPUNIT_TEST(streamThatMayNotBeResumedIsCut);
   CPPUNIT_TEST(errorBesideASilentTargetDoesNotHarmItsStream);
   CPPUNIT_TEST(halfAnEventOfTheSecondTargetOutlivesTheFirst);
   CPPUNIT_TEST(eventOfBothTargetsIsPassedOnOnce);
   CPPUNIT_TEST(secondTargetThatStartsAnewRepeatsNothing);
+  CPPUNIT_TEST(emptyStreamBesideASilentTargetDoesNotEndItsStream);
+  CPPUNIT_TEST(emptyStreamAfterATornEventDoesNotEndTheStream);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -488,6 +492,27 @@
     }
   }
 
+  void emptyContinuationDoesNotEndATornStream()
+  {
+    for (const char* way : { "in an event", "in a chunk" }) {
+      for (const std::string& next :
+           { stream(""), stream(events(1, 2)), stream(event(2)) }) {
+        expectStream(way, events(1, 2), { breaks()[way], respondWith(next) });
+      }
+    }
+    const OrderedTargets targets(
+      { respondWith(firstHead() + chunk("id: 1\nda")),
+        respondWith(stream("")) });
+    RelayWorld world;
+    world.startWith(targets.endpoints());
+    CPPUNIT_ASSERT_EQUAL(std::string("502"), statusOf(postStream(world)));
+  }
+
+  void shorterRunDoesNotEndAStream()
+  {
+    expectAfterBreaks(events(1, 2), { { "shorter", stream(event(1)) } });
+  }
+
   void streamThatMayNotBeResumedIsCut()
   {
     for (const auto& [way, first] : breaks()) {
@@ -578,6 +603,38 @@
                  respondWith(stream(events(1, 4))) });
   }
 
+  void emptyStreamBesideASilentTargetDoesNotEndItsStream()
+  {
+    for (const std::string& next : { stream(""),
+                                     stream(events(1, 2)),
+                                     sized("200 OK", kEventType, ""),
+                                     sized("200 OK", "", "") }) {
+      expectBesideSilence(next);
+    }
+  }
+
+  void emptyStreamAfterATornEventDoesNotEndTheStream()
+  {
+    Signal asked;
+    Signal broken;
+    expectPair("torn beside an empty stream",
+               events(1, 2),
+               { [&](Socket& aSocket, int) {
+                  begin(aSocket, events(1, 2) + chunk("id: 3\ndata: to"));
+                  asked.await();
+                  aSocket.close();
+                  broken.give();
+                },
+                 [&](Socket& aSocket, int) {
+                   RawServer::readRequest(aSocket);
+                   RawServer::write(aSocket, streamHead());
+                   asked.give();
+                   broken.await();
+                   std::this_thread::sleep_for(kPause);
+                   RawServer::write(aSocket, kEnd);
+                 } });
+  }
+
 private:
   /** @return A whole stream with a body of chunks. */
   static std::string stream(const std::string& aChunks)
--- a/tests/transport/event_splitter_test.cpp
+++ b/tests/transport/event_splitter_test.cpp
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(textThatIsNoEventIsAFault);
   CPPUNIT_TEST(eventsOfAnyFormAreReturned);
   CPPUNIT_TEST(jumpOfConsecutiveNumbersIsAFaultWhenResumed);
+  CPPUNIT_TEST(partOfALaterEventShowsThatTheStreamGoesOn);
+  CPPUNIT_TEST(shorterRunEndsEarly);
   CPPUNIT_TEST(resumedRunsMakeOneStream);
   CPPUNIT_TEST_SUITE_END();
 
@@ -104,6 +106,7 @@
       CPPUNIT_ASSERT(events.next().empty());
       CPPUNIT_ASSERT_MESSAGE(text, !events.fault().empty());
       CPPUNIT_ASSERT(events.next().empty());
+      CPPUNIT_ASSERT(events.goesOn());
     }
   }
 
@@ -137,6 +140,29 @@
     CPPUNIT_ASSERT_EQUAL(7, resumedAt({ 2, 4 }, 7));
   }
 
+  void partOfALaterEventShowsThatTheStreamGoesOn()
+  {
+    CPPUNIT_ASSERT(goesOnAfter("id: 3"));
+    CPPUNIT_ASSERT(goesOnAfter("id: 3\nda"));
+    CPPUNIT_ASSERT(goesOnAfter("id: 1"));
+    CPPUNIT_ASSERT(goesOnAfter("da"));
+    CPPUNIT_ASSERT(!goesOnAfter("id: 2\nda"));
+    CPPUNIT_ASSERT(!goesOnAfter("\r\n"));
+    CPPUNIT_ASSERT(!goesOnAfter(""));
+  }
+
+  void shorterRunEndsEarly()
+  {
+    EventSplitter run(positionAfter({ 1, 2, 3 }));
+    CPPUNIT_ASSERT(!run.endsEarly());
+    run.add("id: 1\n\nid: 2\n\n");
+    CPPUNIT_ASSERT(run.next().empty());
+    CPPUNIT_ASSERT(run.endsEarly());
+    run.add("id: 3\n\n");
+    CPPUNIT_ASSERT(run.next().empty());
+    CPPUNIT_ASSERT(!run.endsEarly());
+  }
+
   // Each run breaks off somewhere, and the next one starts anywhere at or
   // before the event that must follow, or after a gap.
   void resumedRunsMakeOneStream()
@@ -198,6 +224,15 @@
     resumed.next();
     return resumed.fault().empty() ? std::stoi(resumed.position().lastId_) : 0;
   }
+
+  static bool goesOnAfter(const std::string& aRest)
+  {
+    EventSplitter events;
+    events.add(eventsFrom(1, 2) + aRest);
+    while (!events.next().empty()) {
+    }
+    return events.goesOn();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
