--- a/src/transport/relay/event_splitter.cpp
+++ b/src/transport/relay/event_splitter.cpp
@@ -2,7 +2,10 @@
 
 #include "transport/relay/event_splitter.h"
 
+#include <algorithm>
+#include <cctype>
 #include <charconv>
+#include <utility>
 
 namespace auburnhaven::transport {
 
@@ -10,15 +13,27 @@
 
 constexpr std::string_view kIdField =
   "id:"; ///< Field with the event identifier.
+constexpr std::string_view kHttpVersion =
+  "HTTP/1."; ///< Begins the head of a response, and no field.
+constexpr std::uint64_t kMinUnitSteps =
+  2; ///< Steps by one after which a larger one shows that an event is missing.
+
+/** Takes the first line off a text. @return The line without its line feed. */
+std::string_view
+takeLine(std::string_view& aText)
+{
+  const std::size_t end = std::min(aText.find('\n'), aText.size());
+  const std::string_view line = aText.substr(0, end);
+  aText.remove_prefix(std::min(end + 1, aText.size()));
+  return line;
+}
 
 /** @return Identifier of an event; nothing when it has no such field. */
 std::optional<std::string_view>
 eventId(std::string_view aEvent)
 {
-  std::size_t start = 0;
-  while (start < aEvent.size()) {
-    const std::size_t end = aEvent.find('\n', start);
-    std::string_view line = aEvent.substr(start, end - start);
+  while (!aEvent.empty()) {
+    std::string_view line = takeLine(aEvent);
     if (line.starts_with(kIdField)) {
       line.remove_prefix(kIdField.size());
       const std::size_t first = line.find_first_not_of(' ');
@@ -27,10 +42,6 @@
                ? std::string_view()
                : line.substr(first, last + 1 - first);
     }
-    if (end == std::string_view::npos) {
-      break;
-    }
-    start = end + 1;
   }
   return std::nullopt;
 }
@@ -46,14 +57,64 @@
   return complete ? std::optional(number) : std::nullopt;
 }
 
-} // namespace
+/** @return Whether a line is empty, apart from its carriage return. */
+bool
+isBlank(std::string_view aLine)
+{
+  return aLine.empty() || aLine == "\r";
+}
 
-EventSplitter::EventSplitter(const std::string& aLastId)
+/** @return Whether a line is empty, a comment, or a field with a name. */
+bool
+isField(std::string_view aLine)
+{
+  const std::string_view name = aLine.substr(0, aLine.find(':'));
+  return isBlank(aLine) ||
+         std::all_of(name.begin(), name.end(), [](char aChar) {
+           const auto byte = static_cast<unsigned char>(aChar);
+           return std::isalnum(byte) != 0 || aChar == '-' || aChar == '_' ||
+                  aChar == '\r';
+         });
+}
+
+/** @return Whether an event has no other lines than comments. */
+bool
+isComment(std::string_view aEvent)
 {
-  if (!aLastId.empty()) {
-    lastId_ = aLastId;
-    lastNumber_ = parseNumber(aLastId);
+  while (!aEvent.empty()) {
+    const std::string_view line = takeLine(aEvent);
+    if (!isBlank(line) && !line.starts_with(':')) {
+      return false;
+    }
   }
+  return true;
+}
+
+/** @return Whether a text between two empty lines is one event, and not the
+ * text of an error, the head of a response, or part of an event that runs into
+ * one. */
+bool
+isEvent(std::string_view aText)
+{
+  const bool hasId = eventId(aText).has_value();
+  const bool returns = aText.substr(0, aText.find('\n')).ends_with('\r');
+  while (!aText.empty()) {
+    const std::string_view line = takeLine(aText);
+    if (line.ends_with('\r') != returns || line.starts_with(kHttpVersion) ||
+        (!hasId && !isField(line))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+EventSplitter::EventSplitter(StreamPosition aPosition)
+  : position_(std::move(aPosition))
+  , continues_(position_.hasBegun_)
+  , lastNumber_(parseNumber(position_.lastId_))
+{
 }
 
 std::size_t
@@ -74,19 +135,93 @@
 }
 
 bool
-EventSplitter::isNew(std::string_view aEvent)
+EventSplitter::isResuming() const
+{
+  return continues_ && newEventCount_ == 0;
+}
+
+bool
+EventSplitter::isRepeated(std::uint64_t aNumber) const
+{
+  return lastNumber_ && aNumber <= *lastNumber_;
+}
+
+bool
+EventSplitter::isGap(std::uint64_t aNumber) const
 {
+  // Numbers need not be consecutive, so only a change of their steps shows it.
+  const bool consecutive =
+    !position_.hasOtherSteps_ && position_.unitSteps_ >= kMinUnitSteps;
+  return consecutive && lastNumber_ && aNumber != *lastNumber_ + 1;
+}
+
+EventSplitter::Verdict
+EventSplitter::fail(std::string_view aFault)
+{
+  fault_ = aFault;
+  return Verdict::kFault;
+}
+
+EventSplitter::Verdict
+EventSplitter::judge(std::string_view aEvent)
+{
+  if (!isEvent(aEvent)) {
+    return fail("stream has text that is no event");
+  }
   const std::optional<std::string_view> id = eventId(aEvent);
   if (!id) {
-    return true;
+    return judgeWithoutId(aEvent);
   }
   const std::optional<std::uint64_t> number = parseNumber(*id);
-  if (number && lastNumber_ && *number <= *lastNumber_) {
-    return false;
+  if (number && isRepeated(*number)) {
+    skippedNumber_ = std::max(skippedNumber_.value_or(0), *number);
+    return Verdict::kSkip;
   }
-  lastId_ = std::string(*id);
-  lastNumber_ = number;
-  return true;
+  if (isResuming() && !number) {
+    return fail("resumed stream has an event without a number");
+  }
+  if (isResuming() && isGap(*number)) {
+    return fail("resumed stream lacks an event");
+  }
+  noteEvent(*id, number);
+  return Verdict::kReturn;
+}
+
+EventSplitter::Verdict
+EventSplitter::judgeWithoutId(std::string_view aEvent)
+{
+  const bool comment = isComment(aEvent);
+  if (isResuming()) {
+    return comment ? Verdict::kSkip
+                   : fail("resumed stream has an event without a number");
+  }
+  position_.hasBegun_ = true;
+  if (!comment) {
+    ++newEventCount_;
+    ++position_.events_;
+    position_.isNumbered_ = false;
+  }
+  return Verdict::kReturn;
+}
+
+void
+EventSplitter::noteEvent(std::string_view aId,
+                         std::optional<std::uint64_t> aNumber)
+{
+  const bool isFirst = position_.events_ == 0 && position_.lastId_.empty();
+  const std::optional<std::uint64_t> before =
+    isFirst ? std::optional<std::uint64_t>(0) : lastNumber_;
+  if (aNumber && before && *aNumber == *before + 1) {
+    ++position_.unitSteps_;
+  } else if (!isFirst) {
+    position_.hasOtherSteps_ = true;
+  }
+  ++newEventCount_;
+  ++position_.events_;
+  position_.hasBegun_ = true;
+  position_.isNumbered_ = aNumber.has_value();
+  position_.lastId_ = std::string(aId);
+  lastNumber_ = aNumber;
 }
 
 std::string_view
@@ -94,18 +229,47 @@
 {
   pending_.erase(0, returnedBytes_);
   returnedBytes_ = 0;
-  for (;;) {
+  while (fault_.empty()) {
     const std::size_t end = findEventEnd(0);
     if (end == std::string::npos) {
       return {};
     }
     ++eventCount_;
-    if (isNew(std::string_view(pending_).substr(0, end))) {
+    const Verdict verdict = judge(std::string_view(pending_).substr(0, end));
+    if (verdict == Verdict::kReturn) {
       returnedBytes_ = end;
       return std::string_view(pending_).substr(0, end);
     }
-    pending_.erase(0, end);
+    if (verdict == Verdict::kSkip) {
+      pending_.erase(0, end);
+    }
   }
+  return {};
+}
+
+bool
+EventSplitter::goesOn() const
+{
+  const std::string_view rest =
+    std::string_view(pending_).substr(returnedBytes_);
+  if (!fault_.empty()) {
+    return true;
+  }
+  if (rest.find_first_not_of("\r\n") == std::string_view::npos) {
+    return false;
+  }
+  // An identifier is known once its line is complete.
+  const std::size_t lines = rest.rfind('\n') + 1;
+  const std::optional<std::string_view> id = eventId(rest.substr(0, lines));
+  const auto number = id ? parseNumber(*id) : std::nullopt;
+  return !number || !isRepeated(*number);
+}
+
+bool
+EventSplitter::endsEarly() const
+{
+  return newEventCount_ == 0 && skippedNumber_ && lastNumber_ &&
+         *skippedNumber_ < *lastNumber_;
 }
 
 } // namespace auburnhaven::transport
--- a/src/transport/relay/relay_attempt.h
+++ b/src/transport/relay/relay_attempt.h
@@ -6,7 +6,6 @@
 #include "transport/relay/relay_handler.h"
 
 #include <functional>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,13 +25,13 @@
    * @param aInfo Contents of the request's headers; must outlive this object.
    * @param aTarget The target.
    * @param aStream Whether a success is a stream of events.
-   * @param aLastEventId Event after which a stream starts; empty for the first.
+   * @param aPosition How far the caller's stream has come.
    */
   RelayAttempt(const RelayDependencies& aDependencies,
                const RelayRequestInfo& aInfo,
                coordination::TargetDecision aTarget,
                bool aStream,
-               const std::string& aLastEventId);
+               const StreamPosition& aPosition);
   ~RelayAttempt();
   RelayAttempt(const RelayAttempt&) = delete;
   RelayAttempt& operator=(const RelayAttempt&) = delete;
@@ -59,9 +58,19 @@
   /** @return The next complete event; empty when there is none. Valid until the
    * next call of poll() or nextEvent(). */
   std::string_view nextEvent() { return events_.next(); }
-  /** Notes that all complete events have been forwarded, so that the time that
-   * the caller took for them is not counted as silence. */
-  void noteForwarded();
+  /**
+   * Notes that the event that nextEvent() returned last has been forwarded; the
+   * time that the caller took for it is not counted as silence.
+   * @param aPosition Set to what the caller has now.
+   */
+  void noteForwarded(StreamPosition& aPosition);
+  /**
+   * Checks after kComplete whether the caller's stream may end here. A response
+   * without any new event is no proof of that.
+   * @param aGoesOn Whether another target has shown that the stream goes on.
+   * @return Whether it may; otherwise this attempt has failed.
+   */
+  bool mayEnd(bool aGoesOn);
   /** Calls a handler once when poll() may have news. */
   void onReadable(std::function<void()> aHandler)
   {
@@ -91,23 +100,23 @@
   state::TimePoint lastNewsAt() const { return lastNewsAt_; }
   /** @return Whether an event has arrived. */
   bool hasEvents() const { return events_.eventCount() > 0; }
-  /** @return Identifier of the last event that was taken. */
-  const std::optional<std::string>& lastEventId() const
-  {
-    return events_.lastId();
-  }
+  /** @return Whether the target has shown that the stream goes on beyond the
+   * events that were returned. */
+  bool streamGoesOn() const { return events_.goesOn(); }
   /** @return Response for the caller; the body is empty for a stream. */
   const HttpResponse& response() const { return response_; }
 
 private:
   AttemptProgress end(SendOutcome aOutcome, std::string aDetail);
   AttemptProgress endWithoutResponse();
+  AttemptProgress endWithError();
   AttemptProgress takeHead(const boost::asio::yield_context& aYield);
   AttemptProgress pollStream();
   AttemptProgress pollBody();
   AttemptProgress takeEvents(std::string_view aData);
   void recordActivity();
   void noteTargetInfo(const RelayResponseInfo& aInfo);
+  std::string_view headFault() const;
   HttpResponse readResponseHead() const;
 
   const RelayDependencies& dependencies_;     ///< Dependencies.
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -109,7 +109,7 @@
   need_.tokens_ = info_.tokens_;
   need_.latencyTarget_ = route_->latencyTarget_;
   dependencies_.budget_.requestStarted();
-  lastEventId_ = info_.lastEventId_;
+  position_.lastId_ = info_.lastEventId_;
   responder_.onCallerGone([this] {
     if (aborter_ != nullptr) {
       aborter_->abort();
@@ -239,7 +239,7 @@
 RelayExchange::requestFor(const TargetDecision& aTarget) const
 {
   const RelayForwardInfo forward{
-    aTarget.vm_, account_, timeLeft(), lastEventId_
+    aTarget.vm_, account_, timeLeft(), position_.lastId_
   };
   HttpClientRequest request;
   request.method_ = request_.method_;
@@ -264,7 +264,7 @@
   const HttpClientRequest request = requestFor(aTarget);
   staleConnection_ = false;
   auto attempt = std::make_unique<RelayAttempt>(
-    dependencies_, info_, aTarget, isStream(), lastEventId_);
+    dependencies_, info_, aTarget, isStream(), position_);
   HttpAborter aborter;
   aborter_ = &aborter;
   attempt->send(client_,
@@ -325,9 +325,11 @@
 void
 RelayExchange::takeProgress(RelayAttempt& aAttempt, AttemptProgress aProgress)
 {
+  const bool goesOn = position_.isTorn_ || (streaming_ && attempts_.size() > 1);
   if (aProgress == AttemptProgress::kEvents) {
     forwardEvents(aAttempt);
-  } else if (aProgress == AttemptProgress::kComplete) {
+  } else if (aProgress == AttemptProgress::kComplete &&
+             aAttempt.mayEnd(goesOn)) {
     deliver(aAttempt);
   } else {
     conclude(aAttempt);
@@ -353,8 +355,7 @@
       return;
     }
     ++forwardedEvents_;
-    lastEventId_ = aAttempt.lastEventId().value_or(lastEventId_);
-    aAttempt.noteForwarded();
+    aAttempt.noteForwarded(position_);
     if (dependencies_.clock_.now() >= deadline_) {
       return;
     }
@@ -389,6 +390,7 @@
   const SendOutcome outcome = ended->outcome();
   lastDetail_ = ended->detail();
   logSend(*ended, outcome, SendEnder::kTarget);
+  position_.isTorn_ = position_.isTorn_ || ended->streamGoesOn();
   staleConnection_ = ended->hadStaleConnection();
   if (!staleConnection_) {
     need_.excluded_.push_back(ended->target().vm_);
@@ -418,7 +420,7 @@
       continue;
     }
     // A target that a later send overtakes is slow.
-    const bool overtaken = &attempt == &attempts_.front();
+    const bool overtaken = attempt == attempts_.front();
     attempt->setResult(overtaken ? SendResult::kFailed : SendResult::kAborted);
     need_.excluded_.push_back(attempt->target().vm_);
     ++runs_;
@@ -510,7 +512,7 @@
 RelayExchange::isRetrySafe() const
 {
   return route_->kind_ == state::RouteKind::kIdempotent ||
-         (isStream() && route_->resumable_);
+         (isStream() && route_->resumable_ && position_.isNumbered_);
 }
 
 bool
--- a/tests/transport/event_splitter_test.cpp
+++ b/tests/transport/event_splitter_test.cpp
@@ -16,6 +16,12 @@
   CPPUNIT_TEST(repeatedEventsAreSkipped);
   CPPUNIT_TEST(resumedStreamHasNoPartOfATornEvent);
   CPPUNIT_TEST(eventsDoNotDependOnInputChunks);
+  CPPUNIT_TEST(textThatIsNoEventIsAFault);
+  CPPUNIT_TEST(eventsOfAnyFormAreReturned);
+  CPPUNIT_TEST(jumpOfConsecutiveNumbersIsAFaultWhenResumed);
+  CPPUNIT_TEST(partOfALaterEventShowsThatTheStreamGoesOn);
+  CPPUNIT_TEST(shorterRunEndsEarly);
+  CPPUNIT_TEST(resumedRunsMakeOneStream);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -29,7 +35,7 @@
     events.add("ta: b\n\n");
     CPPUNIT_ASSERT(events.next() == "id: 2\ndata: b\n\n");
     CPPUNIT_ASSERT(!events.hasPartialEvent());
-    CPPUNIT_ASSERT_EQUAL(std::string("2"), *events.lastId());
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), events.position().lastId_);
   }
 
   void carriageReturnsAreKept()
@@ -37,7 +43,7 @@
     EventSplitter events;
     events.add("id: 7\r\ndata: a\r\n\r\n");
     CPPUNIT_ASSERT(events.next() == "id: 7\r\ndata: a\r\n\r\n");
-    CPPUNIT_ASSERT_EQUAL(std::string("7"), *events.lastId());
+    CPPUNIT_ASSERT_EQUAL(std::string("7"), events.position().lastId_);
   }
 
   void repeatedEventsAreSkipped()
@@ -54,9 +60,9 @@
     EventSplitter torn;
     torn.add("id: 1\ndata: a\n\nid: 2\ndata: torn");
     torn.next();
-    EventSplitter resumed(*torn.lastId());
+    EventSplitter resumed(torn.position());
     CPPUNIT_ASSERT(!resumed.hasPartialEvent());
-    CPPUNIT_ASSERT_EQUAL(std::string("1"), *resumed.lastId());
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), resumed.position().lastId_);
     resumed.add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     CPPUNIT_ASSERT(resumed.next() == "id: 2\ndata: b\n\n");
   }
@@ -83,6 +89,150 @@
     });
     CPPUNIT_ASSERT(same);
   }
+
+  void textThatIsNoEventIsAFault()
+  {
+    for (const char* text : { "Server Error\n\n",
+                              "{\"error\": 1}\n\n",
+                              "<p>Oops</p>\n\n",
+                              "HTTP/1.1 500 Oops\r\nServer: x\r\n\r\n",
+                              "id: 2\nHTTP/1.1 500 Oops\n\n",
+                              "id: 2\ndata: bHTTP/1.1 500 Oops\r\n\r\n" }) {
+      EventSplitter events;
+      events.add("id: 1\ndata: a\n\n" + std::string(text) +
+                 "id: 3\ndata: c\n\n");
+      CPPUNIT_ASSERT(events.next() == "id: 1\ndata: a\n\n");
+      CPPUNIT_ASSERT(events.fault().empty());
+      CPPUNIT_ASSERT(events.next().empty());
+      CPPUNIT_ASSERT_MESSAGE(text, !events.fault().empty());
+      CPPUNIT_ASSERT(events.next().empty());
+      CPPUNIT_ASSERT(events.goesOn());
+    }
+  }
+
+  void eventsOfAnyFormAreReturned()
+  {
+    for (const std::string event : { ": comment\n\n",
+                                     "\n\n",
+                                     "data: HTTP/1.1 500 Oops\n\n",
+                                     "data\n\n",
+                                     "event: end\r\ndata: x\r\n\r\n",
+                                     "x-version: 7\nid: 2\ndata: {}\n\n",
+                                     "id: 2\nretry: 5\nany text\n\n" }) {
+      EventSplitter events;
+      events.add("id: 1\ndata: a\n\n" + event);
+      events.next();
+      CPPUNIT_ASSERT_EQUAL(event, std::string(events.next()));
+      CPPUNIT_ASSERT(events.fault().empty());
+    }
+  }
+
+  void jumpOfConsecutiveNumbersIsAFaultWhenResumed()
+  {
+    CPPUNIT_ASSERT_EQUAL(0, resumedAt({ 1, 2 }, 4));
+    CPPUNIT_ASSERT_EQUAL(0, resumedAt({ 7, 8, 9 }, 11));
+    CPPUNIT_ASSERT_EQUAL(0, resumedAt({ 0, 1, 2 }, 9));
+    CPPUNIT_ASSERT_EQUAL(3, resumedAt({ 1, 2 }, 3));
+    // Too little is known of the steps, or they differ.
+    CPPUNIT_ASSERT_EQUAL(4, resumedAt({ 1 }, 4));
+    CPPUNIT_ASSERT_EQUAL(11, resumedAt({ 7, 8 }, 11));
+    CPPUNIT_ASSERT_EQUAL(11, resumedAt({ 1, 2, 3, 5, 6, 7 }, 11));
+    CPPUNIT_ASSERT_EQUAL(7, resumedAt({ 2, 4 }, 7));
+  }
+
+  void partOfALaterEventShowsThatTheStreamGoesOn()
+  {
+    CPPUNIT_ASSERT(goesOnAfter("id: 3"));
+    CPPUNIT_ASSERT(goesOnAfter("id: 3\nda"));
+    CPPUNIT_ASSERT(goesOnAfter("id: 1"));
+    CPPUNIT_ASSERT(goesOnAfter("da"));
+    CPPUNIT_ASSERT(!goesOnAfter("id: 2\nda"));
+    CPPUNIT_ASSERT(!goesOnAfter("\r\n"));
+    CPPUNIT_ASSERT(!goesOnAfter(""));
+  }
+
+  void shorterRunEndsEarly()
+  {
+    EventSplitter run(positionAfter({ 1, 2, 3 }));
+    CPPUNIT_ASSERT(!run.endsEarly());
+    run.add("id: 1\n\nid: 2\n\n");
+    CPPUNIT_ASSERT(run.next().empty());
+    CPPUNIT_ASSERT(run.endsEarly());
+    run.add("id: 3\n\n");
+    CPPUNIT_ASSERT(run.next().empty());
+    CPPUNIT_ASSERT(!run.endsEarly());
+  }
+
+  // Each run breaks off somewhere, and the next one starts anywhere at or
+  // before the event that must follow, or after a gap.
+  void resumedRunsMakeOneStream()
+  {
+    const bool one = rc::check("resumed runs make one stream", [] {
+      const int last = *rc::gen::inRange(1, 9);
+      transport::StreamPosition position;
+      std::string out;
+      for (int run = *rc::gen::inRange(1, 6); run > 0; --run) {
+        const int from = *rc::gen::inRange(1, last + 2);
+        const bool gap = std::uint64_t(from) > position.events_ + 1;
+        const std::string sent = eventsFrom(from, last);
+        EventSplitter events(position);
+        events.add(
+          sent.substr(0, *rc::gen::inRange<std::size_t>(0, sent.size() + 1)));
+        const bool known = position.events_ >= 2;
+        if (gap && !known) {
+          continue;
+        }
+        for (auto event = events.next(); !event.empty();
+             event = events.next()) {
+          out += event;
+        }
+        position = events.position();
+      }
+      RC_ASSERT(out == eventsFrom(1, int(position.events_)));
+    });
+    CPPUNIT_ASSERT(one);
+  }
+
+private:
+  /** @return Events with the numbers of a range. */
+  static std::string eventsFrom(int aFirst, int aLast)
+  {
+    std::string all;
+    for (int id = aFirst; id <= aLast; ++id) {
+      all += "id: " + std::to_string(id) + "\ndata: x\n\n";
+    }
+    return all;
+  }
+
+  /** @return What a caller has after events with some numbers. */
+  static transport::StreamPosition positionAfter(
+    const std::vector<int>& aNumbers)
+  {
+    EventSplitter events;
+    for (const int number : aNumbers) {
+      events.add(eventsFrom(number, number));
+      events.next();
+    }
+    return events.position();
+  }
+
+  /** @return Number with which a resumed stream goes on; 0 if it is a fault. */
+  static int resumedAt(const std::vector<int>& aNumbers, int aNext)
+  {
+    EventSplitter resumed(positionAfter(aNumbers));
+    resumed.add(eventsFrom(aNext, aNext));
+    resumed.next();
+    return resumed.fault().empty() ? std::stoi(resumed.position().lastId_) : 0;
+  }
+
+  static bool goesOnAfter(const std::string& aRest)
+  {
+    EventSplitter events;
+    events.add(eventsFrom(1, 2) + aRest);
+    while (!events.next().empty()) {
+    }
+    return events.goesOn();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
