Tell a caller that only stops sending from one that left

Cause: the session peeked at the socket while it answered and took the end of the caller's sending side for a caller that had left.

Fix: after such an end CallerMonitor sends bytes that any continuation of the answer may begin with (the start of the status line, leading zeros of a chunk's size) and takes a caller for gone only when a reset or a write error comes back. Between events the chunks themselves do the same; a zero is sent only after 100 ms of silence. A stream that is cut after a zero gets a chunk size that never comes, since some clients take "0" and an end of the connection for the last chunk; only a process that is killed can leave it bare. Requests that come meanwhile are read ahead up to 16 KiB, so that they hide no close. A caller that closes its sending side first and the rest later is noticed within about twice the time it has waited, as the pauses between the bytes double.

send() and endStream() now return whether the system took all bytes, and callerEnd() tells how the caller's side ended.

--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -26,8 +26,9 @@
    * Sends a whole response. Call once, instead of a stream.
    * @param aResponse The response.
    * @param aYield The coroutine.
+   * @return Whether the system took it all for the caller.
    */
-  virtual void send(const HttpResponse& aResponse,
+  virtual bool send(const HttpResponse& aResponse,
                     const boost::asio::yield_context& aYield) = 0;
   /**
    * Starts a chunked response; aResponse's body is ignored.
@@ -48,20 +49,23 @@
   /**
    * Ends a chunked response as whole.
    * @param aYield The coroutine.
+   * @return Whether the system took it all for the caller.
    */
-  virtual void endStream(const boost::asio::yield_context& aYield) = 0;
+  virtual bool endStream(const boost::asio::yield_context& aYield) = 0;
   /** Ends a started stream without its end mark, so that it never looks whole.
    */
   virtual void cut() = 0;
   /**
-   * Sets what to do when the caller closes its connection before the response
-   * ended.
+   * Sets what to do when the caller leaves before the response ended. One that
+   * only sends no more has not left.
    * @param aHandler Called at most once, on the session's thread; empty for
    * none.
    */
   virtual void onCallerGone(std::function<void()> aHandler) = 0;
-  /** @return Whether the caller has closed its connection. */
-  virtual bool callerGone() const = 0;
+  /** @return Whether the caller cannot take the response any more. */
+  bool callerGone() const { return isGone(callerEnd()); }
+  /** @return How the caller's side ended so far. */
+  virtual CallerEnd callerEnd() const = 0;
 };
 
 /** Answers requests. */
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -3,6 +3,7 @@
 #include "transport/http_session.h"
 
 #include "protocol/chat_codec.h"
+#include "transport/caller_monitor.h"
 #include "transport/scoped_count.h"
 
 #include <boost/asio.hpp>
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 namespace auburnhaven::transport {
@@ -149,13 +151,18 @@
   HttpSession(tcp::socket aSocket, HttpSessionContext aContext)
     : stream_(std::move(aSocket))
     , context_(std::move(aContext))
+    , monitor_(stream_.socket(), buffer_)
   {
     ++context_.state_->connections_;
     if (context_.state_->closing_) {
       shortened_.emplace(context_.state_->inFlight_);
     }
   }
-  ~HttpSession() override { --context_.state_->connections_; }
+  ~HttpSession() override
+  {
+    monitor_.breakOff();
+    --context_.state_->connections_;
+  }
   HttpSession(const HttpSession&) = delete;
   HttpSession& operator=(const HttpSession&) = delete;
 
@@ -164,12 +171,13 @@
   {
     boost::system::error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
+    stream_.socket().non_blocking(true, ignored);
     while (serveOne(aYield)) {
     }
     closeSlowly(aYield);
   }
 
-  void send(const HttpResponse& aResponse,
+  bool send(const HttpResponse& aResponse,
             const asio::yield_context& aYield) override
   {
     http::response<http::string_body> message(
@@ -177,10 +185,15 @@
     fill(message, aResponse);
     message.body() = aResponse.body_;
     message.prepare_payload();
-    stream_.expires_after(context_.limits_.writeTimeout_);
-    boost::system::error_code error;
-    http::async_write(stream_, message, aYield[error]);
-    noteWrite(error);
+    return write(
+      [&](boost::system::error_code& aError, std::size_t aSent) {
+        if (aSent > 0) {
+          writeRest(message, aSent, aYield[aError]);
+        } else {
+          http::async_write(stream_, message, aYield[aError]);
+        }
+      },
+      CallerMonitor::Place::kWhole);
   }
 
   bool startStream(const HttpResponse& aResponse,
@@ -190,47 +203,52 @@
       static_cast<http::status>(aResponse.status_), version_);
     fill(message, aResponse);
     message.chunked(true);
-    http::response_serializer<http::empty_body> serializer(message);
-    stream_.expires_after(context_.limits_.writeTimeout_);
-    boost::system::error_code error;
-    http::async_write_header(stream_, serializer, aYield[error]);
-    return noteWrite(error);
+    return write(
+      [&](boost::system::error_code& aError, std::size_t aSent) {
+        if (aSent > 0) {
+          writeRest(message.base(), aSent, aYield[aError]);
+        } else {
+          http::response_serializer<http::empty_body> serializer(message);
+          http::async_write_header(stream_, serializer, aYield[aError]);
+        }
+      },
+      CallerMonitor::Place::kChunk);
   }
 
   bool writeChunk(std::string_view aData,
                   const asio::yield_context& aYield) override
   {
-    if (gone_) {
-      return false;
-    }
-    stream_.expires_after(context_.limits_.writeTimeout_);
-    boost::system::error_code error;
-    asio::async_write(
-      stream_,
-      http::make_chunk(asio::buffer(aData.data(), aData.size())),
-      aYield[error]);
-    return noteWrite(error);
+    return write(
+      [&](boost::system::error_code& aError, std::size_t /*aSent*/) {
+        asio::async_write(
+          stream_,
+          http::make_chunk(asio::buffer(aData.data(), aData.size())),
+          aYield[aError]);
+      },
+      CallerMonitor::Place::kChunk);
   }
 
-  void endStream(const asio::yield_context& aYield) override
+  bool endStream(const asio::yield_context& aYield) override
   {
-    if (gone_) {
-      return;
-    }
-    stream_.expires_after(context_.limits_.writeTimeout_);
-    boost::system::error_code error;
-    asio::async_write(stream_, http::make_chunk_last(), aYield[error]);
-    noteWrite(error);
+    return write(
+      [&](boost::system::error_code& aError, std::size_t /*aSent*/) {
+        asio::async_write(stream_, http::make_chunk_last(), aYield[aError]);
+      },
+      CallerMonitor::Place::kWhole);
   }
 
-  void cut() override { keepAlive_ = false; }
+  void cut() override
+  {
+    keepAlive_ = false;
+    monitor_.breakOff();
+  }
 
   void onCallerGone(std::function<void()> aHandler) override
   {
-    goneHandler_ = std::move(aHandler);
+    monitor_.onGone(std::move(aHandler));
   }
 
-  bool callerGone() const override { return gone_; }
+  CallerEnd callerEnd() const override { return monitor_.end(); }
 
   void shorten() override
   {
@@ -259,12 +277,10 @@
     version_ = parser.get().version();
     keepAlive_ = parser.keep_alive();
     const HttpRequest request = convert(parser.release());
-    goneHandler_ = nullptr;
-    watchCaller();
+    monitor_.start(weak_from_this());
     context_.handler_->handle(context_.thread_, request, *this, aYield);
-    goneHandler_ = nullptr;
-    stopWatching();
-    const bool goesOn = keepAlive_ && !gone_;
+    monitor_.stop();
+    const bool goesOn = keepAlive_ && !callerGone();
     if (goesOn && context_.state_->closing_) {
       // Counted before the request is not, so that the server is never idle
       // in between.
@@ -358,7 +374,9 @@
   template<class Message>
   void fill(Message& aMessage, const HttpResponse& aResponse)
   {
-    if (context_.state_->draining_) {
+    const bool lastRequest =
+      callerEnd() == CallerEnd::kSendingSide && buffer_.size() == 0;
+    if (context_.state_->draining_ || lastRequest) {
       keepAlive_ = false;
     }
     aMessage.set(http::field::server, "auburnhaven");
@@ -371,51 +389,35 @@
     aMessage.keep_alive(keepAlive_);
   }
 
-  /** Notes the end of a write. @return Whether the caller is still there. */
-  bool noteWrite(const boost::system::error_code& aError)
-  {
-    if (aError) {
-      markGone();
-    }
-    return !gone_;
-  }
-
-  /** Marks the caller as gone and tells the handler once. */
-  void markGone()
+  /**
+   * Writes a part of the answer.
+   * @param aWrite Writes it; takes the bytes of it that were already sent.
+   * @param aPlace What was written.
+   * @return Whether the caller is still there.
+   */
+  template<class Write>
+  bool write(const Write& aWrite, CallerMonitor::Place aPlace)
   {
-    gone_ = true;
-    const auto handler = std::exchange(goneHandler_, nullptr);
-    if (handler) {
-      handler();
+    if (callerGone()) {
+      return false;
     }
+    const std::size_t sent = monitor_.beginWrite();
+    stream_.expires_after(context_.limits_.writeTimeout_);
+    boost::system::error_code error;
+    aWrite(error, sent);
+    return monitor_.endWrite(error, aPlace);
   }
 
-  /** Notices when the caller closes its connection while its request is
-   * answered. */
-  void watchCaller()
-  {
-    ++watch_;
-    stream_.socket().async_receive(
-      asio::buffer(peek_),
-      asio::socket_base::message_peek,
-      [self = shared_from_this(), watch = watch_](
-        const boost::system::error_code& aError, std::size_t aSize) {
-        const bool closed =
-          aError != asio::error::operation_aborted && (aError || aSize == 0);
-        if (closed && watch == self->watch_) {
-          self->markGone();
-        }
-      });
-  }
-
-  /** Ends the watch on the caller. */
-  void stopWatching()
+  /** Writes a message or header without its first bytes. */
+  template<class Message>
+  void writeRest(const Message& aMessage,
+                 std::size_t aSent,
+                 const asio::yield_context& aYield)
   {
-    ++watch_;
-    boost::system::error_code ignored;
-    if (stream_.socket().is_open()) {
-      stream_.socket().cancel(ignored);
-    }
+    std::ostringstream text;
+    text << aMessage;
+    const std::string bytes = text.str();
+    asio::async_write(stream_, asio::buffer(bytes) + aSent, aYield);
   }
 
   /** Closes so that the caller can still read the last response. */
@@ -446,16 +448,12 @@
   HttpSessionContext context_; ///< What the session needs from its server.
   beast::flat_buffer
     buffer_; ///< Bytes read but not parsed, pipelined requests included.
-  std::array<char, 1> peek_{}; ///< Takes the byte that the watch peeks.
-  std::function<void()>
-    goneHandler_; ///< Told when the caller closes its connection.
+  CallerMonitor monitor_; ///< Watches the caller.
   std::optional<ScopedCount<std::uint64_t>>
-    shortened_;             ///< Set in the last wait for a request.
-  std::uint64_t watch_ = 0; ///< Number of the present watch.
-  unsigned version_ = 11;   ///< HTTP version of the present request.
+    shortened_;           ///< Set in the last wait for a request.
+  unsigned version_ = 11; ///< HTTP version of the present request.
   bool keepAlive_ =
-    true;             ///< Whether the connection goes on after the response.
-  bool gone_ = false; ///< Whether the caller closed its connection.
+    true; ///< Whether the connection goes on after the response.
 };
 
 } // namespace
--- a/src/transport/http_type.cpp
+++ b/src/transport/http_type.cpp
@@ -36,4 +36,22 @@
   return {};
 }
 
+std::string_view
+nameOf(CallerEnd aEnd)
+{
+  switch (aEnd) {
+    case CallerEnd::kNone:
+      return "none";
+    case CallerEnd::kSendingSide:
+      return "sending side closed";
+    case CallerEnd::kReset:
+      return "reset";
+    case CallerEnd::kWriteError:
+      return "write error";
+    case CallerEnd::kWriteTimeout:
+      return "write timeout";
+  }
+  return "";
+}
+
 } // namespace auburnhaven::transport
--- a/src/transport/http_type.h
+++ b/src/transport/http_type.h
@@ -49,6 +49,28 @@
   std::string body_;    ///< Body.
 };
 
+/** How the caller's side of a connection ended. */
+enum class CallerEnd
+{
+  kNone,         ///< Not at all.
+  kSendingSide,  ///< It sends no more, but may still read.
+  kReset,        ///< It closed or reset the connection.
+  kWriteError,   ///< A write to it failed.
+  kWriteTimeout, ///< It did not read for too long.
+};
+
+/** @return Name of an end, for logs. Thread-safe. */
+std::string_view
+nameOf(CallerEnd aEnd);
+
+/** @return Whether such a caller cannot take an answer any more. Thread-safe.
+ */
+inline bool
+isGone(CallerEnd aEnd)
+{
+  return aEnd != CallerEnd::kNone && aEnd != CallerEnd::kSendingSide;
+}
+
 /** Limits of the HTTP server. */
 struct HttpServerLimits
 {
--- a/tests/transport/server_world.h
+++ b/tests/transport/server_world.h
@@ -15,6 +15,10 @@
 
 inline constexpr std::chrono::seconds kPatience(
   20); ///< Longest wait for an event.
+inline constexpr std::chrono::milliseconds kLatePause(
+  400); ///< Before a late answer, and between the events of a slow stream.
+inline constexpr std::size_t kLargeBytes =
+  1'000'000; ///< Body of "/large"; more than a peer takes that does not read.
 
 /** Echoes bodies; streams and stalls on demand. */
 class EchoHandler : public transport::HttpHandler
@@ -29,10 +33,20 @@
       stall(aResponder, aYield);
       return;
     }
+    if (aRequest.path_ == "/late" && !pause(aResponder, aYield)) {
+      return;
+    }
+    if (aRequest.path_ == "/silent" || aRequest.path_ == "/slow-stream" ||
+        aRequest.path_ == "/slow-cut") {
+      streamSlowly(aRequest.path_, aResponder, aYield);
+      return;
+    }
     transport::HttpResponse response;
-    response.body_ = aRequest.path_ + "?" + aRequest.query_ + " " +
-                     std::string(aRequest.header("x-mark")) + " " +
-                     aRequest.body_;
+    response.body_ = aRequest.path_ == "/large"
+                       ? std::string(kLargeBytes, 'x')
+                       : aRequest.path_ + "?" + aRequest.query_ + " " +
+                           std::string(aRequest.header("x-mark")) + " " +
+                           aRequest.body_;
     if (aRequest.path_ == "/stream" || aRequest.path_ == "/cut") {
       aResponder.startStream(response, aYield);
       aResponder.writeChunk("one ", aYield);
@@ -50,6 +64,43 @@
   std::promise<void> gone_; ///< Set when a stalled caller has left.
 
 private:
+  /** Waits a while. @return Whether the caller is still there. */
+  bool pause(transport::HttpResponder& aResponder,
+             const boost::asio::yield_context& aYield)
+  {
+    boost::asio::steady_timer timer(aYield.get_executor(), kLatePause);
+    aResponder.onCallerGone([&timer] { timer.cancel(); });
+    boost::system::error_code error;
+    timer.async_wait(aYield[error]);
+    aResponder.onCallerGone(nullptr);
+    if (aResponder.callerGone()) {
+      gone_.set_value();
+    }
+    return !aResponder.callerGone();
+  }
+
+  /** Streams with pauses, or falls silent after the first event. */
+  void streamSlowly(const std::string& aPath,
+                    transport::HttpResponder& aResponder,
+                    const boost::asio::yield_context& aYield)
+  {
+    aResponder.startStream({}, aYield);
+    aResponder.writeChunk("one ", aYield);
+    if (aPath == "/silent") {
+      stall(aResponder, aYield);
+    } else if (pause(aResponder, aYield)) {
+      aResponder.writeChunk("two", aYield);
+      if (!pause(aResponder, aYield)) {
+        return;
+      }
+      if (aPath == "/slow-cut") {
+        aResponder.cut();
+      } else {
+        aResponder.endStream(aYield);
+      }
+    }
+  }
+
   /** Waits until the caller leaves. */
   void stall(transport::HttpResponder& aResponder,
              const boost::asio::yield_context& aYield)
