Count a connection as in flight until its caller has the answer

Cause: a session counted as in flight until its handler returned. The close after it was counted by nobody, and a kept connection was closed 200 ms after SIGTERM by the time limit of its last wait, so a process could end with bytes of an answer in its send buffer. When the caller sent another request then, its system got a reset and dropped the rest.

Fix: a connection stays counted until it is closed. closeAfterPeer() ends the sending side, reads and drops what still comes, and closes once all bytes of the answer are acknowledged (SIOCOUTQ) and the caller has ended its side or sent nothing for 250 ms; at most closeTimeout_ (10 s), in a stop at most its limit. The mark of the end need not be acknowledged, and idle connections have nothing unacknowledged, so they do not hold the stop. The time limit of the last wait no longer closes the connection. counts() tells open and closing connections, and those closed with bytes unsent or unread.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio.hpp>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -205,6 +206,21 @@
   }
 }
 
+HttpServerCounts
+HttpServer::counts() const
+{
+  HttpServerCounts counts;
+  counts.connections_ = state_->connections_;
+  counts.closing_ = state_->closers_;
+  const std::uint64_t all = state_->inFlight_;
+  counts.requests_ = all - std::min(all, counts.closing_);
+  counts.closedUnsent_ = state_->closedUnsent_;
+  counts.closedUnread_ = state_->closedUnread_;
+  counts.callersGone_ = state_->callersGone_;
+  counts.halfCloses_ = state_->halfCloses_;
+  return counts;
+}
+
 std::uint16_t
 HttpServer::port() const
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -111,14 +111,43 @@
   std::atomic<bool> closing_{
     false
   }; ///< Sessions wait only a moment for another request.
-  std::atomic<std::uint64_t> inFlight_{ 0 };    ///< Requests being answered,
-                                                ///< and last waits for one.
+  std::atomic<std::uint64_t> inFlight_{
+    0
+  }; ///< Requests being answered, last waits for one, and connections that
+     ///< close.
+  std::atomic<std::uint64_t> closers_{ 0 };      ///< Connections that close.
+  std::atomic<std::uint64_t> closedUnsent_{ 0 }; ///< Closed before the caller
+                                                 ///< had all bytes.
+  std::atomic<std::uint64_t> closedUnread_{ 0 }; ///< Closed with bytes of the
+                                                 ///< caller left, so reset.
+  std::atomic<std::uint64_t> callersGone_{
+    0
+  }; ///< Answers whose caller left first.
+  std::atomic<std::uint64_t> halfCloses_{ 0 };  ///< Answers whose caller only
+                                                ///< stopped sending first.
   std::atomic<std::uint64_t> connections_{ 0 }; ///< Open connections.
   std::vector<std::set<HttpWait*>>
     waiting_; ///< Sessions that wait for a request, by traffic thread; each set
               ///< for its thread only.
 };
 
+/** Counts of a server, for logs. */
+struct HttpServerCounts
+{
+  std::uint64_t connections_ = 0;  ///< Open connections.
+  std::uint64_t requests_ = 0;     ///< Requests being answered, and last waits
+                                   ///< for one.
+  std::uint64_t closing_ = 0;      ///< Connections that close, but whose caller
+                                   ///< may not have all bytes.
+  std::uint64_t closedUnsent_ = 0; ///< Connections closed before the caller had
+                                   ///< all bytes.
+  std::uint64_t closedUnread_ = 0; ///< Connections closed with bytes of the
+                                   ///< caller left, so that they were reset.
+  std::uint64_t callersGone_ = 0;  ///< Answers whose caller left first.
+  std::uint64_t halfCloses_ = 0;   ///< Answers whose caller only stopped
+                                   ///< sending before their end.
+};
+
 /** Accepts connections and runs a session coroutine for each. */
 class HttpServer
 {
@@ -149,9 +178,12 @@
    * last short wait for one that is on its way. Call once; safe from any
    * thread. */
   void drain();
-  /** @return Requests being answered, and sessions in their last wait for one.
-   * Safe from any thread. */
+  /** @return Requests being answered, sessions in their last wait for one, and
+   * connections that close, but whose caller may not have all bytes. Safe from
+   * any thread. */
   std::uint64_t inFlight() const { return state_->inFlight_; }
+  /** @return Counts since the start, and of now. Safe from any thread. */
+  HttpServerCounts counts() const;
   /** @return Port that the server listens on. */
   std::uint16_t port() const;
 
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -4,6 +4,8 @@
 
 #include "protocol/chat_codec.h"
 #include "transport/caller_monitor.h"
+#include "transport/connection_closer.h"
+#include "transport/read_timer.h"
 #include "transport/scoped_count.h"
 
 #include <boost/asio.hpp>
@@ -89,57 +91,6 @@
                               : ReadFault{};
 }
 
-/**
- * Cancels the reads of a connection when a time limit passes, but leaves the
- * connection open, so that the caller can still be told. One thread only.
- */
-class ReadTimer
-{
-public:
-  /**
-   * @param aStream The connection; outlives this object.
-   * @param aLimit Time limit, from now.
-   */
-  ReadTimer(beast::tcp_stream& aStream, std::chrono::milliseconds aLimit)
-    : state_(std::make_shared<State>())
-    , timer_(aStream.get_executor(), aLimit)
-  {
-    aStream.expires_never();
-    timer_.async_wait(
-      [state = state_, &aStream](const boost::system::error_code& aError) {
-        if (!aError && state->armed_) {
-          state->expired_ = true;
-          aStream.cancel();
-        }
-      });
-  }
-  ~ReadTimer() { state_->armed_ = false; }
-  ReadTimer(const ReadTimer&) = delete;
-  ReadTimer& operator=(const ReadTimer&) = delete;
-
-  /**
-   * @param aError Error of a read that the timer guarded.
-   * @return The error, or a timeout when the timer ended the read.
-   */
-  boost::system::error_code explain(
-    const boost::system::error_code& aError) const
-  {
-    const bool mine = aError && state_->expired_;
-    return mine ? beast::error::timeout : aError;
-  }
-
-private:
-  /** Shared with the timer's handler. */
-  struct State
-  {
-    bool armed_ = true;    ///< Whether the timer still guards reads.
-    bool expired_ = false; ///< Whether it cancelled one.
-  };
-
-  std::shared_ptr<State> state_; ///< Shared with the timer's handler.
-  asio::steady_timer timer_;     ///< Time limit.
-};
-
 /** Session of one connection; also the responder of its present request. */
 class HttpSession
   : public HttpResponder
@@ -155,7 +106,7 @@
   {
     ++context_.state_->connections_;
     if (context_.state_->closing_) {
-      shortened_.emplace(context_.state_->inFlight_);
+      count();
     }
   }
   ~HttpSession() override
@@ -174,7 +125,8 @@
     stream_.socket().non_blocking(true, ignored);
     while (serveOne(aYield)) {
     }
-    closeSlowly(aYield);
+    close(aYield);
+    counted_.reset();
   }
 
   bool send(const HttpResponse& aResponse,
@@ -252,7 +204,7 @@
 
   void shorten() override
   {
-    shortened_.emplace(context_.state_->inFlight_);
+    count();
     stream_.cancel();
   }
 
@@ -264,8 +216,7 @@
     parser.header_limit(context_.limits_.maxHeaderBytes_);
     parser.body_limit(context_.limits_.maxBodyBytes_);
     const bool came = waitForBytes(aYield);
-    const ScopedCount counted(context_.state_->inFlight_);
-    shortened_.reset();
+    count();
     if (!came) {
       return false;
     }
@@ -280,15 +231,22 @@
     monitor_.start(weak_from_this());
     context_.handler_->handle(context_.thread_, request, *this, aYield);
     monitor_.stop();
+    countEnd();
     const bool goesOn = keepAlive_ && !callerGone();
-    if (goesOn && context_.state_->closing_) {
-      // Counted before the request is not, so that the server is never idle
-      // in between.
-      shortened_.emplace(context_.state_->inFlight_);
+    if (goesOn && !context_.state_->closing_) {
+      counted_.reset();
     }
     return goesOn;
   }
 
+  /** Counts the connection as in flight unless it is. */
+  void count()
+  {
+    if (!counted_) {
+      counted_.emplace(context_.state_->inFlight_);
+    }
+  }
+
   /** Waits for the first byte of a request. @return Whether one came in time.
    */
   bool waitForBytes(const asio::yield_context& aYield)
@@ -301,13 +259,11 @@
       waiting.insert(this);
       const bool came = readBytes(context_.limits_.idleTimeout_, aYield);
       waiting.erase(this);
-      if (came || !shortened_) {
+      if (came || !counted_) {
         return came;
       }
     }
-    if (!shortened_) {
-      shortened_.emplace(context_.state_->inFlight_);
-    }
+    count();
     // The caller may have sent a request before it hears of the end.
     return readBytes(kLastWait, aYield);
   }
@@ -316,7 +272,8 @@
   bool readBytes(std::chrono::milliseconds aLimit,
                  const asio::yield_context& aYield)
   {
-    stream_.expires_after(aLimit);
+    // Leaves the connection open, since its last answer may be on the way.
+    const ReadTimer timer(stream_, aLimit);
     boost::system::error_code error;
     const std::size_t size =
       stream_.async_read_some(buffer_.prepare(kReadBytes), aYield[error]);
@@ -421,28 +378,27 @@
   }
 
   /** Closes so that the caller can still read the last response. */
-  void closeSlowly(const asio::yield_context& aYield)
+  void close(const asio::yield_context& aYield)
   {
-    boost::system::error_code error;
-    stream_.socket().shutdown(tcp::socket::shutdown_send, error);
-    std::array<char, kReadBytes> rest{};
-    std::size_t left = kMaxDrainReads;
-    while (!error && left-- > 0) {
-      stream_.expires_after(kDrainTimeout);
-      stream_.async_read_some(asio::buffer(rest), aYield[error]);
-    }
-    stream_.close();
+    const ScopedCount closing(context_.state_->closers_);
+    const BytesAtClose left =
+      closeAfterPeer(stream_, context_.limits_.closeTimeout_, aYield);
+    context_.state_->closedUnsent_ += left.unsent_ > 0 ? 1 : 0;
+    context_.state_->closedUnread_ += left.unread_ > 0 ? 1 : 0;
+  }
+
+  /** Counts answers whose caller ended its side first. */
+  void countEnd()
+  {
+    context_.state_->callersGone_ += callerGone() ? 1 : 0;
+    context_.state_->halfCloses_ +=
+      callerEnd() == CallerEnd::kSendingSide ? 1 : 0;
   }
 
   static constexpr std::size_t kReadBytes = 4096; ///< Bytes asked for at once.
   static constexpr std::chrono::milliseconds kLastWait{
     200
   }; ///< For a request that is on its way while the server closes.
-  static constexpr std::size_t kMaxDrainReads =
-    64; ///< Reads after the last response.
-  static constexpr std::chrono::milliseconds kDrainTimeout{
-    500
-  }; ///< Wait for each of them.
 
   beast::tcp_stream stream_;   ///< The connection.
   HttpSessionContext context_; ///< What the session needs from its server.
@@ -450,7 +406,9 @@
     buffer_; ///< Bytes read but not parsed, pipelined requests included.
   CallerMonitor monitor_; ///< Watches the caller.
   std::optional<ScopedCount<std::uint64_t>>
-    shortened_;           ///< Set in the last wait for a request.
+    counted_; ///< Set while the connection is in flight: from a request, or
+              ///< the last wait for one, to the end of the answer, or of the
+              ///< connection.
   unsigned version_ = 11; ///< HTTP version of the present request.
   bool keepAlive_ =
     true; ///< Whether the connection goes on after the response.
--- a/src/transport/http_type.h
+++ b/src/transport/http_type.h
@@ -85,7 +85,11 @@
   std::chrono::milliseconds idleTimeout_{ 75000 }; ///< Between two requests.
   std::chrono::milliseconds writeTimeout_{
     30000
-  };                                     ///< For one write to a caller.
+  }; ///< For one write to a caller.
+  std::chrono::milliseconds closeTimeout_{
+    10000
+  };                                     ///< For a caller to take the last
+                                         ///< answer of its connection.
   std::uint32_t maxConnections_ = 20000; ///< Open connections.
 };
 
