Measure the time of a planned stop instead of counting it

Both daemons subtracted 20 ms for each sleep of 20 ms.

StopTimer waits against times that count from the signal on the monotonic clock, so that a phase that ends late shortens the next one. Both daemons use it and log the real duration of each phase; the relay daemon's record "stopped" also tells connections that still close, and those closed with bytes unsent or unread. requests_cut no longer counts connections that only wait for their caller to take the answer.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -25,7 +25,6 @@
 constexpr milliseconds kAdmissionTick(50);  ///< Period of queue checks.
 constexpr std::uint64_t kViewTicks = 2;     ///< Control ticks a new snapshot.
 constexpr std::uint64_t kMetricsTicks = 10; ///< Control ticks new gauges.
-constexpr milliseconds kDrainPoll(20);      ///< Period of checks at the stop.
 constexpr milliseconds kQuietTime(200); ///< Time without requests at the stop.
 constexpr milliseconds kClaimFlush(5000);   ///< Longest wait for claims' ends.
 constexpr milliseconds kHandBackWait(3000); ///< Longest wait for lease returns.
@@ -313,34 +312,45 @@
 void
 Daemon::stop()
 {
+  StopTimer stop(
+    clock_, [](state::Duration aTime) { std::this_thread::sleep_for(aTime); });
   gateway_.setReady(false);
-  std::this_thread::sleep_for(settings_.balancerLag_);
+  stop.sleepUntil(settings_.balancerLag_);
+  logPhase(stop, "balancer wait");
   callers_->drain();
   forwards_.drain();
-  waitForRequests();
+  waitForRequests(stop);
   handBack();
+  logPhase(stop, "hand back");
   traffic_.stop();
   parts_.control_.stop();
   controlThread_.join();
-  LOG(INFO) << "daemon: stopped";
+  logPhase(stop, "threads");
+  const transport::HttpServerCounts counts = callers_->counts();
+  LOG(INFO) << "daemon: stopped " << state::countMs(stop.elapsed())
+            << " ms after the signal; connections closed with bytes unsent "
+            << counts.closedUnsent_ << ", unread " << counts.closedUnread_;
 }
 
 void
-Daemon::waitForRequests()
+Daemon::waitForRequests(StopTimer& aStop)
 {
-  milliseconds left = settings_.limits_.requestTimeout_;
-  milliseconds quiet(0);
-  while (left.count() > 0 && quiet < kQuietTime) {
-    std::this_thread::sleep_for(kDrainPoll);
-    left -= kDrainPoll;
-    quiet = requestsInFlight() == 0 ? quiet + kDrainPoll : milliseconds(0);
-  }
+  aStop.waitFor([this] { return requestsInFlight() == 0; },
+                aStop.elapsed() + settings_.limits_.requestTimeout_,
+                kQuietTime);
+  logPhase(aStop, "requests");
   LOG_IF(WARNING, requestsInFlight() > 0)
     << "daemon: " << requestsInFlight() << " requests outlasted the stop";
-  for (left = kClaimFlush; left.count() > 0 && hasPendingClaims();
-       left -= kDrainPoll) {
-    std::this_thread::sleep_for(kDrainPoll);
-  }
+  aStop.waitFor([this] { return !hasPendingClaims(); },
+                aStop.elapsed() + kClaimFlush);
+  logPhase(aStop, "claims");
+}
+
+void
+Daemon::logPhase(StopTimer& aStop, std::string_view aPhase)
+{
+  LOG(INFO) << "daemon: stop phase " << aPhase << " took "
+            << state::countMs(aStop.endPhase()) << " ms";
 }
 
 std::uint64_t
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -3,6 +3,7 @@
 
 #include "app/admin_handler.h"
 #include "app/daemon_parts.h"
+#include "app/stop_timer.h"
 #include "app/target_opener.h"
 #include "coordination/request/slo_tracker.h"
 #include "transport/gateway/gateway.h"
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace auburnhaven::app {
 
@@ -60,7 +62,8 @@
   void awaitSignal();
   void stop();
   void handBack();
-  void waitForRequests();
+  void waitForRequests(StopTimer& aStop);
+  static void logPhase(StopTimer& aStop, std::string_view aPhase);
   bool hasPendingClaims();
   std::uint64_t requestsInFlight() const;
 
--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -23,7 +23,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kControlTick(40); ///< Period of the control work.
-constexpr milliseconds kDrainPoll(20);   ///< Period of checks at the stop.
 constexpr milliseconds kStopMargin(500); ///< Kept of the stop limit.
 constexpr milliseconds kLogTimeout(
   50); ///< Longest wait for a traffic thread's records of open requests.
@@ -687,6 +686,8 @@
 void
 RelayDaemon::stop()
 {
+  StopTimer stop(
+    clock_, [](state::Duration aTime) { std::this_thread::sleep_for(aTime); });
   status_.setReady(false);
   callers_->closeAfterResponses();
   control_.post([this] {
@@ -701,25 +702,54 @@
       registration_.release([] {});
     }
   });
-  std::this_thread::sleep_for(settings_.balancerLag_);
+  stop.sleepUntil(settings_.balancerLag_);
+  endStopPhase(stop, "balancer wait");
   // Late requests on kept connections could not be finished in time.
   relay_.refuseAll();
   callers_->drain();
-  milliseconds left =
-    settings_.stopLimit_ - settings_.balancerLag_ - kStopMargin;
-  while (left.count() > 0 && callers_->inFlight() > 0) {
-    std::this_thread::sleep_for(kDrainPoll);
-    left -= kDrainPoll;
-  }
+  stop.waitFor([this] { return callers_->inFlight() == 0; },
+               settings_.stopLimit_ - kStopMargin);
+  endStopPhase(stop, "requests");
   logOpenRequests();
-  log_.write(state::LogWeight::kChange,
-             kPart,
-             "stopped",
-             { state::logField("requests_cut", callers_->inFlight()),
-               state::logField("requests", relay_.requests()) });
+  logStopped(stop);
   traffic_.stop();
   control_.stop();
   controlThread_.join();
+  endStopPhase(stop, "threads");
+}
+
+void
+RelayDaemon::endStopPhase(StopTimer& aStop, std::string_view aPhase)
+{
+  const transport::HttpServerCounts counts = callers_->counts();
+  log_.write(
+    state::LogWeight::kChange,
+    kPart,
+    "stop phase ended",
+    { state::logField("phase", aPhase),
+      state::logField("took_ms", state::countMs(aStop.endPhase())),
+      state::logField("since_signal_ms", state::countMs(aStop.elapsed())),
+      state::logField("requests_open", counts.requests_),
+      state::logField("connections", counts.connections_) });
+}
+
+void
+RelayDaemon::logStopped(const StopTimer& aStop)
+{
+  const transport::HttpServerCounts counts = callers_->counts();
+  log_.write(
+    state::LogWeight::kChange,
+    kPart,
+    "stopped",
+    { state::logField("requests_cut", counts.requests_),
+      state::logField("connections_closing", counts.closing_),
+      state::logField("connections_open", counts.connections_),
+      state::logField("closed_unsent", counts.closedUnsent_),
+      state::logField("closed_unread", counts.closedUnread_),
+      state::logField("callers_gone", counts.callersGone_),
+      state::logField("callers_half_closed", counts.halfCloses_),
+      state::logField("requests", relay_.requests()),
+      state::logField("since_signal_ms", state::countMs(aStop.elapsed())) });
 }
 
 void
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -3,6 +3,7 @@
 
 #include "app/lease_extender.h"
 #include "app/relay_settings_type.h"
+#include "app/stop_timer.h"
 #include "coordination/leader_lease.h"
 #include "coordination/replica/zone_leadership.h"
 #include "coordination/request/retry_budget.h"
@@ -32,6 +33,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <thread>
 
 namespace auburnhaven::app {
@@ -78,6 +80,8 @@
   void noteSignals();
   void stop();
   void logOpenRequests();
+  void endStopPhase(StopTimer& aStop, std::string_view aPhase);
+  void logStopped(const StopTimer& aStop);
 
   const RelayDaemonSettings settings_; ///< Settings.
   transport::SystemClock clock_;       ///< Clock.
--- /dev/null
+++ b/src/app/stop_timer.cpp
@@ -0,0 +1,61 @@
+// Times of a planned stop, measured from its signal.
+
+#include "app/stop_timer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnhaven::app {
+
+namespace {
+
+constexpr std::chrono::milliseconds kPoll(20); ///< Between two checks.
+
+} // namespace
+
+StopTimer::StopTimer(const state::Clock& aClock, Sleep aSleep)
+  : clock_(aClock)
+  , sleep_(std::move(aSleep))
+  , startedAt_(aClock.now())
+  , phaseAt_(startedAt_)
+{
+}
+
+void
+StopTimer::sleepUntil(state::Duration aSinceSignal)
+{
+  for (state::Duration left = aSinceSignal - elapsed(); left.count() > 0;
+       left = aSinceSignal - elapsed()) {
+    sleep_(left);
+  }
+}
+
+bool
+StopTimer::waitFor(const std::function<bool()>& aCondition,
+                   state::Duration aSinceSignal,
+                   state::Duration aHold)
+{
+  state::Duration heldFrom = elapsed();
+  for (;;) {
+    const bool holds = aCondition();
+    const state::Duration now = elapsed();
+    if (!holds) {
+      heldFrom = now;
+    } else if (now - heldFrom >= aHold) {
+      return true;
+    }
+    if (now >= aSinceSignal) {
+      return false;
+    }
+    sleep_(std::min<state::Duration>(kPoll, aSinceSignal - now));
+  }
+}
+
+state::Duration
+StopTimer::endPhase()
+{
+  const state::TimePoint now = clock_.now();
+  return now - std::exchange(phaseAt_, now);
+}
+
+} // namespace auburnhaven::app
