Log an answer as delivered only when it could be written

It now uses the results of send() and endStream(), logs "caller went away" otherwise, and names how the caller's side ended: sending side closed, reset, write error or write timeout. The records of the requests open at a stop name it too ("caller" in place of "caller_gone").

Evidence: RelayCallerTest answerThatCouldNotBeWrittenIsNotAnswered failed before ("answered" counted for a caller that had reset its connection); passes now, 3 of 3 runs. The case of a stream whose events cannot be written passed before as well; a failure of the very last chunk alone was not played.

--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -176,6 +176,7 @@
 RelayExchange::tryNextTarget()
 {
   if (responder_.callerGone()) {
+    lastDetail_ = nameOf(responder_.callerEnd());
     logOutcome(state::LogWeight::kRoutine, "caller went away");
     answered_ = true;
     return;
@@ -367,12 +368,14 @@
   supersedeOthers(aAttempt);
   lastDetail_.clear();
   logSend(aAttempt, SendOutcome::kDelivered, SendEnder::kTarget);
-  if (streaming_) {
-    responder_.endStream(yield_);
-    logOutcome(state::LogWeight::kRoutine, "stream delivered");
+  const bool taken = streaming_ ? responder_.endStream(yield_)
+                                : responder_.send(aAttempt.response(), yield_);
+  if (taken) {
+    logOutcome(state::LogWeight::kRoutine,
+               streaming_ ? "stream delivered" : "answered");
   } else {
-    responder_.send(aAttempt.response(), yield_);
-    logOutcome(state::LogWeight::kRoutine, "answered");
+    lastDetail_ = nameOf(responder_.callerEnd());
+    logOutcome(state::LogWeight::kChange, "caller went away");
   }
   answered_ = true;
 }
@@ -655,7 +658,7 @@
       state::logField("runs", runs_),
       state::logField("rejections", rejections_),
       state::logField("events", forwardedEvents_),
-      state::logField("caller_gone", responder_.callerGone()),
+      state::logField("caller", nameOf(responder_.callerEnd())),
       state::logField("detail", std::string_view(lastDetail_)) });
 }
 
--- /dev/null
+++ b/tests/platform/relay_caller_test.cpp
@@ -0,0 +1,139 @@
+// Tests of what the relay records when callers do not take their answers.
+
+#include "platform/relay_world.h"
+
+using namespace auburnhaven;
+using namespace std::chrono_literals;
+using fakes::chunk;
+using fakes::contains;
+using fakes::kStreamHead;
+using fakes::RawServer;
+using fakes::RelayWorld;
+using Socket = boost::asio::ip::tcp::socket;
+
+namespace {
+
+constexpr std::size_t kHugeBytes =
+  std::size_t{ 7 } * 1024 * 1024; ///< More than sockets take unread.
+
+constexpr int kReceiveBytes = 4096; ///< Receive buffer of such a caller.
+
+/** @return Events with more bytes than sockets take unread. */
+std::string
+hugeEvents()
+{
+  constexpr std::size_t kEventBytes = std::size_t{ 32 } * 1024;
+  std::string events;
+  for (int id = 1; events.size() < kHugeBytes; ++id) {
+    events += chunk("id: " + std::to_string(id) +
+                    "\ndata: " + std::string(kEventBytes, 'x') + "\n\n");
+  }
+  return events;
+}
+
+/** @return Number of requests that ended so. */
+std::uint64_t
+outcomes(RelayWorld& aWorld, const std::string& aOutcome)
+{
+  return aWorld.metrics_
+    .counter("auburnhaven_relay_requests_total{outcome=\"" + aOutcome + "\"}")
+    .value();
+}
+
+/** Waits until the server is idle. */
+void
+waitForIdle(const RelayWorld& aWorld)
+{
+  for (int count = 0; count < 500 && aWorld.server_.inFlight() > 0; ++count) {
+    std::this_thread::sleep_for(10ms);
+  }
+}
+
+/** Sends a request, reads nothing for a while and resets the connection. */
+void
+askAndReset(RelayWorld& aWorld, const std::string& aPath)
+{
+  boost::asio::io_context context;
+  Socket socket(context);
+  socket.connect(
+    { boost::asio::ip::address_v4::loopback(), aWorld.server_.port() });
+  boost::asio::write(socket,
+                     boost::asio::buffer(RelayWorld::request("POST", aPath)));
+  std::this_thread::sleep_for(400ms);
+  socket.set_option(Socket::linger(true, 0));
+}
+
+} // namespace
+
+class RelayCallerTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RelayCallerTest);
+  CPPUNIT_TEST(answerThatCouldNotBeWrittenIsNotAnswered);
+  CPPUNIT_TEST(streamThatCouldNotBeWrittenIsNotDelivered);
+  CPPUNIT_TEST(halfClosedCallerGetsItsStream);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void answerThatCouldNotBeWrittenIsNotAnswered()
+  {
+    const RawServer target([](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      RawServer::write(
+        aSocket, RelayWorld::response("200 OK", std::string(kHugeBytes, 'x')));
+    });
+    RelayWorld world;
+    world.startWith({ target.endpoint() });
+    askAndReset(world, "/safe/1");
+    waitForIdle(world);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, outcomes(world, "answered"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 },
+                         outcomes(world, "caller went away"));
+  }
+
+  void streamThatCouldNotBeWrittenIsNotDelivered()
+  {
+    const RawServer target([](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      RawServer::write(aSocket, kStreamHead + hugeEvents() + "0\r\n\r\n");
+    });
+    RelayWorld world;
+    world.startWith({ target.endpoint() });
+    askAndReset(world, "/stream/1");
+    waitForIdle(world);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 },
+                         outcomes(world, "stream delivered"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 },
+                         outcomes(world, "caller went away"));
+  }
+
+  void halfClosedCallerGetsItsStream()
+  {
+    const RawServer target([](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      std::this_thread::sleep_for(300ms);
+      RawServer::write(aSocket, kStreamHead + chunk("id: 1\ndata: a\n\n"));
+      std::this_thread::sleep_for(300ms);
+      RawServer::write(aSocket, chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    });
+    RelayWorld world;
+    world.startWith({ target.endpoint() });
+    boost::asio::io_context context;
+    Socket socket(context);
+    socket.connect(
+      { boost::asio::ip::address_v4::loopback(), world.server_.port() });
+    boost::asio::write(
+      socket, boost::asio::buffer(RelayWorld::request("POST", "/stream/1")));
+    socket.shutdown(Socket::shutdown_send);
+    std::string answer;
+    boost::system::error_code error;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+    CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "HTTP/1.1 200 OK\r\n"));
+    CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "id: 2\ndata: b\n\n\r\n"));
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("0\r\n\r\n"));
+    waitForIdle(world);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 },
+                         outcomes(world, "stream delivered"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayCallerTest);
