Count a forwarded attempt as in flight until its answer is written

The forward server counted an attempt until its coroutine had ended, while its answer still stood in the queue of the session. A stop that waits for this count could end with the answer unsent; only the further phases of the daemon's stop (0.5 s) hid it. The count now lasts until the stream is framed and the session has written all of it.

--- a/src/transport/forward_server.h
+++ b/src/transport/forward_server.h
@@ -27,7 +27,8 @@
   ForwardSettings settings_;                 ///< Settings.
   ForwardHandler* handler_ = nullptr;        ///< Makes the attempts.
   std::vector<Thread> threads_;              ///< By index of the thread.
-  std::atomic<std::uint64_t> inFlight_{ 0 }; ///< Attempts being made.
+  std::atomic<std::uint64_t> inFlight_{ 0 }; ///< Attempts being made
+                                             ///< or answered.
   std::atomic<bool> draining_{ false };      ///< No new attempts.
 };
 
@@ -57,7 +58,8 @@
    * flight go on. Safe from any thread.
    */
   void drain();
-  /** @return Attempts being made. Safe from any thread. */
+  /** @return Attempts being made, or whose answer is not written yet. Safe from
+   * any thread. */
   std::uint64_t inFlight() const { return state_->inFlight_; }
   /** @return Port that it listens on. */
   std::uint16_t port() const;
--- a/src/transport/forward_server_session.cpp
+++ b/src/transport/forward_server_session.cpp
@@ -70,15 +70,14 @@
     return;
   }
   found->second->started_ = true;
-  ++state_->inFlight_;
+  found->second->inFlight_ = std::make_shared<InFlight>(state_);
   asio::spawn(
     context_,
     [self = shared_from_this(), aStream, attempt = found->second](
       const asio::yield_context& aYield) {
       self->run(aStream, attempt, aYield);
     },
-    [state = state_](const std::exception_ptr& aError) {
-      --state->inFlight_;
+    [](const std::exception_ptr& aError) {
       if (aError) {
         std::rethrow_exception(aError);
       }
@@ -154,6 +153,8 @@
 {
   const auto found = attempts_.find(aStream);
   if (found != attempts_.end()) {
+    // All of its answer is framed, but not written yet.
+    h2_->afterWrite([counted = found->second->inFlight_] {});
     drop(found->second);
     attempts_.erase(found);
   }
--- a/src/transport/forward_server_session.h
+++ b/src/transport/forward_server_session.h
@@ -3,14 +3,17 @@
 
 #include "transport/forward_server.h"
 #include "transport/peer_session.h"
+#include "transport/scoped_count.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace auburnhaven::transport {
 
@@ -45,6 +48,19 @@
   void onSessionClosed(const std::string& aReason) override;
 
 private:
+  /** Counts an attempt as in flight until its answer was written. */
+  struct InFlight
+  {
+    /** @param aState Shared state of the server. */
+    explicit InFlight(std::shared_ptr<ForwardServerState> aState)
+      : state_(std::move(aState))
+      , count_(state_->inFlight_)
+    {
+    }
+
+    std::shared_ptr<ForwardServerState> state_; ///< Outlives the count.
+    ScopedCount<std::uint64_t> count_;          ///< The count.
+  };
   /** One attempt. */
   struct Attempt
   {
@@ -54,11 +70,12 @@
     {
     }
 
-    ForwardedRequest request_;          ///< The request.
-    TargetStream* target_ = nullptr;    ///< The running attempt.
-    boost::asio::steady_timer drained_; ///< Wakes a writer that waits.
-    bool started_ = false;              ///< Whether the request is whole.
-    bool gone_ = false;                 ///< Whether nobody waits for it.
+    ForwardedRequest request_;           ///< The request.
+    TargetStream* target_ = nullptr;     ///< The running attempt.
+    boost::asio::steady_timer drained_;  ///< Wakes a writer that waits.
+    std::shared_ptr<InFlight> inFlight_; ///< Set from the whole request on.
+    bool started_ = false;               ///< Whether the request is whole.
+    bool gone_ = false;                  ///< Whether nobody waits for it.
   };
   using AttemptPtr = std::shared_ptr<Attempt>; ///< An attempt.
 
--- a/src/transport/h2_session.cpp
+++ b/src/transport/h2_session.cpp
@@ -161,6 +161,23 @@
            : found->second.out_.size() - found->second.sent_;
 }
 
+void
+H2Session::afterWrite(std::function<void()> aHandler)
+{
+  if (!closed_) {
+    afterWrite_.push_back(std::move(aHandler));
+    scheduleFlush();
+  }
+}
+
+void
+H2Session::callAfterWrite()
+{
+  for (const auto& handler : std::exchange(afterWrite_, {})) {
+    handler();
+  }
+}
+
 bool
 H2Session::takesStreams() const
 {
@@ -193,6 +210,7 @@
   error_code ignored;
   socket_.close(ignored);
   timer_.cancel();
+  afterWrite_.clear();
   if (!events_) {
     return;
   }
@@ -281,6 +299,7 @@
                 static_cast<std::size_t>(size));
   }
   if (out_.empty()) {
+    callAfterWrite();
     if (nghttp2_session_want_read(session_) == 0 &&
         nghttp2_session_want_write(session_) == 0) {
       close("ended");
--- a/src/transport/h2_session.h
+++ b/src/transport/h2_session.h
@@ -8,9 +8,11 @@
 
 #include <array>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 struct nghttp2_session;
 
@@ -79,6 +81,11 @@
    * @return Bytes queued on it and not yet framed; 0 when it is gone.
    */
   std::size_t queuedBytes(H2StreamId aStream) const;
+  /**
+   * Calls back once the system has taken all that is framed now; drops the
+   * handler when the session closes first. @param aHandler The handler.
+   */
+  void afterWrite(std::function<void()> aHandler);
   /** @return Bytes read from and written to the socket. */
   std::size_t wireBytes() const { return wireBytes_; }
   /** @return Whether the session takes new streams. */
@@ -114,17 +121,20 @@
   void onWritten(const boost::system::error_code& aError, std::size_t aSize);
   void watchSilence();
   void fail(const char* aWhat, int aCode);
+  void callAfterWrite();
   Stream* find(H2StreamId aStream);
 
-  boost::asio::ip::tcp::socket socket_;           ///< The connection.
-  boost::asio::steady_timer timer_;               ///< Watches for silence.
-  H2Limits limits_;                               ///< Limits.
-  H2Role role_;                                   ///< Which side this is.
-  nghttp2_session* session_ = nullptr;            ///< The library's session.
-  std::shared_ptr<H2Events> events_;              ///< Takes the events.
-  std::map<H2StreamId, Stream> streams_;          ///< Open streams.
-  std::array<std::uint8_t, 16384> in_{};          ///< Bytes read.
-  std::string out_;                               ///< Bytes being written.
+  boost::asio::ip::tcp::socket socket_;  ///< The connection.
+  boost::asio::steady_timer timer_;      ///< Watches for silence.
+  H2Limits limits_;                      ///< Limits.
+  H2Role role_;                          ///< Which side this is.
+  nghttp2_session* session_ = nullptr;   ///< The library's session.
+  std::shared_ptr<H2Events> events_;     ///< Takes the events.
+  std::map<H2StreamId, Stream> streams_; ///< Open streams.
+  std::array<std::uint8_t, 16384> in_{}; ///< Bytes read.
+  std::string out_;                      ///< Bytes being written.
+  std::vector<std::function<void()>>
+    afterWrite_; ///< Called when all that is framed was written.
   std::chrono::steady_clock::time_point heardAt_; ///< When bytes came last.
   std::size_t wireBytes_ = 0;                     ///< Bytes read and written.
   bool flushScheduled_ = false;                   ///< Whether flush() will run.
--- a/tests/transport/forward_test.cpp
+++ b/tests/transport/forward_test.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <memory>
+#include <thread>
 #include <vector>
 
 using namespace auburnhaven;
@@ -128,6 +129,7 @@
   CPPUNIT_TEST(unreachableDaemonIsNotReached);
   CPPUNIT_TEST(wrongKeyIsNotReached);
   CPPUNIT_TEST(drainingDaemonIsNotReached);
+  CPPUNIT_TEST(answerIsInFlightUntilItIsSent);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -277,6 +279,36 @@
     });
   }
 
+  // The server's threads stop once nothing is in flight, as in a planned stop.
+  void answerIsInFlightUntilItIsSent()
+  {
+    coordination::StoredAnswer answer;
+    answer.status_ = 200;
+    answer.body_ = std::string(1000000, 'b');
+    handler_->tokens_ = 0;
+    handler_->last_.answer_ =
+      std::make_shared<const coordination::StoredAnswer>(answer);
+    transport::ForwardedRequest call = request();
+    call.call_.info_.service_ = state::ServiceId("orders");
+    call.call_.timeout_ = std::chrono::seconds(3);
+    std::thread stop([this] {
+      const auto until =
+        std::chrono::steady_clock::now() + fakes::kLoopbackLimit;
+      while ((handler_->opened_ == 0 || server_->inFlight() > 0) &&
+             std::chrono::steady_clock::now() < until) {
+        std::this_thread::yield();
+      }
+      pool_->stop();
+    });
+    TargetEvent event;
+    run([&](transport::ForwardClient& aClient, const Yield& aYield) {
+      event = aClient.open(endpoint_, call)->next(aYield);
+    });
+    stop.join();
+    CPPUNIT_ASSERT(event.kind_ == TargetEventKind::kWhole);
+    CPPUNIT_ASSERT(event.answer_ && *event.answer_ == answer);
+  }
+
 private:
   /** @return Settings of a daemon. */
   static transport::ForwardSettings settings(const std::string& aKey)
