--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -26,8 +26,9 @@
    * Sends a whole response. Call once, instead of a stream.
    * @param aResponse The response.
    * @param aYield The coroutine.
+   * @return Whether the system took it all for the caller.
    */
-  virtual void send(const HttpResponse& aResponse,
+  virtual bool send(const HttpResponse& aResponse,
                     const boost::asio::yield_context& aYield) = 0;
   /**
    * Starts a chunked response; aResponse's body is ignored.
@@ -48,20 +49,23 @@
   /**
    * Ends a chunked response as whole.
    * @param aYield The coroutine.
+   * @return Whether the system took it all for the caller.
    */
-  virtual void endStream(const boost::asio::yield_context& aYield) = 0;
+  virtual bool endStream(const boost::asio::yield_context& aYield) = 0;
   /** Ends a started stream without its end mark, so that it never looks whole.
    */
   virtual void cut() = 0;
   /**
-   * Sets what to do when the caller closes its connection before the response
-   * ended.
+   * Sets what to do when the caller leaves before the response ended. One that
+   * only sends no more has not left.
    * @param aHandler Called at most once, on the session's thread; empty for
    * none.
    */
   virtual void onCallerGone(std::function<void()> aHandler) = 0;
-  /** @return Whether the caller has closed its connection. */
-  virtual bool callerGone() const = 0;
+  /** @return Whether the caller cannot take the response any more. */
+  bool callerGone() const { return isGone(callerEnd()); }
+  /** @return How the caller's side ended so far. */
+  virtual CallerEnd callerEnd() const = 0;
 };
 
 /** Answers requests. */
@@ -107,14 +111,43 @@
   std::atomic<bool> closing_{
     false
   }; ///< Sessions wait only a moment for another request.
-  std::atomic<std::uint64_t> inFlight_{ 0 };    ///< Requests being answered,
-                                                ///< and last waits for one.
+  std::atomic<std::uint64_t> inFlight_{
+    0
+  }; ///< Requests being answered, last waits for one, and connections that
+     ///< close.
+  std::atomic<std::uint64_t> closers_{ 0 };      ///< Connections that close.
+  std::atomic<std::uint64_t> closedUnsent_{ 0 }; ///< Closed before the caller
+                                                 ///< had all bytes.
+  std::atomic<std::uint64_t> closedUnread_{ 0 }; ///< Closed with bytes of the
+                                                 ///< caller left, so reset.
+  std::atomic<std::uint64_t> callersGone_{
+    0
+  }; ///< Answers whose caller left first.
+  std::atomic<std::uint64_t> halfCloses_{ 0 };  ///< Answers whose caller only
+                                                ///< stopped sending first.
   std::atomic<std::uint64_t> connections_{ 0 }; ///< Open connections.
   std::vector<std::set<HttpWait*>>
     waiting_; ///< Sessions that wait for a request, by traffic thread; each set
               ///< for its thread only.
 };
 
+/** Counts of a server, for logs. */
+struct HttpServerCounts
+{
+  std::uint64_t connections_ = 0;  ///< Open connections.
+  std::uint64_t requests_ = 0;     ///< Requests being answered, and last waits
+                                   ///< for one.
+  std::uint64_t closing_ = 0;      ///< Connections that close, but whose caller
+                                   ///< may not have all bytes.
+  std::uint64_t closedUnsent_ = 0; ///< Connections closed before the caller had
+                                   ///< all bytes.
+  std::uint64_t closedUnread_ = 0; ///< Connections closed with bytes of the
+                                   ///< caller left, so that they were reset.
+  std::uint64_t callersGone_ = 0;  ///< Answers whose caller left first.
+  std::uint64_t halfCloses_ = 0;   ///< Answers whose caller only stopped
+                                   ///< sending before their end.
+};
+
 /** Accepts connections and runs a session coroutine for each. */
 class HttpServer
 {
@@ -145,9 +178,12 @@
    * last short wait for one that is on its way. Call once; safe from any
    * thread. */
   void drain();
-  /** @return Requests being answered, and sessions in their last wait for one.
-   * Safe from any thread. */
+  /** @return Requests being answered, sessions in their last wait for one, and
+   * connections that close, but whose caller may not have all bytes. Safe from
+   * any thread. */
   std::uint64_t inFlight() const { return state_->inFlight_; }
+  /** @return Counts since the start, and of now. Safe from any thread. */
+  HttpServerCounts counts() const;
   /** @return Port that the server listens on. */
   std::uint16_t port() const;
 
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -3,7 +3,10 @@
 #include "transport/http_session.h"
 
 #include "protocol/chat_codec.h"
+#include "transport/caller_monitor.h"
+#include "transport/connection_closer.h"
 #include "transport/http_parse_func.h"
+#include "transport/read_timer.h"
 #include "transport/scoped_count.h"
 
 #include <boost/asio.hpp>
@@ -13,6 +16,7 @@
 #include <algorithm>
 #include <array>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 namespace auburnhaven::transport {
@@ -88,57 +92,6 @@
                               : ReadFault{};
 }
 
-/**
- * Cancels the reads of a connection when a time limit passes, but leaves the
- * connection open, so that the caller can still be told. One thread only.
- */
-class ReadTimer
-{
-public:
-  /**
-   * @param aStream The connection; outlives this object.
-   * @param aLimit Time limit, from now.
-   */
-  ReadTimer(beast::tcp_stream& aStream, std::chrono::milliseconds aLimit)
-    : state_(std::make_shared<State>())
-    , timer_(aStream.get_executor(), aLimit)
-  {
-    aStream.expires_never();
-    timer_.async_wait(
-      [state = state_, &aStream](const boost::system::error_code& aError) {
-        if (!aError && state->armed_) {
-          state->expired_ = true;
-          aStream.cancel();
-        }
-      });
-  }
-  ~ReadTimer() { state_->armed_ = false; }
-  ReadTimer(const ReadTimer&) = delete;
-  ReadTimer& operator=(const ReadTimer&) = delete;
-
-  /**
-   * @param aError Error of a read that the timer guarded.
-   * @return The error, or a timeout when the timer ended the read.
-   */
-  boost::system::error_code explain(
-    const boost::system::error_code& aError) const
-  {
-    const bool mine = aError && state_->expired_;
-    return mine ? beast::error::timeout : aError;
-  }
-
-private:
-  /** Shared with the timer's handler. */
-  struct State
-  {
-    bool armed_ = true;    ///< Whether the timer still guards reads.
-    bool expired_ = false; ///< Whether it cancelled one.
-  };
-
-  std::shared_ptr<State> state_; ///< Shared with the timer's handler.
-  asio::steady_timer timer_;     ///< Time limit.
-};
-
 /** Session of one connection; also the responder of its present request. */
 class HttpSession
   : public HttpResponder
@@ -150,13 +103,18 @@
   HttpSession(tcp::socket aSocket, HttpSessionContext aContext)
     : stream_(std::move(aSocket))
     , context_(std::move(aContext))
+    , monitor_(stream_.socket(), buffer_)
   {
     ++context_.state_->connections_;
     if (context_.state_->closing_) {
-      shortened_.emplace(context_.state_->inFlight_);
+      count();
     }
   }
-  ~HttpSession() override { --context_.state_->connections_; }
+  ~HttpSession() override
+  {
+    monitor_.breakOff();
+    --context_.state_->connections_;
+  }
   HttpSession(const HttpSession&) = delete;
   HttpSession& operator=(const HttpSession&) = delete;
 
@@ -165,12 +123,14 @@
   {
     boost::system::error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
+    stream_.socket().non_blocking(true, ignored);
     while (serveOne(aYield)) {
     }
-    closeSlowly(aYield);
+    close(aYield);
+    counted_.reset();
   }
 
-  void send(const HttpResponse& aResponse,
+  bool send(const HttpResponse& aResponse,
             const asio::yield_context& aYield) override
   {
     http::response<http::string_body> message(
@@ -178,10 +138,15 @@
     fill(message, aResponse);
     message.body() = aResponse.body_;
     message.prepare_payload();
-    stream_.expires_after(context_.limits_.writeTimeout_);
-    boost::system::error_code error;
-    http::async_write(stream_, message, aYield[error]);
-    noteWrite(error);
+    return write(
+      [&](boost::system::error_code& aError, std::size_t aSent) {
+        if (aSent > 0) {
+          writeRest(message, aSent, aYield[aError]);
+        } else {
+          http::async_write(stream_, message, aYield[aError]);
+        }
+      },
+      CallerMonitor::Place::kWhole);
   }
 
   bool startStream(const HttpResponse& aResponse,
@@ -191,51 +156,56 @@
       static_cast<http::status>(aResponse.status_), version_);
     fill(message, aResponse);
     message.chunked(true);
-    http::response_serializer<http::empty_body> serializer(message);
-    stream_.expires_after(context_.limits_.writeTimeout_);
-    boost::system::error_code error;
-    http::async_write_header(stream_, serializer, aYield[error]);
-    return noteWrite(error);
+    return write(
+      [&](boost::system::error_code& aError, std::size_t aSent) {
+        if (aSent > 0) {
+          writeRest(message.base(), aSent, aYield[aError]);
+        } else {
+          http::response_serializer<http::empty_body> serializer(message);
+          http::async_write_header(stream_, serializer, aYield[aError]);
+        }
+      },
+      CallerMonitor::Place::kChunk);
   }
 
   bool writeChunk(std::string_view aData,
                   const asio::yield_context& aYield) override
   {
-    if (gone_) {
-      return false;
-    }
-    stream_.expires_after(context_.limits_.writeTimeout_);
-    boost::system::error_code error;
-    asio::async_write(
-      stream_,
-      http::make_chunk(asio::buffer(aData.data(), aData.size())),
-      aYield[error]);
-    return noteWrite(error);
+    return write(
+      [&](boost::system::error_code& aError, std::size_t /*aSent*/) {
+        asio::async_write(
+          stream_,
+          http::make_chunk(asio::buffer(aData.data(), aData.size())),
+          aYield[aError]);
+      },
+      CallerMonitor::Place::kChunk);
   }
 
-  void endStream(const asio::yield_context& aYield) override
+  bool endStream(const asio::yield_context& aYield) override
   {
-    if (gone_) {
-      return;
-    }
-    stream_.expires_after(context_.limits_.writeTimeout_);
-    boost::system::error_code error;
-    asio::async_write(stream_, http::make_chunk_last(), aYield[error]);
-    noteWrite(error);
+    return write(
+      [&](boost::system::error_code& aError, std::size_t /*aSent*/) {
+        asio::async_write(stream_, http::make_chunk_last(), aYield[aError]);
+      },
+      CallerMonitor::Place::kWhole);
   }
 
-  void cut() override { keepAlive_ = false; }
+  void cut() override
+  {
+    keepAlive_ = false;
+    monitor_.breakOff();
+  }
 
   void onCallerGone(std::function<void()> aHandler) override
   {
-    goneHandler_ = std::move(aHandler);
+    monitor_.onGone(std::move(aHandler));
   }
 
-  bool callerGone() const override { return gone_; }
+  CallerEnd callerEnd() const override { return monitor_.end(); }
 
   void shorten() override
   {
-    shortened_.emplace(context_.state_->inFlight_);
+    count();
     stream_.cancel();
   }
 
@@ -247,8 +217,7 @@
     parser.header_limit(context_.limits_.maxHeaderBytes_);
     parser.body_limit(context_.limits_.maxBodyBytes_);
     const bool came = waitForBytes(aYield);
-    const ScopedCount counted(context_.state_->inFlight_);
-    shortened_.reset();
+    count();
     if (!came) {
       return false;
     }
@@ -260,20 +229,25 @@
     version_ = parser.get().version();
     keepAlive_ = parser.keep_alive();
     const HttpRequest request = convert(parser.release());
-    goneHandler_ = nullptr;
-    watchCaller();
+    monitor_.start(weak_from_this());
     context_.handler_->handle(context_.thread_, request, *this, aYield);
-    goneHandler_ = nullptr;
-    stopWatching();
-    const bool goesOn = keepAlive_ && !gone_;
-    if (goesOn && context_.state_->closing_) {
-      // Counted before the request is not, so that the server is never idle
-      // in between.
-      shortened_.emplace(context_.state_->inFlight_);
+    monitor_.stop();
+    countEnd();
+    const bool goesOn = keepAlive_ && !callerGone();
+    if (goesOn && !context_.state_->closing_) {
+      counted_.reset();
     }
     return goesOn;
   }
 
+  /** Counts the connection as in flight unless it is. */
+  void count()
+  {
+    if (!counted_) {
+      counted_.emplace(context_.state_->inFlight_);
+    }
+  }
+
   /** Waits for the first byte of a request. @return Whether one came in time.
    */
   bool waitForBytes(const asio::yield_context& aYield)
@@ -286,13 +260,11 @@
       waiting.insert(this);
       const bool came = readBytes(context_.limits_.idleTimeout_, aYield);
       waiting.erase(this);
-      if (came || !shortened_) {
+      if (came || !counted_) {
         return came;
       }
     }
-    if (!shortened_) {
-      shortened_.emplace(context_.state_->inFlight_);
-    }
+    count();
     // The caller may have sent a request before it hears of the end.
     return readBytes(kLastWait, aYield);
   }
@@ -301,7 +273,8 @@
   bool readBytes(std::chrono::milliseconds aLimit,
                  const asio::yield_context& aYield)
   {
-    stream_.expires_after(aLimit);
+    // Leaves the connection open, since its last answer may be on the way.
+    const ReadTimer timer(stream_, aLimit);
     boost::system::error_code error;
     const std::size_t size =
       stream_.async_read_some(buffer_.prepare(kReadBytes), aYield[error]);
@@ -358,7 +331,9 @@
   template<class Message>
   void fill(Message& aMessage, const HttpResponse& aResponse)
   {
-    if (context_.state_->draining_) {
+    const bool lastRequest =
+      callerEnd() == CallerEnd::kSendingSide && buffer_.size() == 0;
+    if (context_.state_->draining_ || lastRequest) {
       keepAlive_ = false;
     }
     aMessage.set(http::field::server, "auburnhaven");
@@ -371,91 +346,72 @@
     aMessage.keep_alive(keepAlive_);
   }
 
-  /** Notes the end of a write. @return Whether the caller is still there. */
-  bool noteWrite(const boost::system::error_code& aError)
-  {
-    if (aError) {
-      markGone();
-    }
-    return !gone_;
-  }
-
-  /** Marks the caller as gone and tells the handler once. */
-  void markGone()
+  /**
+   * Writes a part of the answer.
+   * @param aWrite Writes it; takes the bytes of it that were already sent.
+   * @param aPlace What was written.
+   * @return Whether the caller is still there.
+   */
+  template<class Write>
+  bool write(const Write& aWrite, CallerMonitor::Place aPlace)
   {
-    gone_ = true;
-    const auto handler = std::exchange(goneHandler_, nullptr);
-    if (handler) {
-      handler();
+    if (callerGone()) {
+      return false;
     }
+    const std::size_t sent = monitor_.beginWrite();
+    stream_.expires_after(context_.limits_.writeTimeout_);
+    boost::system::error_code error;
+    aWrite(error, sent);
+    return monitor_.endWrite(error, aPlace);
   }
 
-  /** Notices when the caller closes its connection while its request is
-   * answered. */
-  void watchCaller()
+  /** Writes a message or header without its first bytes. */
+  template<class Message>
+  void writeRest(const Message& aMessage,
+                 std::size_t aSent,
+                 const asio::yield_context& aYield)
   {
-    ++watch_;
-    stream_.socket().async_receive(
-      asio::buffer(peek_),
-      asio::socket_base::message_peek,
-      [self = shared_from_this(), watch = watch_](
-        const boost::system::error_code& aError, std::size_t aSize) {
-        const bool closed =
-          aError != asio::error::operation_aborted && (aError || aSize == 0);
-        if (closed && watch == self->watch_) {
-          self->markGone();
-        }
-      });
+    std::ostringstream text;
+    text << aMessage;
+    const std::string bytes = text.str();
+    asio::async_write(stream_, asio::buffer(bytes) + aSent, aYield);
   }
 
-  /** Ends the watch on the caller. */
-  void stopWatching()
+  /** Closes so that the caller can still read the last response. */
+  void close(const asio::yield_context& aYield)
   {
-    ++watch_;
-    boost::system::error_code ignored;
-    if (stream_.socket().is_open()) {
-      stream_.socket().cancel(ignored);
-    }
+    const ScopedCount closing(context_.state_->closers_);
+    const BytesAtClose left =
+      closeAfterPeer(stream_, context_.limits_.closeTimeout_, aYield);
+    context_.state_->closedUnsent_ += left.unsent_ > 0 ? 1 : 0;
+    context_.state_->closedUnread_ += left.unread_ > 0 ? 1 : 0;
   }
 
-  /** Closes so that the caller can still read the last response. */
-  void closeSlowly(const asio::yield_context& aYield)
+  /** Counts answers whose caller ended its side first. */
+  void countEnd()
   {
-    boost::system::error_code error;
-    stream_.socket().shutdown(tcp::socket::shutdown_send, error);
-    std::array<char, kReadBytes> rest{};
-    std::size_t left = kMaxDrainReads;
-    while (!error && left-- > 0) {
-      stream_.expires_after(kDrainTimeout);
-      stream_.async_read_some(asio::buffer(rest), aYield[error]);
-    }
-    stream_.close();
+    context_.state_->callersGone_ += callerGone() ? 1 : 0;
+    context_.state_->halfCloses_ +=
+      callerEnd() == CallerEnd::kSendingSide ? 1 : 0;
   }
 
   static constexpr std::size_t kReadBytes = 4096; ///< Bytes asked for at once.
   static constexpr std::chrono::milliseconds kLastWait{
     200
   }; ///< For a request that is on its way while the server closes.
-  static constexpr std::size_t kMaxDrainReads =
-    64; ///< Reads after the last response.
-  static constexpr std::chrono::milliseconds kDrainTimeout{
-    500
-  }; ///< Wait for each of them.
 
   beast::tcp_stream stream_;   ///< The connection.
   HttpSessionContext context_; ///< What the session needs from its server.
   beast::flat_buffer
     buffer_; ///< Bytes read but not parsed, pipelined requests included.
-  std::array<char, 1> peek_{}; ///< Takes the byte that the watch peeks.
-  std::function<void()>
-    goneHandler_; ///< Told when the caller closes its connection.
+  CallerMonitor monitor_; ///< Watches the caller.
   std::optional<ScopedCount<std::uint64_t>>
-    shortened_;             ///< Set in the last wait for a request.
-  std::uint64_t watch_ = 0; ///< Number of the present watch.
-  unsigned version_ = 11;   ///< HTTP version of the present request.
+    counted_; ///< Set while the connection is in flight: from a request, or
+              ///< the last wait for one, to the end of the answer, or of the
+              ///< connection.
+  unsigned version_ = 11; ///< HTTP version of the present request.
   bool keepAlive_ =
-    true;             ///< Whether the connection goes on after the response.
-  bool gone_ = false; ///< Whether the caller closed its connection.
+    true; ///< Whether the connection goes on after the response.
 };
 
 } // namespace
--- a/src/transport/http_type.h
+++ b/src/transport/http_type.h
@@ -49,6 +49,28 @@
   std::string body_;    ///< Body.
 };
 
+/** How the caller's side of a connection ended. */
+enum class CallerEnd
+{
+  kNone,         ///< Not at all.
+  kSendingSide,  ///< It sends no more, but may still read.
+  kReset,        ///< It closed or reset the connection.
+  kWriteError,   ///< A write to it failed.
+  kWriteTimeout, ///< It did not read for too long.
+};
+
+/** @return Name of an end, for logs. Thread-safe. */
+std::string_view
+nameOf(CallerEnd aEnd);
+
+/** @return Whether such a caller cannot take an answer any more. Thread-safe.
+ */
+inline bool
+isGone(CallerEnd aEnd)
+{
+  return aEnd != CallerEnd::kNone && aEnd != CallerEnd::kSendingSide;
+}
+
 /** Limits of the HTTP server. */
 struct HttpServerLimits
 {
@@ -63,7 +85,11 @@
   std::chrono::milliseconds idleTimeout_{ 75000 }; ///< Between two requests.
   std::chrono::milliseconds writeTimeout_{
     30000
-  };                                     ///< For one write to a caller.
+  }; ///< For one write to a caller.
+  std::chrono::milliseconds closeTimeout_{
+    10000
+  };                                     ///< For a caller to take the last
+                                         ///< answer of its connection.
   std::uint32_t maxConnections_ = 20000; ///< Open connections.
 };
 
