Stand-ins: a load client that judges how each request ends, and times of each run

New: `auburnhaven-standins load` keeps connections to relay daemons as the users' balancer does (rotation by readiness, two misses, refused connections avoided), sends streams, lookups and confirmations, on demand reads slowly, half-closes or pipelines, retries as the users' clients do, and judges each end by LOST, TWICE, REFUSED, MIXED and ORDER with their excuses. The operator's `/runs` takes a list and tells when a run began, ended, was broken off by its worker, or ended since the worker was ordered to leave its whole copy (`ordered_away` in `/checks`).

A request that was neither run nor answered counts as lost only if the connection ended in order and this client ran in time, so the judgement doesn't depend on the machine's speed.

--- a/standins/platform/model_worker.cpp
+++ b/standins/platform/model_worker.cpp
@@ -111,6 +111,7 @@
   orders_ = 0;
   highestEpoch_ = 0;
   membership_.reset();
+  orderedAway_ = false;
   readyIn_.clear();
   lastModel_.clear();
 }
@@ -296,6 +297,7 @@
   if (wanted.epoch_ < highestEpoch_) {
     return 412;
   }
+  orderedAway_ = orderedAway_ || (isOpenHead() && isWhole());
   if (membership_) {
     const auto head = workers_.find(membership_->members_.front());
     const bool serves = head != workers_.end() && head->second->isOpenHead() &&
@@ -334,6 +336,7 @@
     return name == "leave" ? 200 : 409;
   }
   if (name == "leave") {
+    orderedAway_ = isOpenHead() && isWhole();
     membership_.reset();
     return 202;
   }
@@ -465,18 +468,21 @@
     return;
   }
   book_.partial_ += wasWhole() ? 0 : 1;
-  ++book_.runs_[aExchange.header("X-Attempt-Id")];
+  const std::string attempt = aExchange.header("X-Attempt-Id");
+  book_.begin(attempt);
+  RunEnding ending = RunEnding::kBrokeOff;
   if (takeLostAnswer(faults_)) {
     aExchange.drop();
   } else if (garble_ > 0) {
     --garble_;
     aExchange.sendGarbage();
   } else {
-    stream(aExchange);
+    ending = stream(aExchange);
   }
+  book_.end(attempt, ending);
 }
 
-void
+RunEnding
 ModelWorker::stream(Exchange& aExchange)
 {
   const std::string attempt = aExchange.header("X-Attempt-Id");
@@ -489,15 +495,19 @@
   const std::uint32_t first = numberOf(aExchange.header("Last-Event-Id")) + 1;
   for (std::uint32_t event = first; event <= events; ++event) {
     aExchange.wait(pace_.event_ * faults_.slowPermille_ / 1000);
-    if (!aExchange.open() || !waitWhole(aExchange)) {
+    if (!aExchange.open()) {
+      return RunEnding::kServed;
+    }
+    if (!waitWhole(aExchange)) {
       aExchange.drop();
-      return;
+      return orderedAway_ ? RunEnding::kOrderedAway : RunEnding::kBrokeOff;
     }
     aExchange.chunk("id: " + std::to_string(event) +
                     "\ndata: " + membership_->model_ + ' ' + attempt + ' ' +
                     std::to_string(event) + "\n\n");
   }
   aExchange.endChunks();
+  return RunEnding::kServed;
 }
 
 } // namespace auburnhaven::standins
--- a/standins/platform/model_worker.h
+++ b/standins/platform/model_worker.h
@@ -95,7 +95,8 @@
   unsigned changeState(const nlohmann::json& aOrder);
   unsigned stage(const nlohmann::json& aOrder);
   void serve(Exchange& aExchange);
-  void stream(Exchange& aExchange);
+  /** @return Why the stream ended. */
+  RunEnding stream(Exchange& aExchange);
   bool waitWhole(Exchange& aExchange);
   bool refuses(Exchange& aExchange);
   template<class Predicate>
@@ -127,6 +128,8 @@
   std::uint64_t orders_ = 0;               ///< Orders begun in this life.
   std::uint64_t highestEpoch_ = 0;         ///< Highest epoch of this life.
   std::optional<Membership> membership_;   ///< Its place in a copy.
+  bool orderedAway_ = false;      ///< Whether it was told to leave a whole copy
+                                  ///< that it served, since its latest start.
   std::set<std::string> readyIn_; ///< Copies in which it has been ready.
   std::string staged_;            ///< Model on its host.
   std::string lastModel_;         ///< Model of its latest copy.
--- a/standins/platform/plain_worker.cpp
+++ b/standins/platform/plain_worker.cpp
@@ -80,11 +80,14 @@
     return;
   }
   const transport::ScopedCount<std::uint32_t> slot(running_);
-  const std::uint32_t runs = ++book_.runs_[attempt];
+  const std::uint32_t runs = book_.begin(attempt);
   book_.accounts_[attempt] = aExchange.header("X-Tenant-Id");
   book_.repeated_ +=
     runs > 1 && aExchange.path().starts_with(kOncePath) ? 1 : 0;
   aExchange.wait(kWork);
+  const bool isWhole =
+    faults_.loseAnswers_ == 0 && garble_ == 0 && floods_ == 0;
+  book_.end(attempt, isWhole ? RunEnding::kServed : RunEnding::kBrokeOff);
   if (takeLostAnswer(faults_)) {
     aExchange.drop();
   } else if (garble_ > 0) {
--- a/standins/platform/platform_world.cpp
+++ b/standins/platform/platform_world.cpp
@@ -156,11 +156,29 @@
     open += worker->isOpenHead() ? 1 : 0;
   }
   return { { "open_copies", open },
+           { "ordered_away", book_.orderedAway_ },
            { "partial", book_.partial_ },
            { "taken", book_.taken_ },
            { "repeated", book_.repeated_ } };
 }
 
+json
+PlatformWorld::runsOf(const std::string& aAttempt) const
+{
+  const auto runs = book_.runs_.find(aAttempt);
+  const auto account = book_.accounts_.find(aAttempt);
+  const auto times = book_.times_.find(aAttempt);
+  const RunTimes none;
+  const RunTimes& when = times == book_.times_.end() ? none : times->second;
+  return { { "runs", runs == book_.runs_.end() ? 0 : runs->second },
+           { "account",
+             account == book_.accounts_.end() ? "" : account->second },
+           { "begun_ms", when.begunMs_ },
+           { "ended_ms", when.endedMs_ },
+           { "broke_off_ms", when.brokeOffMs_ },
+           { "ordered_away_ms", when.orderedAwayMs_ } };
+}
+
 void
 PlatformWorld::handleOperator(Exchange& aExchange)
 {
@@ -181,15 +199,15 @@
       workers.push_back(worker->describe());
     }
     aExchange.reply(200, workers.dump());
+  } else if (path == "/runs" && !aExchange.body().empty()) {
+    json all = json::object();
+    for (const json& attempt : json::parse(aExchange.body())) {
+      const auto name = attempt.get<std::string>();
+      all[name] = runsOf(name);
+    }
+    aExchange.reply(200, all.dump());
   } else if (path == "/runs") {
-    const std::string attempt = aExchange.query("attempt");
-    const auto runs = book_.runs_.find(attempt);
-    const auto account = book_.accounts_.find(attempt);
-    const json body = {
-      { "runs", runs == book_.runs_.end() ? 0 : runs->second },
-      { "account", account == book_.accounts_.end() ? "" : account->second }
-    };
-    aExchange.reply(200, body.dump());
+    aExchange.reply(200, runsOf(aExchange.query("attempt")).dump());
   } else if (path == "/arrivals") {
     aExchange.reply(200,
                     std::to_string(book_.arrivals_[aExchange.query("worker")]));
--- a/standins/platform/platform_world.h
+++ b/standins/platform/platform_world.h
@@ -32,8 +32,7 @@
 /**
  * Hosts the users' platform on one thread. The operator's port takes a merge
  * patch of the configuration at "/config", and tells what was seen at
- * "/checks",
- * "/workers" and "/runs".
+ * "/checks", "/workers" and "/runs" (of one attempt, or of a list in the body).
  */
 class PlatformWorld
 {
@@ -49,6 +48,7 @@
   void hostWorkers();
   void handleOperator(Exchange& aExchange);
   nlohmann::json checks() const;
+  nlohmann::json runsOf(const std::string& aAttempt) const;
   nlohmann::json firstConfig() const;
   void submit();
 
--- a/standins/standins_command.cpp
+++ b/standins/standins_command.cpp
@@ -2,6 +2,7 @@
 
 #include "standins_command.h"
 
+#include "platform/load/load_run.h"
 #include "platform/platform_world.h"
 #include "world.h"
 
@@ -76,6 +77,31 @@
   return command;
 }
 
+/** Declares the load client's command. @return The command. */
+const CLI::App*
+addLoad(CLI::App& aApp, LoadOptions& aOptions)
+{
+  CLI::App* const command = aApp.add_subcommand(
+    "load", "Clients of relay daemons; judges how each request ends");
+  command->add_option("--daemons", aOptions.daemons_, "Addresses for callers")
+    ->delimiter(',')
+    ->required();
+  command->add_option("--operator", aOptions.operator_, "The operator")
+    ->required();
+  command->add_option("--connections", aOptions.connections_);
+  command->add_option("--seed", aOptions.seed_);
+  command->add_option("--slow-percent", aOptions.slowPercent_)
+    ->check(CLI::Range(0U, 100U));
+  command->add_option("--half-close-percent", aOptions.halfClosePercent_)
+    ->check(CLI::Range(0U, 100U));
+  command->add_option("--pipeline-percent", aOptions.pipelinePercent_)
+    ->check(CLI::Range(0U, 100U));
+  command->add_option("--body-bytes", aOptions.bodyBytes_);
+  command->add_option("--events", aOptions.events_)
+    ->check(CLI::Range(1U, 1000U));
+  return command;
+}
+
 /** Prints where everything listens, one line each. */
 void
 printPlan(const WorldOptions& aOptions)
@@ -104,7 +130,9 @@
   PlatformOptions platform;
   Units units;
   addOptions(app, options, units);
+  LoadOptions load;
   const CLI::App* const onPlatform = addPlatform(app, platform);
+  const CLI::App* const asLoad = addLoad(app, load);
   try {
     app.parse(aCount, aArguments);
   } catch (const CLI::ParseError& error) {
@@ -114,6 +142,9 @@
     std::chrono::microseconds(static_cast<std::int64_t>(units.tokenMs_ * 1000));
   options.engine_.load_ = std::chrono::milliseconds(units.loadMs_);
   try {
+    if (asLoad->parsed()) {
+      return LoadRun(load).run() == 0 ? 0 : 1;
+    }
     if (onPlatform->parsed()) {
       PlatformWorld world(platform);
       std::cout << world.plan() << "ready" << std::endl;
