Try further targets for as long as a target is silent, and never at the cost of its stream

Change: rejecting targets are admitted again after a pause that grows with each rejection; the write of a further send is bounded by the connect timeout; the caller is asked for before a send; what has arrived is read up to 50 ms after the deadline.

Evidence: RelaySilenceTest streamOfALostTargetGoesOnOnceAnotherHasRoom and targetThatReadsNothingDelaysNoOtherStream, new, pass (9 of 9); RelayTest 20, RelayTroubleTest 17 pass. They were not run on the former code.

--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -24,6 +24,12 @@
 constexpr std::string_view kPart = "request"; ///< Part that log records name.
 constexpr milliseconds kMinSendTime(
   15); ///< Least time left at which a request is still sent to a target.
+constexpr milliseconds kLateReadTime(
+  50); ///< Longest time after the deadline in which a response that has arrived
+       ///< is read.
+constexpr std::uint32_t kMaxPauseFactor =
+  10; ///< Limit of the growth of the pause after rejections.
+
 constexpr std::uint32_t kUnauthorized = 401; ///< No client account has the key.
 constexpr std::uint32_t kNotFound = 404;     ///< No route matches.
 constexpr std::uint32_t kBadGateway = 502;   ///< May have run; no response.
@@ -198,17 +204,13 @@
       refuse(target);
       return;
     }
-    // Targets that were full may have room by now.
-    std::erase_if(need_.excluded_, [this](const state::VmId& aVm) {
-      return std::find(rejectedBy_.begin(), rejectedBy_.end(), aVm) !=
-             rejectedBy_.end();
-    });
+    readmitRejecting();
     nextTryAt_ = dependencies_.clock_.now() + settings_.resumePause_;
     return;
   }
   if (!acquireRetry(target)) {
     lastDetail_ = "retry budget exhausted";
-    if (!streaming_) {
+    if (!streaming_ && !responder_.callerGone()) {
       giveUp();
     }
     return;
@@ -225,11 +227,23 @@
            : dependencies_.targets_.choose(need_);
 }
 
+void
+RelayExchange::readmitRejecting()
+{
+  // Targets that were full may have room by now.
+  std::erase_if(need_.excluded_, [this](const state::VmId& aVm) {
+    return std::find(rejectedBy_.begin(), rejectedBy_.end(), aVm) !=
+           rejectedBy_.end();
+  });
+  rejectedBy_.clear();
+}
+
 bool
 RelayExchange::acquireRetry(const TargetDecision& aTarget)
 {
   // A send counts as a retry only if an earlier one may have reached a target.
-  if (arrivals_ == 0 || dependencies_.budget_.tryAcquireRetry()) {
+  const bool gone = responder_.callerGone();
+  if (!gone && (arrivals_ == 0 || dependencies_.budget_.tryAcquireRetry())) {
     return true;
   }
   dependencies_.targets_.finish(aTarget.vm_, SendResult::kAborted);
@@ -262,17 +276,17 @@
 {
   ++sends_;
   const milliseconds left = std::max(milliseconds(1), timeLeft());
+  const milliseconds connect = std::min(settings_.connectTimeout_, left);
+  // Nobody reads the response of an earlier send meanwhile.
+  const milliseconds write = attempts_.empty() ? left : connect;
   const HttpClientRequest request = requestFor(aTarget);
   staleConnection_ = false;
   auto attempt = std::make_unique<RelayAttempt>(
     dependencies_, info_, aTarget, isStream(), position_);
   HttpAborter aborter;
   aborter_ = &aborter;
-  attempt->send(client_,
-                request,
-                { std::min(settings_.connectTimeout_, left), left, left, left },
-                yield_,
-                aborter);
+  attempt->send(
+    client_, request, { connect, write, left, left }, yield_, aborter);
   aborter_ = nullptr;
   if (attempt->mayHaveArrived()) {
     ++arrivals_;
@@ -297,6 +311,9 @@
     giveUp();
     return;
   }
+  if (dependencies_.clock_.now() >= nextTryAt_) {
+    readmitRejecting();
+  }
   if (isBackupDue()) {
     startBackup();
   } else if (!attempts_.empty()) {
@@ -308,8 +325,9 @@
 RelayExchange::pollAttempts()
 {
   bool hasNews = true;
+  // What has arrived at the deadline is still forwarded.
   while (hasNews && !answered_ && !responder_.callerGone() &&
-         dependencies_.clock_.now() < deadline_) {
+         dependencies_.clock_.now() < deadline_ + kLateReadTime) {
     hasNews = false;
     for (const AttemptPtr& attempt : attempts_) {
       const AttemptProgress progress = attempt->poll(yield_);
@@ -357,7 +375,7 @@
     }
     ++forwardedEvents_;
     aAttempt.noteForwarded(position_);
-    if (dependencies_.clock_.now() >= deadline_) {
+    if (dependencies_.clock_.now() >= deadline_ + kLateReadTime) {
       return;
     }
   }
@@ -406,7 +424,9 @@
   }
   if (outcome == SendOutcome::kNotRun) {
     ++rejections_;
-    nextTryAt_ = dependencies_.clock_.now() + settings_.resumePause_;
+    nextTryAt_ =
+      dependencies_.clock_.now() +
+      settings_.resumePause_ * std::min(rejections_, kMaxPauseFactor);
   } else {
     ++runs_;
   }
@@ -448,8 +468,7 @@
 RelayExchange::isBackupDue() const
 {
   const state::TimePoint now = dependencies_.clock_.now();
-  if (attempts_.size() != 1 || now < nextTryAt_ ||
-      rejections_ >= settings_.maxRejections_) {
+  if (attempts_.size() != 1 || now < nextTryAt_) {
     return false;
   }
   const RelayAttempt& attempt = *attempts_.front();
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -76,6 +76,7 @@
   void startBackup();
   void start(const coordination::TargetDecision& aTarget);
   coordination::TargetDecision chooseTarget();
+  void readmitRejecting();
   bool acquireRetry(const coordination::TargetDecision& aTarget);
   HttpClientRequest requestFor(
     const coordination::TargetDecision& aTarget) const;
--- a/tests/platform/relay_silence_test.cpp
+++ b/tests/platform/relay_silence_test.cpp
@@ -73,6 +73,8 @@
   CPPUNIT_TEST(unlistedReplicaKeepsItsStream);
   CPPUNIT_TEST(unlistedReplicaKeepsItsAnswer);
   CPPUNIT_TEST(brokenOffStreamOutlastsFullTargets);
+  CPPUNIT_TEST(streamOfALostTargetGoesOnOnceAnotherHasRoom);
+  CPPUNIT_TEST(targetThatReadsNothingDelaysNoOtherStream);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -154,6 +156,36 @@
     expectWhole(postStream(world));
   }
 
+  void streamOfALostTargetGoesOnOnceAnotherHasRoom()
+  {
+    const auto silentForever = [](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      RawServer::write(aSocket, kStreamHead + event(1));
+      RawServer::readUntil(aSocket, "never sent");
+    };
+    OrderedTargets targets(
+      { silentForever,
+        respondWith(kRejection),
+        respondWith(kRejection),
+        respondWith(kRejection),
+        respondWith(kRejection),
+        respondWith(kStreamHead + event(2) + kLastChunk) });
+    RelayWorld world(impatient());
+    world.startWith(targets.endpoints());
+    expectWhole(postStream(world));
+  }
+
+  void targetThatReadsNothingDelaysNoOtherStream()
+  {
+    OrderedTargets targets({ pauseBefore(2), [](Socket&, int) {
+                              std::this_thread::sleep_for(3s);
+                            } });
+    RelayWorld world(impatient());
+    world.startWith(targets.endpoints());
+    const std::string body(std::size_t{ 4 } * 1024 * 1024, 'x');
+    expectWhole(world.ask(RelayWorld::request("POST", "/stream/", body)));
+  }
+
 private:
   static std::string postStream(RelayWorld& aWorld)
   {
