Keep a stopping daemon registered until its requests have ended, and end them before what they use

Cause: a daemon ended its registration at the signal, though its streams go on for seconds. From then on no coordinator asked it for stream evidence, so that a replica whose streams run there counted as lost after unanswered polls alone, and it got no digest. Besides, requests that outlast the stop were unwound after the objects that they use (RelayHandler, TargetPool, StreamActivity) were destroyed: found by the review, by reading.

Change: the registration ends after the last request, at most 200 ms are waited for the store; the traffic pool is declared after what requests use, so that it is destroyed first. Records of open requests may take 200 ms instead of 50.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -24,8 +24,10 @@
 
 constexpr milliseconds kControlTick(40); ///< Period of the control work.
 constexpr milliseconds kStopMargin(500); ///< Kept of the stop limit.
+constexpr milliseconds kReleaseTimeout(
+  200); ///< Longest wait for the store to end the registration.
 constexpr milliseconds kLogTimeout(
-  50); ///< Longest wait for a traffic thread's records of open requests.
+  200); ///< Longest wait for a traffic thread's records of open requests.
 constexpr milliseconds kOwnZonePatience(
   150); ///< Longest random wait before a daemon of the zone tries for the
         ///< vacant duty.
@@ -225,15 +227,9 @@
               { settings_.listeners_.peers_,
                 seed_,
                 settings_.linkMbps_ * kBytesPerMegabit })
-  , traffic_(1)
   , targets_(clock_,
              poolSettings(settings_),
              [engine = std::mt19937_64(seed_)]() mutable { return engine(); })
-  , placements_(traffic_.context(0),
-                clock_,
-                targets_,
-                log_,
-                settings_.listeners_.digests_)
   , activity_(clock_)
   , activities_(
       clock_,
@@ -258,6 +254,12 @@
              &activity_ },
            {})
   , status_(settings_.readyPath_, metrics_)
+  , traffic_(1)
+  , placements_(traffic_.context(0),
+                clock_,
+                targets_,
+                log_,
+                settings_.listeners_.digests_)
 {
   for (std::size_t thread = 0; thread < traffic_.size(); ++thread) {
     trafficClients_.push_back(std::make_unique<transport::HttpClient>(
@@ -698,9 +700,6 @@
       extender_.handOver(zone);
       handBack(*duty);
     }
-    if (registration_.holds()) {
-      registration_.release([] {});
-    }
   });
   stop.sleepUntil(settings_.balancerLag_);
   endStopPhase(stop, "balancer wait");
@@ -711,6 +710,7 @@
                settings_.stopLimit_ - kStopMargin);
   endStopPhase(stop, "requests");
   logOpenRequests();
+  endRegistration();
   logStopped(stop);
   traffic_.stop();
   control_.stop();
@@ -718,6 +718,20 @@
   endStopPhase(stop, "threads");
 }
 
+void
+RelayDaemon::endRegistration()
+{
+  const auto done = std::make_shared<std::promise<void>>();
+  control_.post([this, done] {
+    if (registration_.holds()) {
+      registration_.release([done] { done->set_value(); });
+    } else {
+      done->set_value();
+    }
+  });
+  done->get_future().wait_for(kReleaseTimeout);
+}
+
 void
 RelayDaemon::endStopPhase(StopTimer& aStop, std::string_view aPhase)
 {
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -80,6 +80,9 @@
   void noteSignals();
   void stop();
   void logOpenRequests();
+  /** Ends the own registration. Not before the requests have ended: daemons ask
+   * only registered ones for stream evidence, and send only these digests. */
+  void endRegistration();
   void endStopPhase(StopTimer& aStop, std::string_view aPhase);
   void logStopped(const StopTimer& aStop);
 
@@ -113,20 +116,22 @@
   transport::PeerLinks links_;        ///< Links to other daemons.
   protocol::ConfigExchange exchange_; ///< Configuration from peers.
   std::map<state::ZoneId, std::unique_ptr<coordination::ZoneLeadership>>
-    duties_;                       ///< Coordination of each zone.
-  transport::TrafficPool traffic_; ///< Traffic thread.
-  std::vector<std::unique_ptr<transport::HttpClient>>
-    trafficClients_;                       ///< HTTP of each traffic thread.
+    duties_;                               ///< Coordination of each zone.
   coordination::TargetPool targets_;       ///< Choice of targets.
-  transport::PlacementClient placements_;  ///< Asks for places at copies.
   coordination::StreamActivity activity_;  ///< Events of the streams relayed.
   transport::ActivityExchange activities_; ///< Tells and asks for such events.
   LeaseExtender extender_;           ///< Extends the authority of coordinators.
   coordination::RetryBudget budget_; ///< Budget of repeated sends.
   platform::RequestDialect dialect_; ///< Request headers.
   transport::SnapshotHolder<coordination::RouteTable> routes_; ///< Routes.
-  transport::RelayHandler relay_;                   ///< Answers callers.
-  transport::StatusHandler status_;                 ///< Answers the balancer.
+  transport::RelayHandler relay_;   ///< Answers callers.
+  transport::StatusHandler status_; ///< Answers the balancer.
+  // The end of the pool ends requests that are still open, which use what is
+  // declared above.
+  transport::TrafficPool traffic_; ///< Traffic thread.
+  std::vector<std::unique_ptr<transport::HttpClient>>
+    trafficClients_;                      ///< HTTP of each traffic thread.
+  transport::PlacementClient placements_; ///< Asks for places at copies.
   std::unique_ptr<transport::HttpServer> callers_;  ///< Callers' listener.
   std::unique_ptr<transport::HttpServer> balancer_; ///< Status listener.
   std::thread controlThread_;                       ///< The control thread.
