End open requests before the parts that they use at a stop

A daemon whose stop ran into its limit with requests open ended with a segmentation fault: its destructor destroyed the relay's parts first and the traffic threads' coroutines, which use them, last.

HttpServer::abandon() breaks off the answers under way, so that none looks whole, and tells their handlers that the caller is gone; both daemons call it after the record of the stop and wait up to 200 ms for the handlers' ends. Ending them also closes the calls to the targets in order.

RelayCallerTest abandonedRequestsEndBeforeTheRelayDoes checks the ends.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -28,7 +28,9 @@
 constexpr milliseconds kQuietTime(200); ///< Time without requests at the stop.
 constexpr milliseconds kClaimFlush(5000);   ///< Longest wait for claims' ends.
 constexpr milliseconds kHandBackWait(3000); ///< Longest wait for lease returns.
-constexpr milliseconds kLeaveWait(300);     ///< Time for the last messages.
+constexpr milliseconds kAbandonWait(
+  200); ///< Longest wait for the ends of requests that outlast the stop.
+constexpr milliseconds kLeaveWait(300); ///< Time for the last messages.
 
 /** @return Start of this process in milliseconds of wall time. */
 state::Incarnation
@@ -322,6 +324,10 @@
   waitForRequests(stop);
   handBack();
   logPhase(stop, "hand back");
+  // No request may outlive the parts that its exchange uses.
+  callers_->abandon();
+  stop.waitFor([this] { return callers_->counts().requests_ == 0; },
+               stop.elapsed() + kAbandonWait);
   traffic_.stop();
   parts_.control_.stop();
   controlThread_.join();
--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -24,6 +24,8 @@
 
 constexpr milliseconds kControlTick(40); ///< Period of the control work.
 constexpr milliseconds kStopMargin(500); ///< Kept of the stop limit.
+constexpr milliseconds kAbandonWait(
+  200); ///< Longest wait for the ends of requests that outlast the stop.
 constexpr milliseconds kLogTimeout(
   50); ///< Longest wait for a traffic thread's records of open requests.
 constexpr milliseconds kOwnZonePatience(
@@ -712,6 +714,11 @@
   endStopPhase(stop, "requests");
   logOpenRequests();
   logStopped(stop);
+  // No request may outlive the parts that its exchange uses.
+  callers_->abandon();
+  stop.waitFor([this] { return callers_->counts().requests_ == 0; },
+               stop.elapsed() + kAbandonWait);
+  endStopPhase(stop, "abandoned requests");
   traffic_.stop();
   control_.stop();
   controlThread_.join();
--- a/src/transport/caller_monitor.cpp
+++ b/src/transport/caller_monitor.cpp
@@ -102,7 +102,8 @@
 void
 CallerMonitor::breakOff()
 {
-  const bool zeros = place_ == Place::kChunk && probes_ > 0 && !gone();
+  const bool zeros =
+    place_ == Place::kChunk && probes_ > 0 && !writing_ && !gone();
   place_ = Place::kWhole;
   error_code error;
   if (!zeros || socket_.write_some(asio::buffer(kBrokenChunk), error) ==
--- a/src/transport/caller_monitor.h
+++ b/src/transport/caller_monitor.h
@@ -79,8 +79,10 @@
    * @return Whether the caller is still there.
    */
   bool endWrite(const boost::system::error_code& aError, Place aPlace);
-  /** Makes a stream that ends here look broken. Call between writes. */
+  /** Makes a stream that ends here look broken, unless a write is under way. */
   void breakOff();
+  /** Takes the caller for gone. */
+  void abandon() { leave(CallerEnd::kAbandoned); }
 
   /** @return How the caller's side ended so far. */
   CallerEnd end() const { return end_; }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -206,6 +206,18 @@
   }
 }
 
+void
+HttpServer::abandon()
+{
+  for (std::size_t thread = 0; thread < pool_.size(); ++thread) {
+    asio::post(pool_.context(thread), [state = state_, thread] {
+      for (HttpAnswer* answer : std::set(state->answering_[thread])) {
+        answer->abandon();
+      }
+    });
+  }
+}
+
 HttpServerCounts
 HttpServer::counts() const
 {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -96,12 +96,24 @@
   virtual void shorten() = 0;
 };
 
-/** What the sessions of a server share. Thread-safe but for waiting_. */
+/** A session that answers a request. Used on its thread. */
+class HttpAnswer
+{
+public:
+  virtual ~HttpAnswer() = default;
+  /** Breaks the answer off, so that it never looks whole, closes the connection
+   * and tells the handler that its caller is gone. */
+  virtual void abandon() = 0;
+};
+
+/** What the sessions of a server share. Thread-safe but for waiting_ and
+ * answering_. */
 struct HttpServerState
 {
   /** @param aThreads Number of traffic threads. */
   explicit HttpServerState(std::size_t aThreads)
     : waiting_(aThreads)
+    , answering_(aThreads)
   {
   }
 
@@ -129,6 +141,8 @@
   std::vector<std::set<HttpWait*>>
     waiting_; ///< Sessions that wait for a request, by traffic thread; each set
               ///< for its thread only.
+  std::vector<std::set<HttpAnswer*>>
+    answering_; ///< Sessions that answer a request, likewise.
 };
 
 /** Counts of a server, for logs. */
@@ -178,6 +192,9 @@
    * last short wait for one that is on its way. Call once; safe from any
    * thread. */
   void drain();
+  /** Breaks off the answers that are under way; inFlight() tells when their
+   * handlers have returned. Call after drain(); safe from any thread. */
+  void abandon();
   /** @return Requests being answered, sessions in their last wait for one, and
    * connections that close, but whose caller may not have all bytes. Safe from
    * any thread. */
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -95,6 +95,7 @@
 class HttpSession
   : public HttpResponder
   , public HttpWait
+  , public HttpAnswer
   , public std::enable_shared_from_this<HttpSession>
 {
 public:
@@ -208,6 +209,13 @@
     stream_.cancel();
   }
 
+  void abandon() override
+  {
+    monitor_.breakOff();
+    monitor_.abandon();
+    stream_.close();
+  }
+
 private:
   /** Reads and answers one request. @return Whether to go on. */
   bool serveOne(const asio::yield_context& aYield)
@@ -228,9 +236,12 @@
     version_ = parser.get().version();
     keepAlive_ = parser.keep_alive();
     const HttpRequest request = convert(parser.release());
+    auto& answering = context_.state_->answering_[context_.thread_];
+    answering.insert(this);
     monitor_.start(weak_from_this());
     context_.handler_->handle(context_.thread_, request, *this, aYield);
     monitor_.stop();
+    answering.erase(this);
     countEnd();
     const bool goesOn = keepAlive_ && !callerGone();
     if (goesOn && !context_.state_->closing_) {
--- a/src/transport/http_type.cpp
+++ b/src/transport/http_type.cpp
@@ -50,6 +50,8 @@
       return "write error";
     case CallerEnd::kWriteTimeout:
       return "write timeout";
+    case CallerEnd::kAbandoned:
+      return "abandoned";
   }
   return "";
 }
--- a/src/transport/http_type.h
+++ b/src/transport/http_type.h
@@ -57,6 +57,7 @@
   kReset,        ///< It closed or reset the connection.
   kWriteError,   ///< A write to it failed.
   kWriteTimeout, ///< It did not read for too long.
+  kAbandoned,    ///< The server gave it up.
 };
 
 /** @return Name of an end, for logs. Thread-safe. */
--- a/tests/platform/relay_caller_test.cpp
+++ b/tests/platform/relay_caller_test.cpp
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(answerThatCouldNotBeWrittenIsNotAnswered);
   CPPUNIT_TEST(streamThatCouldNotBeWrittenIsNotDelivered);
   CPPUNIT_TEST(halfClosedCallerGetsItsStream);
+  CPPUNIT_TEST(abandonedRequestsEndBeforeTheRelayDoes);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -134,6 +135,40 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 },
                          outcomes(world, "stream delivered"));
   }
+
+  // A request that outlived the relay's parts crashed the process at its end.
+  void abandonedRequestsEndBeforeTheRelayDoes()
+  {
+    const RawServer target([](Socket& aSocket, int aIndex) {
+      RawServer::readRequest(aSocket);
+      if (aIndex > 0) {
+        RawServer::write(aSocket, kStreamHead + chunk("id: 1\ndata: a\n\n"));
+      }
+      RawServer::readUntil(aSocket, "never");
+    });
+    for (const char* path : { "/safe/1", "/stream/1" }) {
+      RelayWorld world;
+      world.startWith({ target.endpoint() });
+      boost::asio::io_context context;
+      Socket socket(context);
+      socket.connect(
+        { boost::asio::ip::address_v4::loopback(), world.server_.port() });
+      boost::asio::write(
+        socket, boost::asio::buffer(RelayWorld::request("POST", path)));
+      std::this_thread::sleep_for(300ms);
+      world.server_.drain();
+      const auto start = std::chrono::steady_clock::now();
+      world.server_.abandon();
+      waitForIdle(world);
+      CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < 1s);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 },
+                           outcomes(world, "caller went away"));
+      std::string answer;
+      boost::system::error_code error;
+      boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+      CPPUNIT_ASSERT_MESSAGE(answer, !answer.ends_with("0\r\n\r\n"));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayCallerTest);
