Let a replica that gives way to another model complete its requests

Cause: the layout closed an open replica whose VMs another model needs by ordering its head to leave at once, which ends what it runs. Its record said 'replica phase changed', open to shutting, 'another model needs its VMs', 60 ms before the stream ended.

Change: such a replica empties first, up to 10 s, as one with a leaving member does for 1.8 s; nothing else is planned in its domain meanwhile.

--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -324,7 +324,9 @@
   const bool idle = hasCurrentReport(aReplica, aReplica.members_.front().vm_) &&
                     reportsNoRequests(aReplica) &&
                     clock_.now() - aReplica.since_ > limits_.stallMargin_;
-  if (idle || clock_.now() - aReplica.since_ > limits_.drainTimeout_) {
+  const state::Duration limit =
+    hasLeavingMember(aReplica) ? limits_.drainTimeout_ : limits_.emptyTimeout_;
+  if (idle || clock_.now() - aReplica.since_ > limit) {
     setPhase(aReplica,
              ReplicaPhase::kShutting,
              idle ? "all requests have completed" : "drain timeout expired");
--- a/src/coordination/replica/replica_coordinator_plan.cpp
+++ b/src/coordination/replica/replica_coordinator_plan.cpp
@@ -113,9 +113,12 @@
   }
   const bool closing =
     std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& aEntry) {
-      return aEntry.second.domain_ == aDomain &&
-             (aEntry.second.phase_ == ReplicaPhase::kShutting ||
-              aEntry.second.phase_ == ReplicaPhase::kDoubted);
+      const Replica& replica = aEntry.second;
+      const bool givesWay =
+        replica.phase_ == ReplicaPhase::kEmptying && !hasLeavingMember(replica);
+      return replica.domain_ == aDomain &&
+             (givesWay || replica.phase_ == ReplicaPhase::kShutting ||
+              replica.phase_ == ReplicaPhase::kDoubted);
     });
   return !closing && clock_.now() - since >= kStableTime;
 }
@@ -227,7 +230,7 @@
   const ReplicaPlan changes = planReplicas(makeSnapshot());
   for (const state::ReplicaId& id : changes.close_) {
     setPhase(
-      replicas_.at(id), ReplicaPhase::kShutting, "another model needs its VMs");
+      replicas_.at(id), ReplicaPhase::kEmptying, "another model needs its VMs");
   }
   for (const FormAction& action : changes.form_) {
     form(action);
--- a/src/coordination/replica/replica_limits_type.h
+++ b/src/coordination/replica/replica_limits_type.h
@@ -41,6 +41,9 @@
   state::Duration drainTimeout_ = std::chrono::milliseconds(
     1800); ///< Longest time that a replica with a leaving member may take to
            ///< complete its in-flight requests.
+  state::Duration emptyTimeout_ = std::chrono::seconds(
+    10); ///< Longest time that a replica whose VMs another model needs may take
+         ///< to complete its in-flight requests.
   state::Duration joinTimeout_ = std::chrono::seconds(
     60); ///< Time after which a replica that is not ready is abandoned.
   state::Duration unregisteredPollTime_ = std::chrono::seconds(
--- a/src/coordination/replica/replica_type.h
+++ b/src/coordination/replica/replica_type.h
@@ -17,7 +17,7 @@
   kOpening,  ///< All members are ready; the head is ordered to accept requests.
   kOpen,     ///< It accepts requests.
   kEmptying, ///< It completes its in-flight requests because a member is
-             ///< leaving.
+             ///< leaving, or another model needs its VMs.
   kDoubted,  ///< A member may be lost. It gets no new requests, but may go on
              ///< with those that it has.
   kShutting, ///< The head is ordered to leave the replica.
