List an open replica whose head has not answered, without its load

Cause: a digest left out an open replica that a successor adopted by its registrations, and then did not claim to be complete. A daemon that the store turned away then went back to registrations that it no longer updates.

That this is the cause is suspected from the code, not shown.

Change: the replica is listed with a load too old to be used, and the digest stays complete.

--- a/src/coordination/replica/replica_coordinator.cpp
+++ b/src/coordination/replica/replica_coordinator.cpp
@@ -16,6 +16,17 @@
 constexpr double kLoadBurst = 2; ///< Burst size of a zone's loads.
 constexpr std::chrono::seconds kMissingLogPeriod(
   1); ///< Interval between log records about missing reports.
+constexpr std::chrono::seconds kUnknownLoadAge(
+  10); ///< Age of a load that no daemon uses any more.
+
+/** @return A report that is too old to tell the load of an engine. */
+state::EngineReport
+unknownReport(state::TimePoint aNow)
+{
+  state::EngineReport report;
+  report.askedAt_ = aNow - kUnknownLoadAge;
+  return report;
+}
 
 } // namespace
 
@@ -144,11 +155,6 @@
     if (!open || dissolved_.contains(id) || head == nullptr) {
       continue;
     }
-    if (!head->report_) {
-      // The registration of the head decides until it has answered.
-      digest.complete_ = false;
-      continue;
-    }
     double slowness = 1;
     for (const ReplicaMember& member : replica.members_) {
       const MonitoredEngine* engine = monitor_.find(member.vm_);
@@ -156,14 +162,17 @@
       slowness =
         std::max(slowness, reported ? engine->report_->slowness_ : 1.0);
     }
+    // A head that has not answered yet has no known load.
+    const state::EngineReport report =
+      head->report_.value_or(unknownReport(clock_.now()));
     digest.copies_.push_back({ head->instance_.id_,
                                head->instance_.endpoint_,
                                replica.model_,
-                               head->report_->load_.running_,
-                               head->report_->load_.waiting_,
+                               report.load_.running_,
+                               report.load_.waiting_,
                                finishing,
                                slowness,
-                               head->report_->askedAt_ - engine_->reportLag_ });
+                               report.askedAt_ - engine_->reportLag_ });
   }
   return digest;
 }
