--- a/tests/platform/relay_caller_test.cpp
+++ b/tests/platform/relay_caller_test.cpp
@@ -16,8 +16,6 @@
 constexpr std::size_t kHugeBytes =
   std::size_t{ 7 } * 1024 * 1024; ///< More than sockets take unread.
 
-constexpr int kReceiveBytes = 4096; ///< Receive buffer of such a caller.
-
 /** @return Events with more bytes than sockets take unread. */
 std::string
 hugeEvents()
