--- a/standins/platform/model_worker.h
+++ b/standins/platform/model_worker.h
@@ -70,6 +70,8 @@
   void handle(Exchange& aExchange);
   /** @return Whether it is the head of an open copy. */
   bool isOpenHead() const;
+  /** @return Whether all members of its copy are alive and in it. */
+  bool isWhole() const;
   /** @return Where it is. */
   const WorkerPlace& place() const { return place_; }
   /** @return Its place in a copy and all members, for operators. */
@@ -101,7 +103,6 @@
   bool refuses(Exchange& aExchange);
   template<class Predicate>
   bool allMembers(Predicate aPredicate) const;
-  bool isWhole() const;
   bool wasWhole() const;
   bool belongsTo(const Membership& aMembership) const;
   bool wasReady(const Membership& aMembership) const;
--- a/standins/platform/platform_world.cpp
+++ b/standins/platform/platform_world.cpp
@@ -153,7 +153,7 @@
 {
   std::uint32_t open = 0;
   for (const auto& [id, worker] : models_) {
-    open += worker->isOpenHead() ? 1 : 0;
+    open += worker->isOpenHead() && worker->isWhole() ? 1 : 0;
   }
   return { { "open_copies", open },
            { "ordered_away", book_.orderedAway_ },
