Take a doubted head for idle by an old report only while nobody sees its streams

Cause: a head that was doubted a moment ago counted as idle by a report from before its streams began.

Change: such a report counts only if no daemon has told of streams there; otherwise one that was asked for since.

--- a/src/coordination/replica/activity_evidence.cpp
+++ b/src/coordination/replica/activity_evidence.cpp
@@ -50,6 +50,14 @@
          clock_.now() - found->second.newestAt_ < kEventLife;
 }
 
+bool
+ActivityEvidence::showsStreams(const state::VmId& aHead) const
+{
+  const auto found = events_.find(aHead);
+  return found != events_.end() && found->second.streams_ > 0 &&
+         clock_.now() - found->second.countedAt_ < kEventLife;
+}
+
 bool
 ActivityEvidence::showsSilence(const state::VmId& aHead,
                                state::Duration aLimit) const
--- a/src/coordination/replica/activity_evidence.h
+++ b/src/coordination/replica/activity_evidence.h
@@ -35,6 +35,11 @@
    */
   bool showsEventsSince(const state::VmId& aHead,
                         state::TimePoint aSince) const;
+  /**
+   * @param aHead Head of a replica.
+   * @return Whether a daemon had streams of the replica not long ago.
+   */
+  bool showsStreams(const state::VmId& aHead) const;
   /**
    * @param aHead Head of a replica.
    * @param aLimit Longest time between two events of a replica that works.
--- a/src/coordination/replica/replica_coordinator_evidence.cpp
+++ b/src/coordination/replica/replica_coordinator_evidence.cpp
@@ -179,10 +179,17 @@
 bool
 ReplicaCoordinator::reportsNoRequests(const Replica& aReplica) const
 {
-  const MonitoredEngine* head = monitor_.find(aReplica.members_.front().vm_);
-  return head != nullptr && head->report_ &&
-         head->report_->load_.running_ == 0 &&
-         head->report_->load_.waiting_ == 0;
+  const state::VmId& vm = aReplica.members_.front().vm_;
+  const MonitoredEngine* head = monitor_.find(vm);
+  if (head == nullptr || !head->report_) {
+    return false;
+  }
+  // An older report does not show requests that came just before the phase.
+  const bool current =
+    head->report_->askedAt_ >= aReplica.since_ + engine_->reportLag_;
+  const state::TargetLoad& load = head->report_->load_;
+  return load.running_ == 0 && load.waiting_ == 0 &&
+         (current || !evidence_.showsStreams(vm));
 }
 
 bool
