Log the shared prompt parts of a send that failed

Now a failed send names the parts that other requests may share. The last part is the request's own and is left out. No decision depends on it yet.

--- a/src/state/id_type.h
+++ b/src/state/id_type.h
@@ -101,6 +101,8 @@
 using Incarnation =
   NumberId<struct IncarnationTag>; ///< Start count or start time of a process.
 using AttemptId = NumberId<struct AttemptTag>; ///< One attempt of a request.
+using PromptPartId =
+  NumberId<struct PromptPartTag>; ///< Content of one part of a prompt.
 
 /** A copy of a serving group: the group and the index of the copy in it. */
 struct CopyId
--- a/src/transport/relay/relay_dialect.h
+++ b/src/transport/relay/relay_dialect.h
@@ -3,6 +3,7 @@
 
 #include "coordination/routing/engine_timing_func.h"
 #include "state/instance_type.h"
+#include "state/prompt_part_func.h"
 #include "transport/http_client.h"
 #include "transport/http_type.h"
 
@@ -23,6 +24,8 @@
     callerTimeout_;      ///< How long the caller waits for the response.
   state::ModelId model_; ///< Model; empty for plain services.
   coordination::RequestTokens tokens_; ///< Token counts of the request.
+  state::PromptParts sharedParts_; ///< Parts of the prompt that other requests
+                                   ///< may share, in order; empty when unknown.
   std::string lastEventId_; ///< Event after which a stream is resumed; empty to
                             ///< start at the beginning.
   bool operator==(const RelayRequestInfo&) const = default;
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -693,6 +693,8 @@
   const TargetDecision& target = aAttempt.target();
   const state::Duration silence =
     dependencies_.clock_.now() - aAttempt.lastNewsAt();
+  const std::string parts =
+    good ? std::string() : state::textOf(info_.sharedParts_);
   dependencies_.log_.write(
     good ? state::LogWeight::kRoutine : state::LogWeight::kChange,
     kPart,
@@ -709,6 +711,7 @@
       state::logField("load_age_ms",
                       target.loadAge_ ? logMs(*target.loadAge_) : -1.0),
       state::logField("expected_ms", logMs(target.expected_)),
+      state::logField("shared_parts", std::string_view(parts)),
       state::logField("detail", std::string_view(aAttempt.detail())) });
 }
 
