--- a/tests/transport/loopback.h
+++ b/tests/transport/loopback.h
@@ -80,6 +80,9 @@
     return { "127.0.0.1", acceptor_.local_endpoint().port() };
   }
 
+  /** Refuses further connections. Call from the script. */
+  void stopListening() { acceptor_.close(); }
+
   /** Reads until a text has come or the connection has ended. */
   static std::string readUntil(boost::asio::ip::tcp::socket& aSocket,
                                const std::string& aText)
