--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -71,6 +71,8 @@
 constexpr char kOwnPrefix[] = "auburnhaven/"; ///< Of the daemons' keys.
 constexpr char kDutyPrefix[] = "auburnhaven/coordinator/"; ///< Of the duties.
 constexpr char kDaemonPrefix[] = "auburnhaven/daemon/"; ///< Of registrations.
+constexpr char kQuarantinePrefix[] =
+  "auburnhaven/quarantine/";                 ///< Of prompt parts in quarantine.
 constexpr std::string_view kPart = "daemon"; ///< Part of the program in logs.
 
 /** @return Times of a lease. */
@@ -242,6 +244,14 @@
       [this](const protocol::ActivityNotice& aNotice,
              state::TimePoint aCountedAt,
              bool aAsked) { takeActivity(aNotice, aCountedAt, aAsked); })
+  , quarantine_(clock_,
+                control_.context(),
+                digests_,
+                store_,
+                log_,
+                settings_.listeners_.digests_,
+                { kQuarantinePrefix, settings_.daemon_.value() },
+                [this] { wakeRequests(); })
   , extender_(clock_, digests_, duties_, registration_, log_)
   , budget_(budgetSettings(settings_.retries_))
   , relay_({ clock_,
@@ -253,7 +263,9 @@
              log_,
              metrics_,
              &placements_,
-             &activity_ },
+             &activity_,
+             &quarantine_.quarantine(),
+             &quarantine_.observer() },
            {})
   , status_(settings_.readyPath_, metrics_)
   , traffic_(1)
@@ -390,7 +402,10 @@
                        : std::nullopt);
   activities_.tick();
   askForActivity();
-  extender_.tick(otherDaemons());
+  const std::vector<state::Endpoint> others = otherDaemons();
+  extender_.tick(others);
+  quarantine_.tick({ targets_.dispatchers(), others, coordinates },
+                   mayRegister);
   const bool due = clock_.now() >= digestAt_;
   if (due) {
     digestAt_ = clock_.now() + kDigestPeriod;
@@ -470,7 +485,7 @@
                                            place.retryAfter_,
                                            place.candidates_ }));
   } else if (activities_.take(aFrom, aDatagram) ||
-             extender_.take(aFrom, aDatagram)) {
+             extender_.take(aFrom, aDatagram) || quarantine_.take(aDatagram)) {
     return;
   } else if (const auto digest =
                protocol::decodeZoneDigest(aDatagram, clock_.now())) {
@@ -547,6 +562,15 @@
   }
 }
 
+void
+RelayDaemon::wakeRequests()
+{
+  for (std::size_t thread = 0; thread < traffic_.size(); ++thread) {
+    boost::asio::post(traffic_.context(thread),
+                      [this, thread] { relay_.wakeOpenRequests(thread); });
+  }
+}
+
 void
 RelayDaemon::takeActivity(const protocol::ActivityNotice& aNotice,
                           state::TimePoint aCountedAt,
@@ -626,6 +650,7 @@
                         const std::optional<std::string>& aValue)
 {
   registry_.take(aKey, aValue);
+  quarantine_.takeKey(aKey, aValue.has_value());
   for (auto& [zone, duty] : duties_) {
     if (duty->key() == aKey) {
       duty->setHolder(aValue);
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -22,6 +22,7 @@
 #include "transport/http_client.h"
 #include "transport/peer_links.h"
 #include "transport/relay/activity_exchange.h"
+#include "transport/relay/quarantine_service.h"
 #include "transport/relay/relay_handler.h"
 #include "transport/relay/status_handler.h"
 #include "transport/service_caller.h"
@@ -62,6 +63,7 @@
   void takeDigest(const coordination::ZoneDigest& aDigest);
   void sendDigest(coordination::ZoneLeadership& aDuty);
   void askForActivity();
+  void wakeRequests();
   void takeActivity(const protocol::ActivityNotice& aNotice,
                     state::TimePoint aCountedAt,
                     bool aAsked);
@@ -120,7 +122,9 @@
   coordination::TargetPool targets_;       ///< Choice of targets.
   coordination::StreamActivity activity_;  ///< Events of the streams relayed.
   transport::ActivityExchange activities_; ///< Tells and asks for such events.
-  LeaseExtender extender_;           ///< Extends the authority of coordinators.
+  transport::QuarantineService
+    quarantine_;           ///< Keeps requests that end targets away from them.
+  LeaseExtender extender_; ///< Extends the authority of coordinators.
   coordination::RetryBudget budget_; ///< Budget of repeated sends.
   platform::RequestDialect dialect_; ///< Request headers.
   transport::SnapshotHolder<coordination::RouteTable> routes_; ///< Routes.
--- /dev/null
+++ b/src/coordination/quarantine/crash_ledger.cpp
@@ -0,0 +1,347 @@
+// Joins the daemons' reports of ended targets and finds the parts of prompts
+// that end them.
+
+#include "coordination/quarantine/crash_ledger.h"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+using state::PromptPartId;
+using state::PromptParts;
+
+constexpr std::chrono::seconds kSameCrashTime(
+  1); ///< Longest time between the losses of two requests by one end of a
+      ///< target; no target is back sooner.
+
+/** @return Whether a prompt has a part. */
+bool
+hasPart(const PromptParts& aPrompt, PromptPartId aPart)
+{
+  return std::find(aPrompt.begin(), aPrompt.end(), aPart) != aPrompt.end();
+}
+
+/** @return Whether a prompt has all parts of a set. */
+bool
+hasAll(const PromptParts& aPrompt, const PromptParts& aSet)
+{
+  return std::all_of(aSet.begin(), aSet.end(), [&](PromptPartId aPart) {
+    return hasPart(aPrompt, aPart);
+  });
+}
+
+} // namespace
+
+CrashLedger::CrashLedger(const state::Clock& aClock,
+                         const CrashLedgerSettings& aSettings)
+  : clock_(aClock)
+  , settings_(aSettings)
+{
+}
+
+void
+CrashLedger::noteCrash(const CrashReport& aReport)
+{
+  forgetOld();
+  const state::TimePoint at = clock_.now() - aReport.age_;
+  if (aReport.age_ > settings_.retention_) {
+    return;
+  }
+  Crash& crash = crashOf(aReport.vm_, at);
+  for (const PromptParts& request : aReport.requests_) {
+    const bool known =
+      std::find(crash.requests_.begin(), crash.requests_.end(), request) !=
+      crash.requests_.end();
+    if (!known && !request.empty() &&
+        crash.requests_.size() < settings_.maxRequests_) {
+      crash.requests_.push_back(request);
+    }
+  }
+}
+
+CrashLedger::Crash&
+CrashLedger::crashOf(const state::VmId& aVm, state::TimePoint aAt)
+{
+  const auto known =
+    std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& aCrash) {
+      return aCrash.vm_ == aVm && aCrash.at_ - aAt < kSameCrashTime &&
+             aAt - aCrash.at_ < kSameCrashTime;
+    });
+  if (known != crashes_.end()) {
+    return *known;
+  }
+  const auto next =
+    std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& aCrash) {
+      return aCrash.at_ > aAt;
+    });
+  return *crashes_.insert(next, { aVm, aAt, {}, false });
+}
+
+void
+CrashLedger::forgetOld()
+{
+  const state::TimePoint now = clock_.now();
+  std::erase_if(crashes_, [&](const Crash& aCrash) {
+    return now - aCrash.at_ > settings_.retention_;
+  });
+  while (crashes_.size() >= settings_.maxCrashes_) {
+    // Explained ones are no evidence any more.
+    const auto explained =
+      std::find_if(crashes_.begin(), crashes_.end(), [](const Crash& aCrash) {
+        return aCrash.explained_;
+      });
+    crashes_.erase(explained != crashes_.end() ? explained : crashes_.begin());
+  }
+  std::set<PromptPartId> remembered;
+  for (const Crash& crash : crashes_) {
+    for (const PromptParts& request : crash.requests_) {
+      remembered.insert(request.begin(), request.end());
+    }
+  }
+  std::erase_if(soundAt_, [&](const auto& aEntry) {
+    return !remembered.contains(aEntry.first);
+  });
+}
+
+void
+CrashLedger::noteSound(const PromptParts& aParts)
+{
+  for (const PromptPartId part : aParts) {
+    const bool remembered =
+      std::any_of(crashes_.begin(), crashes_.end(), [&](const Crash& aCrash) {
+        return std::any_of(
+          aCrash.requests_.begin(),
+          aCrash.requests_.end(),
+          [&](const PromptParts& aRequest) { return hasPart(aRequest, part); });
+      });
+    if (remembered) {
+      soundAt_[part] = clock_.now();
+      clear(part);
+    }
+  }
+}
+
+void
+CrashLedger::clear(PromptPartId aPart)
+{
+  const std::set<PromptParts> before = guilty_;
+  for (const PromptParts& set : before) {
+    if (!hasPart(set, aPart)) {
+      continue;
+    }
+    PromptParts rest = set;
+    std::erase(rest, aPart);
+    guilty_.erase(set);
+    changes_.lifted_.push_back(set);
+    if (!rest.empty() && guilty_.insert(rest).second) {
+      changes_.added_.push_back(rest);
+    }
+  }
+}
+
+bool
+CrashLedger::isSoundAt(PromptPartId aPart, state::TimePoint aAt) const
+{
+  const auto sound = soundAt_.find(aPart);
+  return sound != soundAt_.end() && aAt < sound->second + settings_.soundTime_;
+}
+
+CrashLedger::EvidenceMap
+CrashLedger::gatherEvidence() const
+{
+  EvidenceMap evidence;
+  std::map<PromptPartId, state::TimePoint> momentStart;
+  for (const Crash& crash : crashes_) {
+    if (crash.explained_) {
+      continue;
+    }
+    for (const PromptParts& request : crash.requests_) {
+      for (const PromptPartId part :
+           std::set<PromptPartId>(request.begin(), request.end())) {
+        if (isSoundAt(part, crash.at_)) {
+          continue;
+        }
+        const auto [start, first] = momentStart.emplace(part, crash.at_);
+        const bool newMoment =
+          first || crash.at_ - start->second >= settings_.momentLength_;
+        start->second = newMoment ? crash.at_ : start->second;
+        Evidence& against = evidence[part];
+        against.firstAt_ = first ? crash.at_ : against.firstAt_;
+        against.moments_ += newMoment ? 1 : 0;
+        if (newMoment && against.moments_ == settings_.minMoments_) {
+          against.enoughAt_ = crash.at_;
+        }
+        ++against.requests_;
+      }
+    }
+  }
+  return evidence;
+}
+
+std::vector<PromptPartId>
+CrashLedger::leadersOf(const EvidenceMap& aEvidence) const
+{
+  // A part that few lost requests had tells more than one that most had.
+  const auto rankOf = [](const Evidence& aPart) {
+    return std::tuple(aPart.moments_ * 2 >= aPart.requests_,
+                      aPart.moments_,
+                      -static_cast<std::int64_t>(aPart.requests_));
+  };
+  std::vector<PromptPartId> leaders;
+  decltype(rankOf(Evidence())) best;
+  for (const auto& [part, against] : aEvidence) {
+    if (against.moments_ < settings_.minMoments_) {
+      continue;
+    }
+    const auto rank = rankOf(against);
+    if (leaders.empty() || rank > best) {
+      leaders.clear();
+      best = rank;
+    }
+    if (rank == best) {
+      leaders.push_back(part);
+    }
+  }
+  return leaders;
+}
+
+PromptParts
+CrashLedger::setOf(PromptPartId aPart, const EvidenceMap& aEvidence) const
+{
+  std::optional<PromptParts> set;
+  for (const Crash& crash : crashes_) {
+    if (crash.explained_ || isSoundAt(aPart, crash.at_)) {
+      continue;
+    }
+    for (const PromptParts& request : crash.requests_) {
+      if (!hasPart(request, aPart)) {
+        continue;
+      }
+      set = set.value_or(request);
+      std::erase_if(*set, [&](PromptPartId aOther) {
+        return !hasPart(request, aOther) || isSoundAt(aOther, crash.at_);
+      });
+    }
+  }
+  std::sort(set->begin(), set->end());
+  set->erase(std::unique(set->begin(), set->end()), set->end());
+  std::stable_sort(set->begin(), set->end(), [&](auto aLeft, auto aRight) {
+    return aEvidence.at(aLeft).requests_ < aEvidence.at(aRight).requests_;
+  });
+  set->resize(std::min(set->size(), settings_.maxSetParts_));
+  std::sort(set->begin(), set->end());
+  return *set;
+}
+
+bool
+CrashLedger::isDistinct(const PromptParts& aSet,
+                        const Evidence& aEvidence) const
+{
+  const bool othersSound =
+    std::any_of(soundAt_.begin(), soundAt_.end(), [&](const auto& aEntry) {
+      return aEntry.second > aEvidence.firstAt_;
+    });
+  return aSet.size() > 1 || othersSound;
+}
+
+void
+CrashLedger::explain(const PromptParts& aSet)
+{
+  for (Crash& crash : crashes_) {
+    crash.explained_ =
+      crash.explained_ || std::any_of(crash.requests_.begin(),
+                                      crash.requests_.end(),
+                                      [&](const PromptParts& aRequest) {
+                                        return hasAll(aRequest, aSet);
+                                      });
+  }
+}
+
+void
+CrashLedger::findGuilty()
+{
+  for (;;) {
+    const EvidenceMap evidence = gatherEvidence();
+    std::set<PromptParts> found;
+    bool distinct = true;
+    state::TimePoint enoughAt{};
+    for (const PromptPartId leader : leadersOf(evidence)) {
+      const PromptParts set = setOf(leader, evidence);
+      distinct = distinct && isDistinct(set, evidence.at(leader));
+      enoughAt = std::max(enoughAt, evidence.at(leader).enoughAt_);
+      found.insert(set);
+    }
+    const bool doubtful = found.size() > 1 || !distinct;
+    const bool mayProveSound =
+      doubtful && clock_.now() - enoughAt < settings_.doubtTime_;
+    if (found.empty() || mayProveSound) {
+      return;
+    }
+    for (const PromptParts& set : found) {
+      explain(set);
+      if (guilty_.insert(set).second) {
+        changes_.added_.push_back(set);
+      }
+    }
+  }
+}
+
+GuiltChanges
+CrashLedger::decide()
+{
+  findGuilty();
+  return std::exchange(changes_, {});
+}
+
+bool
+CrashLedger::isGuilty(PromptPartId aPart) const
+{
+  return std::any_of(
+    guilty_.begin(), guilty_.end(), [&](const PromptParts& aSet) {
+      return hasPart(aSet, aPart);
+    });
+}
+
+std::vector<SuspectPart>
+CrashLedger::suspects() const
+{
+  const state::TimePoint now = clock_.now();
+  std::map<PromptPartId, std::pair<std::uint32_t, state::TimePoint>> crashes;
+  for (const Crash& crash : crashes_) {
+    std::set<PromptPartId> parts;
+    for (const PromptParts& request : crash.requests_) {
+      parts.insert(request.begin(), request.end());
+    }
+    const bool recent = now - crash.at_ <= settings_.suspicionTime_;
+    for (const PromptPartId part : parts) {
+      if ((recent || isGuilty(part)) && !isSoundAt(part, crash.at_)) {
+        auto& [count, firstAt] =
+          crashes.emplace(part, std::pair(0U, crash.at_)).first->second;
+        ++count;
+      }
+    }
+  }
+  std::vector<std::tuple<std::uint32_t, PromptPartId, state::TimePoint>> order;
+  for (const auto& [part, entry] : crashes) {
+    order.emplace_back(entry.first, part, entry.second);
+  }
+  std::sort(order.rbegin(), order.rend());
+  order.resize(std::min(order.size(), settings_.maxSuspects_));
+  std::vector<SuspectPart> suspects;
+  std::transform(
+    order.begin(),
+    order.end(),
+    std::back_inserter(suspects),
+    [&](const auto& aEntry) {
+      return SuspectPart{ std::get<1>(aEntry), now - std::get<2>(aEntry) };
+    });
+  return suspects;
+}
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/quarantine/crash_ledger.h
@@ -0,0 +1,128 @@
+// Joins the daemons' reports of ended targets and finds the parts of prompts
+// that end them.
+#pragma once
+
+#include "coordination/quarantine/crash_report_type.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace auburnhaven::coordination {
+
+/** Changes of the guilty sets of parts. */
+struct GuiltChanges
+{
+  std::vector<state::PromptParts> added_;  ///< Sets found guilty, each in
+                                           ///< ascending order.
+  std::vector<state::PromptParts> lifted_; ///< Sets that are no longer guilty.
+  bool operator==(const GuiltChanges&) const = default;
+};
+
+/** Thresholds and limits of the ledger. */
+struct CrashLedgerSettings
+{
+  std::uint32_t minMoments_ =
+    3; ///< Times at which targets must have ended under a part. Fewer are too
+       ///< often chance; each further one costs a replica.
+  state::Duration momentLength_ = std::chrono::milliseconds(
+    100); ///< Targets that end within this time of each other may have a common
+          ///< cause, such as their rack, and count once.
+  state::Duration doubtTime_ = std::chrono::milliseconds(
+    400); ///< How long parts that little tells apart from the rest of the
+          ///< traffic may still be shown to be sound.
+  state::Duration soundTime_ = std::chrono::seconds(
+    10); ///< How long a part counts as sound after a target answered with it.
+  state::Duration retention_ =
+    std::chrono::minutes(10);   ///< Age at which an ended target is forgotten.
+  std::size_t maxCrashes_ = 64; ///< Ended targets that are remembered.
+  std::size_t maxRequests_ =
+    32; ///< Requests of an ended target that are remembered.
+  std::size_t maxSuspects_ = 48; ///< Parts returned by suspects().
+  state::Duration suspicionTime_ = std::chrono::seconds(
+    30); ///< How long after the end of a target sound answers are asked for.
+  std::size_t maxSetParts_ = 4; ///< Parts of a guilty set.
+  bool operator==(const CrashLedgerSettings&) const = default;
+};
+
+/**
+ * Remembers which requests were in flight at targets that ended, as reported by
+ * all daemons. A set of parts is guilty when targets ended under it at several
+ * moments, while none answered with it. Parts that were always together in the
+ * lost requests can't be told apart, so requests are dangerous only if they
+ * have all of them. The other requests of the same targets are explained by the
+ * guilty set. Control thread only.
+ */
+class CrashLedger
+{
+public:
+  /**
+   * @param aClock Clock; outlives this object.
+   * @param aSettings Thresholds and limits.
+   */
+  explicit CrashLedger(const state::Clock& aClock,
+                       const CrashLedgerSettings& aSettings = {});
+
+  /** @param aReport A daemon's report; a repeated one changes nothing. */
+  void noteCrash(const CrashReport& aReport);
+  /**
+   * Notes that a target has answered requests after they came under suspicion.
+   * @param aParts Parts of their prompts; those that are no suspects are
+   * ignored.
+   */
+  void noteSound(const state::PromptParts& aParts);
+  /** @return What has changed since the previous call. */
+  GuiltChanges decide();
+  /** @return Parts of which a sound answer should be reported, those under
+   * which most targets ended first. */
+  std::vector<SuspectPart> suspects() const;
+  /** @return Number of ended targets that are remembered. */
+  std::size_t crashes() const { return crashes_.size(); }
+
+private:
+  /** A target that ended. */
+  struct Crash
+  {
+    state::VmId vm_;                           ///< The target.
+    state::TimePoint at_{};                    ///< When it ended.
+    std::vector<state::PromptParts> requests_; ///< Parts of lost requests.
+    bool explained_ = false; ///< Whether a guilty set accounts for it.
+  };
+  /** Evidence against a part. */
+  struct Evidence
+  {
+    std::uint32_t moments_ = 0;   ///< Moments at which targets ended under it.
+    std::uint32_t requests_ = 0;  ///< Lost requests that have it.
+    state::TimePoint firstAt_{};  ///< When the first target ended.
+    state::TimePoint enoughAt_{}; ///< When the moments became enough.
+  };
+  using EvidenceMap = std::map<state::PromptPartId, Evidence>; ///< By part.
+
+  Crash& crashOf(const state::VmId& aVm, state::TimePoint aAt);
+  void forgetOld();
+  bool isSoundAt(state::PromptPartId aPart, state::TimePoint aAt) const;
+  EvidenceMap gatherEvidence() const;
+  std::vector<state::PromptPartId> leadersOf(
+    const EvidenceMap& aEvidence) const;
+  state::PromptParts setOf(state::PromptPartId aPart,
+                           const EvidenceMap& aEvidence) const;
+  bool isDistinct(const state::PromptParts& aSet,
+                  const Evidence& aEvidence) const;
+  void explain(const state::PromptParts& aSet);
+  void findGuilty();
+  void clear(state::PromptPartId aPart);
+  bool isGuilty(state::PromptPartId aPart) const;
+
+  const state::Clock& clock_;          ///< Clock.
+  const CrashLedgerSettings settings_; ///< Thresholds and limits.
+  std::deque<Crash> crashes_;          ///< Ended targets in order of time.
+  std::map<state::PromptPartId, state::TimePoint>
+    soundAt_; ///< When a target last answered with a remembered part.
+  std::set<state::PromptParts> guilty_; ///< Guilty sets.
+  GuiltChanges changes_;                ///< What decide() returns next.
+};
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/quarantine/crash_observer.cpp
@@ -0,0 +1,157 @@
+// Finds out which of this daemon's requests were lost because a target ended.
+
+#include "coordination/quarantine/crash_observer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnhaven::coordination {
+
+namespace {
+
+constexpr std::size_t kMaxLost =
+  1024; ///< Lost requests that wait for a check; a rack may end at once.
+constexpr std::size_t kMaxSound = 256; ///< Sound parts that wait to be taken.
+constexpr std::chrono::milliseconds kCheckTime(
+  1000); ///< How long the result of a check holds; no target is back sooner.
+
+} // namespace
+
+CrashObserver::CrashObserver(const state::Clock& aClock,
+                             ListenerProbe& aProbe,
+                             state::EventLog& aLog,
+                             NewsHandler aHandler)
+  : clock_(aClock)
+  , probe_(aProbe)
+  , log_(aLog)
+  , handler_(std::move(aHandler))
+{
+}
+
+void
+CrashObserver::noteLost(LostRequest aRequest)
+{
+  {
+    const std::lock_guard lock(mutex_);
+    if (lost_.size() >= kMaxLost) {
+      return;
+    }
+    lost_.push_back(std::move(aRequest));
+  }
+  handler_();
+}
+
+void
+CrashObserver::noteAnswer(const state::PromptParts& aParts,
+                          state::TimePoint aBegunAt)
+{
+  if (!hasSuspects_) {
+    return;
+  }
+  bool hasNews = false;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const state::PromptPartId part : aParts) {
+      const auto suspect = suspects_.find(part);
+      if (suspect != suspects_.end() && aBegunAt > suspect->second &&
+          sound_.size() < kMaxSound) {
+        suspects_.erase(suspect);
+        sound_.push_back(part);
+        hasNews = true;
+      }
+    }
+  }
+  if (hasNews) {
+    handler_();
+  }
+}
+
+void
+CrashObserver::poll()
+{
+  const state::TimePoint now = clock_.now();
+  std::erase_if(checks_, [&](const auto& aEntry) {
+    return now - aEntry.second.lostAt_ > kCheckTime;
+  });
+  std::vector<LostRequest> lost;
+  {
+    const std::lock_guard lock(mutex_);
+    lost.swap(lost_);
+  }
+  for (const LostRequest& request : lost) {
+    const auto check = checks_.find(request.vm_);
+    if (check == checks_.end()) {
+      startCheck(request);
+    } else if (check->second.ended_) {
+      reports_.push_back(
+        { request.vm_, now - request.at_, { request.parts_ } });
+    } else {
+      check->second.requests_.push_back(request.parts_);
+    }
+  }
+}
+
+void
+CrashObserver::startCheck(const LostRequest& aRequest)
+{
+  checks_[aRequest.vm_] = { aRequest.at_, false, { aRequest.parts_ } };
+  const std::weak_ptr<bool> alive = alive_;
+  probe_.probe(aRequest.endpoint_,
+               [this, alive, vm = aRequest.vm_](bool aRefused) {
+                 if (!alive.expired()) {
+                   finishCheck(vm, aRefused);
+                 }
+               });
+}
+
+void
+CrashObserver::finishCheck(const state::VmId& aVm, bool aRefused)
+{
+  const auto found = checks_.find(aVm);
+  if (found == checks_.end()) {
+    return;
+  }
+  Check& check = found->second;
+  const state::Duration age = clock_.now() - check.lostAt_;
+  log_.write(state::LogWeight::kChange,
+             "quarantine",
+             aRefused ? "target ended under requests"
+                      : "target outlived lost requests",
+             { state::logField("target", std::string_view(aVm.value())),
+               state::logField("requests", check.requests_.size()),
+               state::logField("age_ms", state::countMs(age)) });
+  if (!aRefused) {
+    checks_.erase(found);
+    return;
+  }
+  check.ended_ = true;
+  reports_.push_back({ aVm, age, std::exchange(check.requests_, {}) });
+  handler_();
+}
+
+void
+CrashObserver::setSuspects(const std::vector<SuspectPart>& aSuspects)
+{
+  const state::TimePoint now = clock_.now();
+  const std::lock_guard lock(mutex_);
+  suspects_.clear();
+  for (const SuspectPart& suspect : aSuspects) {
+    suspects_[suspect.part_] = now - suspect.age_;
+  }
+  hasSuspects_ = !suspects_.empty();
+}
+
+std::vector<CrashReport>
+CrashObserver::takeReports()
+{
+  return std::exchange(reports_, {});
+}
+
+state::PromptParts
+CrashObserver::takeSound()
+{
+  const std::lock_guard lock(mutex_);
+  return std::exchange(sound_, {});
+}
+
+} // namespace auburnhaven::coordination
--- /dev/null
+++ b/src/coordination/quarantine/crash_report_type.h
@@ -0,0 +1,30 @@
+// Observations of targets that ended while they answered requests.
+#pragma once
+
+#include "state/id_type.h"
+#include "state/prompt_part_func.h"
+#include "state/time_type.h"
+
+#include <vector>
+
+namespace auburnhaven::coordination {
+
+/** Requests that a daemon lost when a target ended. */
+struct CrashReport
+{
+  state::VmId vm_;        ///< The target.
+  state::Duration age_{}; ///< Time since the requests were lost.
+  std::vector<state::PromptParts>
+    requests_; ///< Shared parts of each request's prompt.
+  bool operator==(const CrashReport&) const = default;
+};
+
+/** A part of the prompt of requests under which targets ended. */
+struct SuspectPart
+{
+  state::PromptPartId part_; ///< The part.
+  state::Duration age_{};    ///< Time since the first of these targets ended.
+  bool operator==(const SuspectPart&) const = default;
+};
+
+} // namespace auburnhaven::coordination
--- a/src/transport/relay/relay_attempt.cpp
+++ b/src/transport/relay/relay_attempt.cpp
@@ -23,6 +23,10 @@
   100); ///< Timeout for the body of a rejection, which is read only to reuse
         ///< the connection.
 
+constexpr milliseconds kProvenAnswerTime(
+  300); ///< How long a target must go on with an answer to show that it can
+        ///< serve the request.
+
 /** @return Whether a status code is 2xx. */
 bool
 isSuccess(std::uint32_t aStatus)
@@ -139,6 +143,8 @@
 RelayAttempt::endWithoutResponse()
 {
   const HttpFailure& failure = call_.failure();
+  lostConnection_ =
+    failure.kind_ == HttpFailureKind::kClosed && mayHaveArrived();
   staleConnection_ =
     failure.kind_ == HttpFailureKind::kClosed && failure.keptConnection_;
   return end(mayHaveArrived() ? SendOutcome::kUnknown : SendOutcome::kNotRun,
@@ -192,6 +198,7 @@
     return end(SendOutcome::kUnknown, std::string(fault));
   }
   response_ = readResponseHead();
+  begunAt_ = stream_ ? begunAt_ : dependencies_.clock_.now();
   if (events_.position().hasBegun_ && !success) {
     // The caller has the head of another response, and no use for the body.
     call_.abort();
@@ -256,14 +263,11 @@
       continue;
     }
     if (piece.status_ != HttpReadStatus::kEnd) {
+      lostConnection_ = piece.status_ == HttpReadStatus::kCutShort;
       call_.abort();
       return end(SendOutcome::kUnknown, "response is incomplete");
     }
-    if (isSuccess(response_.status_)) {
-      result_ = SendResult::kAnswered;
-      return AttemptProgress::kComplete;
-    }
-    return endWithError();
+    return isSuccess(response_.status_) ? complete() : endWithError();
   }
 }
 
@@ -282,9 +286,9 @@
     return takeEvents(piece.data_);
   }
   if (piece.status_ == HttpReadStatus::kEnd && !events_.hasPartialEvent()) {
-    result_ = SendResult::kAnswered;
-    return AttemptProgress::kComplete;
+    return complete();
   }
+  lostConnection_ = piece.status_ == HttpReadStatus::kCutShort;
   call_.abort();
   return end(SendOutcome::kUnknown, "stream ended prematurely");
 }
@@ -294,6 +298,11 @@
 {
   events_.add(aData);
   recordActivity();
+  const state::TimePoint now = dependencies_.clock_.now();
+  begunAt_ = begunAt_ == state::TimePoint{} ? now : begunAt_;
+  if (now - begunAt_ >= kProvenAnswerTime) {
+    noteAnswer();
+  }
   if (events_.partialEventBytes() > kMaxEventBytes) {
     call_.abort();
     return end(SendOutcome::kUnknown, "event exceeds the size limit");
@@ -301,6 +310,24 @@
   return AttemptProgress::kEvents;
 }
 
+AttemptProgress
+RelayAttempt::complete()
+{
+  result_ = SendResult::kAnswered;
+  noteAnswer();
+  return AttemptProgress::kComplete;
+}
+
+void
+RelayAttempt::noteAnswer()
+{
+  if (answerNoted_ || dependencies_.crashes_ == nullptr) {
+    return;
+  }
+  answerNoted_ = true;
+  dependencies_.crashes_->noteAnswer(info_.sharedParts_, begunAt_);
+}
+
 void
 RelayAttempt::recordActivity()
 {
--- a/src/transport/relay/relay_attempt.h
+++ b/src/transport/relay/relay_attempt.h
@@ -91,6 +91,11 @@
   const std::string& detail() const { return detail_; }
   /** @return Whether the target had closed the reused connection. */
   bool hadStaleConnection() const { return staleConnection_; }
+  /** @return Whether the target closed or reset the connection, after the
+   * request may have arrived and before its response was whole. */
+  bool hasLostConnection() const { return lostConnection_; }
+  /** @return Whether the target has begun to answer. */
+  bool hasBegun() const { return stream_ ? hasEvents() : call_.hasResponse(); }
   /** @return Whether the target rejected the request in a response. */
   bool isRejected() const
   {
@@ -114,6 +119,8 @@
   AttemptProgress pollStream();
   AttemptProgress pollBody();
   AttemptProgress takeEvents(std::string_view aData);
+  AttemptProgress complete();
+  void noteAnswer();
   void recordActivity();
   void noteTargetInfo(const RelayResponseInfo& aInfo);
   std::string_view headFault() const;
@@ -131,6 +138,11 @@
   std::string detail_;                          ///< Reason for the outcome.
   bool recorded_ = false; ///< Whether the stream counts as open in the record
                           ///< of stream activity.
+  state::TimePoint begunAt_{};  ///< When the answer began; zero before.
+  bool answerNoted_ = false;    ///< Whether the crash observer knows that the
+                                ///< target answers.
+  bool lostConnection_ = false; ///< Whether the target ended the connection too
+                                ///< soon.
   bool staleConnection_ = false; ///< Whether the target had closed the reused
                                  ///< connection.
   coordination::SendResult result_ =
--- a/src/transport/relay/relay_attempt_type.h
+++ b/src/transport/relay/relay_attempt_type.h
@@ -43,6 +43,7 @@
   kOtherTarget, ///< This daemon, since another target responded first.
   kCaller,      ///< The caller, by closing its connection.
   kDeadline,    ///< The deadline.
+  kQuarantine,  ///< This daemon, since the prompt has parts in quarantine.
 };
 
 /** @return Name of who ended a send for logs. */
@@ -50,7 +51,7 @@
 nameOf(SendEnder aEnder)
 {
   constexpr std::string_view kNames[] = {
-    "target", "other_target", "caller", "deadline"
+    "target", "other_target", "caller", "deadline", "quarantine"
   };
   return kNames[static_cast<std::size_t>(aEnder)];
 }
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -187,6 +187,10 @@
     answered_ = true;
     return;
   }
+  if (isQuarantined()) {
+    refuseAsQuarantined();
+    return;
+  }
   if (timeLeft() < kMinSendTime) {
     giveUp();
     return;
@@ -311,6 +315,15 @@
     giveUp();
     return;
   }
+  if (isQuarantined()) {
+    endUnansweredAttempts();
+    if (attempts_.empty()) {
+      refuseAsQuarantined();
+    } else {
+      waitForNews(nextCheck());
+    }
+    return;
+  }
   if (dependencies_.clock_.now() >= nextTryAt_) {
     readmitRejecting();
   }
@@ -411,6 +424,14 @@
   const SendOutcome outcome = ended->outcome();
   lastDetail_ = ended->detail();
   logSend(*ended, outcome, SendEnder::kTarget);
+  const bool tellsOfCrash =
+    ended->hasLostConnection() && !info_.sharedParts_.empty();
+  if (tellsOfCrash && dependencies_.crashes_ != nullptr) {
+    dependencies_.crashes_->noteLost({ ended->target().vm_,
+                                       ended->target().endpoint_,
+                                       info_.sharedParts_,
+                                       dependencies_.clock_.now() });
+  }
   position_.isTorn_ = position_.isTorn_ || ended->streamGoesOn();
   staleConnection_ = ended->hadStaleConnection();
   if (!staleConnection_) {
@@ -464,6 +485,48 @@
   attempts_.clear();
 }
 
+bool
+RelayExchange::isQuarantined() const
+{
+  return dependencies_.quarantine_ != nullptr &&
+         dependencies_.quarantine_->blocks(info_.sharedParts_);
+}
+
+void
+RelayExchange::refuseAsQuarantined()
+{
+  lastDetail_ = "prompt has parts in quarantine";
+  if (streaming_ || runs_ > 0 || sends_ > rejections_) {
+    giveUp();
+    return;
+  }
+  // No Retry-After: the same request would be refused again.
+  answered_ = true;
+  sendError(kUnavailable, "refused");
+}
+
+void
+RelayExchange::endUnansweredAttempts()
+{
+  std::erase_if(attempts_, [this](const AttemptPtr& aAttempt) {
+    if (aAttempt->hasBegun()) {
+      return false;
+    }
+    aAttempt->setResult(SendResult::kAborted);
+    ++runs_;
+    logSend(*aAttempt, SendOutcome::kOver, SendEnder::kQuarantine);
+    return true;
+  });
+}
+
+void
+RelayExchange::wake() const
+{
+  if (wait_) {
+    wait_->cancel();
+  }
+}
+
 bool
 RelayExchange::isBackupDue() const
 {
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -57,6 +57,9 @@
    * @param aEvent Event of the log record.
    */
   void logProgress(std::string_view aEvent) const;
+  /** Ends a wait for news, so that the request checks whether it may go on.
+   * Call on its thread while its coroutine is suspended. */
+  void wake() const;
 
 private:
   using AttemptPtr = std::unique_ptr<RelayAttempt>; ///< A send in flight.
@@ -90,6 +93,9 @@
     const RelayAttempt& aAttempt) const;
   std::chrono::milliseconds timeLeft() const;
   void refuse(const coordination::TargetDecision& aDecision);
+  bool isQuarantined() const;
+  void refuseAsQuarantined();
+  void endUnansweredAttempts();
   void giveUp();
   void sendError(std::uint32_t aStatus,
                  std::string_view aMessage,
--- a/src/transport/relay/relay_handler.cpp
+++ b/src/transport/relay/relay_handler.cpp
@@ -74,4 +74,15 @@
   }
 }
 
+void
+RelayHandler::wakeOpenRequests(std::size_t aThread) const
+{
+  const std::lock_guard lock(openMutex_);
+  for (const auto& [thread, exchange] : open_) {
+    if (thread == aThread) {
+      exchange->wake();
+    }
+  }
+}
+
 } // namespace auburnhaven::transport
--- a/src/transport/relay/relay_handler.h
+++ b/src/transport/relay/relay_handler.h
@@ -1,6 +1,8 @@
 // Forwards callers' requests to targets.
 #pragma once
 
+#include "coordination/quarantine/crash_observer.h"
+#include "coordination/quarantine/prompt_quarantine.h"
 #include "coordination/request/retry_budget.h"
 #include "coordination/routing/route_table.h"
 #include "coordination/routing/stream_activity.h"
@@ -78,6 +80,10 @@
     nullptr; ///< Asks dispatchers for targets; null to choose without them.
   coordination::StreamActivity* activity_ =
     nullptr; ///< Records events of streams; null to record none.
+  const coordination::PromptQuarantine* quarantine_ =
+    nullptr; ///< Prompt parts that are not sent; null for none.
+  coordination::CrashObserver* crashes_ =
+    nullptr; ///< Takes lost and answered requests; null to take none.
 };
 
 class RelayExchange;
@@ -115,6 +121,12 @@
    * @param aEvent Event of the log records.
    */
   void logOpenRequests(std::size_t aThread, std::string_view aEvent) const;
+  /**
+   * Lets each request of a traffic thread that waits for its target check again
+   * whether it may go on. Call on that thread.
+   * @param aThread Index of the traffic thread.
+   */
+  void wakeOpenRequests(std::size_t aThread) const;
 
 private:
   class OpenRequest;
--- /dev/null
+++ b/tests/coordination/crash_ledger_test.cpp
@@ -0,0 +1,275 @@
+// Tests of the ledger that finds the prompt parts which end targets.
+
+#include "coordination/quarantine/crash_ledger.h"
+#include "fakes/fake_clock.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace auburnhaven;
+using namespace std::chrono_literals;
+using coordination::CrashLedger;
+using coordination::GuiltChanges;
+using state::PromptPartId;
+using state::PromptParts;
+using state::VmId;
+
+namespace {
+
+constexpr PromptPartId kFirst(1); ///< First part of all prompts.
+constexpr PromptPartId kBad(7);   ///< Part that ends targets.
+constexpr PromptPartId kOther(3); ///< Sound part.
+
+} // namespace
+
+class CrashLedgerTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CrashLedgerTest);
+  CPPUNIT_TEST(partIsGuiltyAfterThreeMoments);
+  CPPUNIT_TEST(reportsOfAllDaemonsAreJoined);
+  CPPUNIT_TEST(repeatedReportsCountOnce);
+  CPPUNIT_TEST(targetsThatEndTogetherCountOnce);
+  CPPUNIT_TEST(partWithSoundAnswersIsNotGuilty);
+  CPPUNIT_TEST(partIsAloneGuiltyWhenTheOthersDiffer);
+  CPPUNIT_TEST(requestsBesideTheGuiltyOneAreExplained);
+  CPPUNIT_TEST(partsThatAreAlwaysTogetherAreGuiltyTogether);
+  CPPUNIT_TEST(soundPartLeavesAGuiltySet);
+  CPPUNIT_TEST(loneSuspectMayStillProveSound);
+  CPPUNIT_TEST(equalSuspectsMayStillProveSound);
+  CPPUNIT_TEST(doubtDoesNotLastWhileTargetsEnd);
+  CPPUNIT_TEST(soundnessEnds);
+  CPPUNIT_TEST(earlierCrashesDoNotAccuseTheFirstPart);
+  CPPUNIT_TEST(manyPartsNeitherGrowTheLedgerNorHideTheGuiltyOne);
+  CPPUNIT_TEST(suspectsAreAskedForAWhile);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void partIsGuiltyAfterThreeMoments()
+  {
+    crash({ { kFirst, kBad } });
+    crash({ { kFirst, kBad } });
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+    crash({ { kFirst, kBad } });
+    expectGuilty({ kFirst, kBad });
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+  }
+
+  void reportsOfAllDaemonsAreJoined()
+  {
+    for (int index = 0; index < 3; ++index) {
+      const VmId vm = nextVm();
+      ledger_.noteCrash(
+        { vm,
+          20ms,
+          { { kFirst,
+              PromptPartId(60 + static_cast<std::uint64_t>(index)) } } });
+      clock_.advance(5ms);
+      ledger_.noteCrash({ vm, 25ms, { { kFirst, kBad } } });
+      clock_.advance(300ms);
+    }
+    CPPUNIT_ASSERT(!ledger_.decide().added_.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, ledger_.crashes());
+  }
+
+  void repeatedReportsCountOnce()
+  {
+    const VmId vm = nextVm();
+    for (int copy = 0; copy < 9; ++copy) {
+      ledger_.noteCrash({ vm, 200ms * copy, { { kFirst, kBad } } });
+      clock_.advance(200ms);
+    }
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, ledger_.crashes());
+  }
+
+  void targetsThatEndTogetherCountOnce()
+  {
+    for (int index = 0; index < 12; ++index) {
+      ledger_.noteCrash({ nextVm(), 0ms, { { kFirst, kOther } } });
+      clock_.advance(5ms);
+    }
+    clock_.advance(2s);
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+  }
+
+  void partWithSoundAnswersIsNotGuilty()
+  {
+    for (int index = 0; index < 8; ++index) {
+      crash({ { kFirst, PromptPartId(20) },
+              { kFirst, PromptPartId(21) },
+              { kFirst, PromptPartId(22) } },
+            2s);
+      ledger_.noteSound({ kFirst, PromptPartId(20), PromptPartId(21) });
+      ledger_.noteSound({ PromptPartId(22) });
+      CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+    }
+  }
+
+  void partIsAloneGuiltyWhenTheOthersDiffer()
+  {
+    crash({ { PromptPartId(11), kBad } });
+    crash({ { PromptPartId(12), kBad } });
+    crash({ { PromptPartId(13), kBad } });
+    clock_.advance(500ms);
+    expectGuilty({ kBad });
+  }
+
+  void requestsBesideTheGuiltyOneAreExplained()
+  {
+    const PromptPartId popular(9);
+    for (int index = 0; index < 6; ++index) {
+      crash({ { kFirst, kBad },
+              { kFirst, index < 4 ? popular : PromptPartId(50) } });
+    }
+    expectGuilty({ kFirst, kBad });
+    clock_.advance(2s);
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+  }
+
+  void partsThatAreAlwaysTogetherAreGuiltyTogether()
+  {
+    // A caller can put the parts of another one into its own prompts.
+    for (int index = 0; index < 4; ++index) {
+      crash({ { kBad, kOther } });
+    }
+    expectGuilty({ kOther, kBad });
+  }
+
+  void soundPartLeavesAGuiltySet()
+  {
+    for (int index = 0; index < 3; ++index) {
+      crash({ { kBad, kOther } });
+    }
+    expectGuilty({ kOther, kBad });
+    ledger_.noteSound({ kOther });
+    const GuiltChanges changes = ledger_.decide();
+    CPPUNIT_ASSERT(changes.added_ == std::vector<PromptParts>{ { kBad } });
+    CPPUNIT_ASSERT(changes.lifted_ ==
+                   (std::vector<PromptParts>{ { kOther, kBad } }));
+    ledger_.noteSound({ kBad });
+    CPPUNIT_ASSERT(ledger_.decide().lifted_ ==
+                   std::vector<PromptParts>{ { kBad } });
+  }
+
+  void loneSuspectMayStillProveSound()
+  {
+    for (int index = 0; index < 3; ++index) {
+      crash({ { kFirst } });
+    }
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+    ledger_.noteSound({ kFirst });
+    clock_.advance(2s);
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+    for (int index = 0; index < 3; ++index) {
+      crash({ { kBad } });
+    }
+    clock_.advance(300ms);
+    expectGuilty({ kBad });
+  }
+
+  void equalSuspectsMayStillProveSound()
+  {
+    const PromptPartId popular(9);
+    for (int index = 0; index < 3; ++index) {
+      crash({ { kFirst, kBad }, { kFirst, popular } });
+    }
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+    ledger_.noteSound({ popular });
+    expectGuilty({ kFirst, kBad });
+  }
+
+  void doubtDoesNotLastWhileTargetsEnd()
+  {
+    for (int index = 0; index < 5; ++index) {
+      crash({ { kBad } }, 130ms);
+    }
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+    crash({ { kBad } }, 130ms);
+    expectGuilty({ kBad });
+  }
+
+  void soundnessEnds()
+  {
+    crash({ { kBad } });
+    ledger_.noteSound({ kBad });
+    clock_.advance(11s);
+    for (int index = 0; index < 3; ++index) {
+      crash({ { kBad } });
+    }
+    clock_.advance(500ms);
+    expectGuilty({ kBad });
+  }
+
+  void earlierCrashesDoNotAccuseTheFirstPart()
+  {
+    for (int index = 0; index < 2; ++index) {
+      crash({ { kFirst, PromptPartId(30) }, { kFirst, PromptPartId(31) } });
+    }
+    for (int index = 0; index < 3; ++index) {
+      crash(
+        { { kFirst, kBad },
+          { kFirst, PromptPartId(40 + 2 * static_cast<std::uint64_t>(index)) },
+          { kFirst,
+            PromptPartId(41 + 2 * static_cast<std::uint64_t>(index)) } });
+    }
+    expectGuilty({ kFirst, kBad });
+    clock_.advance(2s);
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+  }
+
+  void manyPartsNeitherGrowTheLedgerNorHideTheGuiltyOne()
+  {
+    std::uint64_t fresh = 1000;
+    for (int index = 0; index < 300; ++index) {
+      std::vector<PromptParts> requests;
+      for (int request = 0; request < 40; ++request) {
+        requests.push_back({ PromptPartId(++fresh), PromptPartId(++fresh) });
+      }
+      // The same request comes again and again beside fresh ones.
+      requests.front() = { PromptPartId(++fresh), kBad };
+      crash(requests);
+    }
+    CPPUNIT_ASSERT(ledger_.crashes() <= 64);
+    CPPUNIT_ASSERT(ledger_.suspects().size() <= 48);
+    clock_.advance(500ms);
+    expectGuilty({ kBad });
+  }
+
+  void suspectsAreAskedForAWhile()
+  {
+    crash({ { kFirst, kOther } });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, ledger_.suspects().size());
+    ledger_.noteSound({ kFirst });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, ledger_.suspects().size());
+    CPPUNIT_ASSERT_EQUAL(kOther, ledger_.suspects().front().part_);
+    clock_.advance(31s);
+    CPPUNIT_ASSERT(ledger_.suspects().empty());
+  }
+
+private:
+  VmId nextVm() { return VmId("i-" + std::to_string(++vms_)); }
+
+  /** Reports the end of another target, and lets time pass. */
+  void crash(const std::vector<PromptParts>& aRequests,
+             state::Duration aPause = 200ms)
+  {
+    ledger_.noteCrash({ nextVm(), 0ms, aRequests });
+    clock_.advance(aPause);
+  }
+
+  void expectGuilty(const PromptParts& aSet)
+  {
+    const GuiltChanges changes = ledger_.decide();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, changes.added_.size());
+    CPPUNIT_ASSERT_EQUAL(state::textOf(aSet),
+                         state::textOf(changes.added_.front()));
+    CPPUNIT_ASSERT(changes.lifted_.empty());
+  }
+
+  fakes::FakeClock clock_;       ///< Clock.
+  CrashLedger ledger_{ clock_ }; ///< The ledger.
+  int vms_ = 0;                  ///< Targets so far.
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashLedgerTest);
--- /dev/null
+++ b/tests/coordination/prompt_quarantine_test.cpp
@@ -0,0 +1,222 @@
+// Tests of quarantined prompt parts, their store entries and the observer of
+// lost requests.
+
+#include "coordination/quarantine/crash_observer.h"
+#include "coordination/quarantine/quarantine_record.h"
+#include "fakes/fake_event_log.h"
+#include "fakes/fake_store.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace auburnhaven;
+using namespace std::chrono_literals;
+using coordination::CrashObserver;
+using coordination::PromptQuarantine;
+using coordination::QuarantineRecord;
+using state::PromptPartId;
+using state::PromptParts;
+using state::VmId;
+
+namespace {
+
+constexpr PromptPartId kOne(1);                    ///< A part.
+constexpr PromptPartId kTwo(2);                    ///< Another part.
+const state::Endpoint kEndpoint{ "10.0.0.1", 80 }; ///< Endpoint of a target.
+
+/** Keeps the probes for the test to answer. */
+class FakeListenerProbe : public coordination::ListenerProbe
+{
+public:
+  void probe(const state::Endpoint& /*aEndpoint*/, Handler aHandler) override
+  {
+    handlers_.push_back(std::move(aHandler));
+  }
+
+  std::vector<Handler> handlers_; ///< One for each probe.
+};
+
+} // namespace
+
+class PromptQuarantineTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PromptQuarantineTest);
+  CPPUNIT_TEST(requestWithAllPartsOfASetIsBlocked);
+  CPPUNIT_TEST(quarantineEnds);
+  CPPUNIT_TEST(passingASetOnDoesNotProlongIt);
+  CPPUNIT_TEST(setsAreBounded);
+  CPPUNIT_TEST(startingDaemonLearnsFromTheStore);
+  CPPUNIT_TEST(liftedSetLeavesTheStore);
+  CPPUNIT_TEST(failedWriteIsRepeated);
+  CPPUNIT_TEST(malformedEntryIsIgnored);
+  CPPUNIT_TEST(refusedConnectionTellsThatATargetEnded);
+  CPPUNIT_TEST(listeningTargetHasNotEnded);
+  CPPUNIT_TEST(soundAnswersToSuspectsAreCollected);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void requestWithAllPartsOfASetIsBlocked()
+  {
+    PromptQuarantine quarantine(clock_);
+    CPPUNIT_ASSERT(!quarantine.blocks({ kOne }));
+    quarantine.add({ { kOne, kTwo }, 10s });
+    CPPUNIT_ASSERT(quarantine.blocks({ PromptPartId(9), kTwo, kOne }));
+    CPPUNIT_ASSERT(!quarantine.blocks({ kOne, PromptPartId(9) }));
+    CPPUNIT_ASSERT(!quarantine.blocks({}));
+    CPPUNIT_ASSERT(quarantine.lift({ kOne, kTwo }));
+    CPPUNIT_ASSERT(!quarantine.blocks({ kOne, kTwo }));
+  }
+
+  void quarantineEnds()
+  {
+    PromptQuarantine quarantine(clock_);
+    quarantine.add({ { kOne }, PromptQuarantine::kDuration + 1h });
+    clock_.advance(PromptQuarantine::kDuration - 1s);
+    CPPUNIT_ASSERT(quarantine.blocks({ kOne }));
+    clock_.advance(1s);
+    CPPUNIT_ASSERT(!quarantine.blocks({ kOne }));
+    CPPUNIT_ASSERT(quarantine.sets().empty());
+  }
+
+  void passingASetOnDoesNotProlongIt()
+  {
+    PromptQuarantine quarantine(clock_);
+    CPPUNIT_ASSERT(quarantine.add({ { kOne }, 5s }));
+    clock_.advance(4s);
+    CPPUNIT_ASSERT(!quarantine.add({ { kOne }, 5s }));
+    clock_.advance(2s);
+    CPPUNIT_ASSERT(!quarantine.blocks({ kOne }));
+  }
+
+  void setsAreBounded()
+  {
+    PromptQuarantine quarantine(clock_);
+    for (std::uint64_t part = 1; part <= 500; ++part) {
+      quarantine.add({ { PromptPartId(part) }, 1min + part * 1s });
+    }
+    CPPUNIT_ASSERT(quarantine.sets().size() <= 64);
+    CPPUNIT_ASSERT(quarantine.blocks({ PromptPartId(500) }));
+  }
+
+  void startingDaemonLearnsFromTheStore()
+  {
+    PromptQuarantine quarantine(clock_);
+    quarantine.add({ { kOne, kTwo }, 1min });
+    QuarantineRecord writer(clock_, store_, log_, "q/", "one");
+    run(writer, quarantine, 2s);
+    CPPUNIT_ASSERT(data_->leases_.contains("q/1,2"));
+    QuarantineRecord reader(clock_, store_, log_, "q/", "two");
+    const auto parts = reader.take("q/1,2", true);
+    CPPUNIT_ASSERT(parts == (PromptParts{ kOne, kTwo }));
+    CPPUNIT_ASSERT(!reader.take("q/1,2", false));
+    CPPUNIT_ASSERT(!reader.take("daemon/1,2", true));
+  }
+
+  void liftedSetLeavesTheStore()
+  {
+    PromptQuarantine quarantine(clock_);
+    quarantine.add({ { kOne }, 1min });
+    QuarantineRecord record(clock_, store_, log_, "q/", "one");
+    run(record, quarantine, 2s);
+    CPPUNIT_ASSERT_EQUAL(std::string("one"), data_->leases_["q/1"].holder_);
+    quarantine.lift({ kOne });
+    run(record, quarantine, 1s);
+    CPPUNIT_ASSERT_EQUAL(std::string(), data_->leases_["q/1"].holder_);
+  }
+
+  void failedWriteIsRepeated()
+  {
+    PromptQuarantine quarantine(clock_);
+    quarantine.add({ { kOne }, 1min });
+    QuarantineRecord record(clock_, store_, log_, "q/", "one");
+    store_.faults().down_ = true;
+    run(record, quarantine, 3s);
+    CPPUNIT_ASSERT(!data_->leases_.contains("q/1"));
+    store_.faults().down_ = false;
+    run(record, quarantine, 3s);
+    CPPUNIT_ASSERT(data_->leases_.contains("q/1"));
+    const auto writes = data_->writes_;
+    run(record, quarantine, 10s);
+    CPPUNIT_ASSERT_EQUAL(writes, data_->writes_);
+  }
+
+  void malformedEntryIsIgnored()
+  {
+    QuarantineRecord record(clock_, store_, log_, "q/", "one");
+    for (const char* key : { "q/", "q/x", "q/1,", "q/11112222333344445" }) {
+      CPPUNIT_ASSERT_MESSAGE(key, !record.take(key, true));
+    }
+  }
+
+  void refusedConnectionTellsThatATargetEnded()
+  {
+    lose("a", { kOne });
+    lose("a", { kTwo });
+    observer_.poll();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, probe_.handlers_.size());
+    CPPUNIT_ASSERT(observer_.takeReports().empty());
+    clock_.advance(5ms);
+    probe_.handlers_.front()(true);
+    const auto reports = observer_.takeReports();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, reports.size());
+    CPPUNIT_ASSERT(
+      reports.front() ==
+      (coordination::CrashReport{ VmId("a"), 5ms, { { kOne }, { kTwo } } }));
+    lose("a", { kOne, kTwo });
+    observer_.poll();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, probe_.handlers_.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, observer_.takeReports().size());
+    clock_.advance(2s);
+    lose("a", { kOne });
+    observer_.poll();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, probe_.handlers_.size());
+  }
+
+  void listeningTargetHasNotEnded()
+  {
+    lose("a", { kOne });
+    observer_.poll();
+    probe_.handlers_.front()(false);
+    observer_.poll();
+    CPPUNIT_ASSERT(observer_.takeReports().empty());
+  }
+
+  void soundAnswersToSuspectsAreCollected()
+  {
+    observer_.noteAnswer({ kOne }, clock_.now());
+    observer_.setSuspects({ { kOne, 1s } });
+    observer_.noteAnswer({ kOne }, clock_.now() - 2s);
+    observer_.noteAnswer({ kTwo }, clock_.now());
+    CPPUNIT_ASSERT(observer_.takeSound().empty());
+    observer_.noteAnswer({ kTwo, kOne }, clock_.now());
+    observer_.noteAnswer({ kOne }, clock_.now());
+    CPPUNIT_ASSERT(observer_.takeSound() == PromptParts{ kOne });
+  }
+
+private:
+  void lose(const std::string& aVm, const PromptParts& aParts)
+  {
+    observer_.noteLost({ VmId(aVm), kEndpoint, aParts, clock_.now() });
+  }
+
+  /** Lets a daemon update the store for some time. */
+  void run(QuarantineRecord& aRecord,
+           const PromptQuarantine& aQuarantine,
+           state::Duration aTime)
+  {
+    for (state::Duration passed{}; passed < aTime; passed += 50ms) {
+      aRecord.update(aQuarantine);
+      clock_.advance(50ms);
+      store_.step();
+    }
+  }
+
+  fakes::FakeClock clock_;  ///< Clock.
+  fakes::FakeEventLog log_; ///< Log.
+  std::shared_ptr<fakes::FakeStoreData> data_ =
+    std::make_shared<fakes::FakeStoreData>();             ///< The store's data.
+  fakes::FakeStore store_{ clock_, data_ };               ///< The store.
+  FakeListenerProbe probe_;                               ///< Probes.
+  CrashObserver observer_{ clock_, probe_, log_, [] {} }; ///< The observer.
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
--- a/tests/platform/relay_crashing_part_test.cpp
+++ b/tests/platform/relay_crashing_part_test.cpp
@@ -1,6 +1,9 @@
 // Tests of requests with a part in their prompts that ends each target.
 
+#include "fakes/fake_store.h"
 #include "platform/relay_world.h"
+#include "transport/control_loop.h"
+#include "transport/relay/quarantine_service.h"
 
 #include <atomic>
 
@@ -54,6 +57,77 @@
   state::Endpoint endpoint_ = server_.endpoint(); ///< Its endpoint.
 };
 
+/** @return A loopback endpoint for datagrams that nobody uses. */
+state::Endpoint
+freeDatagramEndpoint()
+{
+  namespace asio = boost::asio;
+  asio::io_context context;
+  const asio::ip::udp::socket socket(context,
+                                     { asio::ip::address_v4::loopback(), 0 });
+  return { "127.0.0.1", socket.local_endpoint().port() };
+}
+
+/** A daemon with its control thread; the first one coordinates. */
+class GuardedDaemon
+{
+public:
+  /** @param aAll Datagram endpoints of all daemons. @param aIndex Its own. */
+  GuardedDaemon(const std::vector<state::Endpoint>& aAll, std::size_t aIndex)
+    : service_(clock_,
+               control_.context(),
+               socket_,
+               store_,
+               log_,
+               aAll[aIndex],
+               { "q/", "daemon" },
+               [this] {
+                 boost::asio::post(world_.pool_.context(0), [this] {
+                   world_.relay_.wakeOpenRequests(0);
+                 });
+               })
+    , world_({}, { &service_.quarantine(), &service_.observer() })
+  {
+    peers_.coordinators_ = { aAll.front() };
+    peers_.coordinates_ = aIndex == 0;
+    peers_.others_ = aAll;
+    std::erase(peers_.others_, aAll[aIndex]);
+    const auto take = [this](const state::Endpoint& /*aFrom*/,
+                             const std::string& aDatagram) {
+      service_.take(aDatagram);
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string(), socket_.start(aAll[aIndex], take));
+    control_.every(20ms, [this] { service_.tick(peers_, false); });
+    thread_ = std::thread([this] { control_.run(); });
+  }
+  ~GuardedDaemon()
+  {
+    world_.pool_.stop();
+    control_.stop();
+    thread_.join();
+  }
+  GuardedDaemon(const GuardedDaemon&) = delete;
+  GuardedDaemon& operator=(const GuardedDaemon&) = delete;
+
+  /** @return Its relay. */
+  RelayWorld& world() { return world_; }
+
+private:
+  transport::SystemClock clock_;                           ///< Clock.
+  fakes::LockedEventLog log_;                              ///< Log.
+  transport::ControlLoop control_;                         ///< Control thread.
+  transport::DatagramSocket socket_{ control_.context() }; ///< Datagrams.
+  fakes::FakeClock storeClock_; ///< Clock of the store.
+  fakes::FakeStore store_{
+    storeClock_,
+    std::make_shared<fakes::FakeStoreData>()
+  };                                     ///< Store, which is never reached.
+  transport::QuarantineService service_; ///< Joins the reports.
+  transport::QuarantinePeers peers_;     ///< The other daemons.
+  RelayWorld world_;                     ///< The relay.
+  std::thread thread_;                   ///< Control thread.
+};
+
 /** @return A caller's request for a stream, with a prompt of its own. */
 std::string
 requestWith(const std::string& aParts, int aIndex)
@@ -78,17 +152,21 @@
   void partThatEndsTargetsReachesFewMore()
   {
     std::vector<std::unique_ptr<CrashingTarget>> targets;
-    std::vector<std::unique_ptr<RelayWorld>> daemons;
+    std::vector<std::unique_ptr<GuardedDaemon>> daemons;
+    std::vector<state::Endpoint> endpoints;
     for (int index = 0; index < kTargets; ++index) {
       targets.push_back(std::make_unique<CrashingTarget>());
     }
     for (int index = 0; index < kDaemons; ++index) {
-      daemons.push_back(std::make_unique<RelayWorld>());
+      endpoints.push_back(freeDatagramEndpoint());
+    }
+    for (std::size_t index = 0; index < endpoints.size(); ++index) {
+      daemons.push_back(std::make_unique<GuardedDaemon>(endpoints, index));
     }
     for (int index = 0; index < kTargets; ++index) {
       listTargets(targets, daemons);
       const auto& daemon = daemons[static_cast<std::size_t>(index % kDaemons)];
-      daemon->ask(requestWith(kFirstPart + "," + kBadPart, index));
+      daemon->world().ask(requestWith(kFirstPart + "," + kBadPart, index));
       std::this_thread::sleep_for(120ms);
     }
     const auto ended =
@@ -98,9 +176,9 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(ended) + " targets ended",
                            ended <= kMaxEnded);
     for (const auto& daemon : daemons) {
-      CPPUNIT_ASSERT_EQUAL(
-        std::string("200"),
-        statusOf(daemon->ask(requestWith(kFirstPart + ",good:200", 1))));
+      CPPUNIT_ASSERT_EQUAL(std::string("200"),
+                           statusOf(daemon->world().ask(
+                             requestWith(kFirstPart + ",good:200", 1))));
     }
   }
 
@@ -108,17 +186,18 @@
   /** Lists the targets that have not ended at all daemons. */
   static void listTargets(
     const std::vector<std::unique_ptr<CrashingTarget>>& aTargets,
-    const std::vector<std::unique_ptr<RelayWorld>>& aDaemons)
+    const std::vector<std::unique_ptr<GuardedDaemon>>& aDaemons)
   {
     for (const auto& daemon : aDaemons) {
-      daemon->instances_.clear();
+      RelayWorld& world = daemon->world();
+      world.instances_.clear();
       for (std::size_t index = 0; index < aTargets.size(); ++index) {
         if (!aTargets[index]->hasEnded()) {
-          daemon->addTarget("i-" + std::to_string(index),
-                            aTargets[index]->endpoint());
+          world.addTarget("i-" + std::to_string(index),
+                          aTargets[index]->endpoint());
         }
       }
-      daemon->start();
+      world.start();
     }
   }
 };
--- a/tests/platform/relay_world.h
+++ b/tests/platform/relay_world.h
@@ -88,11 +88,19 @@
   std::mutex mutex_; ///< Serializes write().
 };
 
+/** What a relay knows of prompt parts that end targets; null for nothing. */
+struct RelayGuards
+{
+  const coordination::PromptQuarantine* quarantine_ = nullptr; ///< Sets.
+  coordination::CrashObserver* crashes_ = nullptr; ///< Takes lost requests.
+};
+
 /** A relay with callers and targets over loopback. */
 class RelayWorld
 {
 public:
-  explicit RelayWorld(transport::RelaySettings aSettings = {})
+  explicit RelayWorld(transport::RelaySettings aSettings = {},
+                      RelayGuards aGuards = {})
     : pool_(1)
     , targets_(clock_,
                {},
@@ -105,7 +113,11 @@
                routes_,
                clients_,
                log_,
-               metrics_ },
+               metrics_,
+               nullptr,
+               nullptr,
+               aGuards.quarantine_,
+               aGuards.crashes_ },
              aSettings)
     , server_(pool_, { "127.0.0.1", 0 }, {}, relay_)
   {
--- a/tests/transport/loopback.h
+++ b/tests/transport/loopback.h
@@ -120,6 +120,14 @@
     boost::asio::write(aSocket, boost::asio::buffer(aText), error);
   }
 
+  /** Resets a connection. Its destructor would close it in the usual way. */
+  static void reset(boost::asio::ip::tcp::socket& aSocket)
+  {
+    boost::system::error_code error;
+    aSocket.set_option(boost::asio::socket_base::linger(true, 0), error);
+    aSocket.close(error);
+  }
+
 private:
   void accept()
   {
