Take an answer without length that ends with its connection as whole

What callers saw: 502 for answers that the target had made and ended with its connection, with neither length nor chunks; requests that may be repeated were sent again, and those that may not failed.

Cause: the HTTP client counted each body without length and chunks as cut short, since it can't be told from one that was. The platform's pages say that such an answer is whole when its connection ends in order.

Now the client tells such an end from a break (kEndOfConnection). The relay takes it as whole if the target still listens: the connections of a process that ends are closed in order as well, and its answers are not whole. A stream that ends inside an event is broken off as before.

--- a/src/transport/http_client_type.h
+++ b/src/transport/http_client_type.h
@@ -98,6 +98,8 @@
 {
   kData,     ///< A piece of the body.
   kEnd,      ///< The body has ended and is whole.
+  kEndOfConnection, ///< The body, which has no length, has ended with its
+                    ///< connection; it is whole if the sender meant that.
   kCutShort, ///< The connection broke before the end of the body.
   kTimeout,  ///< No further piece in time.
   kTooLong,  ///< A line or body exceeds its limit.
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -228,9 +228,10 @@
   HttpReadStatus status = HttpReadStatus::kEnd;
   if (aError == beast::error::timeout) {
     status = HttpReadStatus::kTimeout;
-  } else if (aError || parser_->need_eof()) {
-    // A body that only the end of the connection ends is never known whole.
+  } else if (aError) {
     status = HttpReadStatus::kCutShort;
+  } else if (parser_->need_eof()) {
+    status = HttpReadStatus::kEndOfConnection;
   }
   ended_ = status;
   return { status, {} };
--- a/src/transport/relay/relay_attempt.cpp
+++ b/src/transport/relay/relay_attempt.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/relay/relay_attempt.h"
 
+#include "transport/connect_probe.h"
+
 #include <boost/beast/core/string.hpp>
 
 #include <utility>
@@ -23,6 +25,8 @@
   100); ///< Timeout for the body of a rejection, which is read only to reuse
         ///< the connection.
 
+constexpr milliseconds kListenTimeout(
+  150); ///< For a connection that shows that a target has not ended.
 constexpr milliseconds kProvenAnswerTime(
   300); ///< How long a target must go on with an answer to show that it can
         ///< serve the request.
@@ -124,7 +128,8 @@
       return progress;
     }
   }
-  return stream_ && isSuccess(response_.status_) ? pollStream() : pollBody();
+  return stream_ && isSuccess(response_.status_) ? pollStream(aYield)
+                                                 : pollBody(aYield);
 }
 
 AttemptProgress
@@ -247,8 +252,22 @@
   return response;
 }
 
+bool
+RelayAttempt::isWhole(HttpReadStatus aStatus,
+                      const boost::asio::yield_context& aYield)
+{
+  // The connections of a process that ends are closed as those of one that has
+  // finished its answer.
+  const bool ended =
+    aStatus == HttpReadStatus::kEndOfConnection &&
+    refusesConnections(target_.endpoint_, kListenTimeout, aYield);
+  lostConnection_ = aStatus == HttpReadStatus::kCutShort || ended;
+  return aStatus == HttpReadStatus::kEnd ||
+         (aStatus == HttpReadStatus::kEndOfConnection && !ended);
+}
+
 AttemptProgress
-RelayAttempt::pollBody()
+RelayAttempt::pollBody(const boost::asio::yield_context& aYield)
 {
   for (;;) {
     const HttpPiece piece = call_.poll();
@@ -262,8 +281,7 @@
     if (piece.status_ == HttpReadStatus::kData && !tooLong) {
       continue;
     }
-    if (piece.status_ != HttpReadStatus::kEnd) {
-      lostConnection_ = piece.status_ == HttpReadStatus::kCutShort;
+    if (tooLong || !isWhole(piece.status_, aYield)) {
       call_.abort();
       return end(SendOutcome::kUnknown, "response is incomplete");
     }
@@ -272,7 +290,7 @@
 }
 
 AttemptProgress
-RelayAttempt::pollStream()
+RelayAttempt::pollStream(const boost::asio::yield_context& aYield)
 {
   if (!events_.fault().empty()) {
     call_.abort();
@@ -285,10 +303,9 @@
   if (piece.status_ == HttpReadStatus::kData) {
     return takeEvents(piece.data_);
   }
-  if (piece.status_ == HttpReadStatus::kEnd && !events_.hasPartialEvent()) {
+  if (isWhole(piece.status_, aYield) && !events_.hasPartialEvent()) {
     return complete();
   }
-  lostConnection_ = piece.status_ == HttpReadStatus::kCutShort;
   call_.abort();
   return end(SendOutcome::kUnknown, "stream ended prematurely");
 }
--- a/src/transport/relay/relay_attempt.h
+++ b/src/transport/relay/relay_attempt.h
@@ -51,7 +51,8 @@
             HttpAborter& aAborter);
   /**
    * Takes what has arrived. Do not call after kComplete or kFailed.
-   * @param aYield The coroutine; waits only for the body of a rejection.
+   * @param aYield The coroutine; waits only for the body of a rejection, and
+   * after a body that ended with its connection for a new connection.
    * @return What is new.
    */
   AttemptProgress poll(const boost::asio::yield_context& aYield);
@@ -116,8 +117,10 @@
   AttemptProgress endWithoutResponse();
   AttemptProgress endWithError();
   AttemptProgress takeHead(const boost::asio::yield_context& aYield);
-  AttemptProgress pollStream();
-  AttemptProgress pollBody();
+  AttemptProgress pollStream(const boost::asio::yield_context& aYield);
+  AttemptProgress pollBody(const boost::asio::yield_context& aYield);
+  bool isWhole(HttpReadStatus aStatus,
+               const boost::asio::yield_context& aYield);
   AttemptProgress takeEvents(std::string_view aData);
   AttemptProgress complete();
   void noteAnswer();
