Keep requests within the limits that targets name

Cause: the header was read nowhere. The class is that of the quarantine: each daemon acts on what it alone has seen, and the bound is on the sum.

Now the dispatcher that places the requests of a model counts them under each limit; while a plain target has one, its service has a dispatcher too. Questions for a place carry the limits that the asking daemon has heard, so a successor knows them at once. What does not fit goes to other targets, or is refused with the time at which there will be room. Without an answer from the dispatcher a daemon uses its even part of a quarter of the limit.

Ruled out: an even part for each daemon alone (see docs/design/platform.md).

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -476,6 +476,7 @@
                           const std::string& aDatagram)
 {
   if (const auto question = protocol::decodeQuestion(aDatagram)) {
+    targets_.noteLimits(question->limits_);
     const coordination::TargetDecision place = targets_.place(question->need_);
     digests_.send(aFrom,
                   protocol::encodeAnswer({ question->number_,
--- a/src/coordination/routing/target_pool.cpp
+++ b/src/coordination/routing/target_pool.cpp
@@ -19,6 +19,10 @@
 constexpr milliseconds kNoTargetRetryAfter(
   700); ///< Retry delay in a refusal while no target serves.
 
+constexpr milliseconds kMaxLimitWait(
+  2000); ///< Longest retry delay for a limit, since another daemon or the
+         ///< dispatcher may have room sooner.
+
 /** @return Whether an instance is registered as taking new requests: a plain
  * one, or the head of an open replica. */
 bool
@@ -71,6 +75,7 @@
   , settings_(aSettings)
   , random_(std::move(aRandom))
   , notices_(aClock)
+  , limits_(aClock)
 {
 }
 
@@ -86,6 +91,7 @@
   }
   for (const auto& [vm, instance] : *aInstances) {
     notices_.noteIncarnation(vm, instance.bornAtMs_);
+    limits_.noteIncarnation(vm, instance.bornAtMs_);
     const bool takes =
       takesRequests(instance) && !losesMember(instance, *aInstances);
     const auto known = targets_.find(vm);
@@ -152,6 +158,7 @@
 {
   const std::lock_guard lock(mutex_);
   daemons_ = std::max<std::size_t>(1, aDaemons);
+  limits_.setDaemons(daemons_);
 }
 
 std::optional<TargetPool::ModelTiming>
@@ -446,7 +453,8 @@
     const bool tried = aNeed.hasTried(*candidate.vm_);
     const bool admitted =
       candidate.expected_ <= limit && isAdmitted(target, context.utilization_);
-    const bool paused = notices_.pausedUntil(*candidate.vm_) > now;
+    const bool paused = notices_.pausedUntil(*candidate.vm_) > now ||
+                        limits_.sendableIn(*candidate.vm_) > state::Duration{};
     if (!tried && admitted && !paused) {
       candidate.weight_ = weightOf(target, candidate.load_, departures);
       (target.backoffUntil_ <= now ? ready : backingOff).push_back(candidate);
@@ -458,6 +466,7 @@
   // A target that failed recently is still better than a refusal.
   TargetDecision decision =
     assign(pickWeighted(ready.empty() ? backingOff : ready), now);
+  limits_.noteSent(decision.vm_);
   decision.candidates_ = static_cast<std::uint32_t>(all.size());
   return decision;
 }
@@ -523,7 +532,7 @@
 
 TargetDecision
 TargetPool::makeRefusal(const std::vector<Candidate>& aCandidates,
-                        const TargetNeed& aNeed) const
+                        const TargetNeed& aNeed)
 {
   TargetDecision decision;
   decision.candidates_ = static_cast<std::uint32_t>(aCandidates.size());
@@ -533,9 +542,11 @@
   }
   const state::TimePoint now = clock_.now();
   state::Duration pause = state::Duration::max();
+  state::Duration atLimit = state::Duration::max();
   decision.expected_ = state::Duration::max();
   for (const Candidate& candidate : aCandidates) {
     pause = std::min(pause, notices_.pausedUntil(*candidate.vm_) - now);
+    atLimit = std::min(atLimit, limits_.sendableIn(*candidate.vm_));
     if (candidate.expected_ < decision.expected_) {
       decision.expected_ = candidate.expected_;
       decision.load_ = candidate.load_;
@@ -546,6 +557,10 @@
     decision.retryAfter_ = std::max(settings_.minRetryAfter_, pause);
     return decision;
   }
+  if (atLimit > state::Duration{}) {
+    return refuseAtLimit(decision.candidates_,
+                         std::min<state::Duration>(atLimit, kMaxLimitWait));
+  }
   decision.reason_ = RefusalReason::kFull;
   const state::Duration over = decision.expected_ - aNeed.latencyTarget_;
   decision.retryAfter_ = std::max(settings_.minRetryAfter_, over);
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -3,6 +3,7 @@
 
 #include "coordination/routing/engine_timing_func.h"
 #include "coordination/routing/recent_placements.h"
+#include "coordination/routing/target_limits.h"
 #include "coordination/routing/target_notices.h"
 #include "coordination/routing/zone_digest_type.h"
 #include "state/instance_type.h"
@@ -47,15 +48,15 @@
   kFull,     ///< Every target is full.
   kTooLate,  ///< No target can start the request in time.
   kResting,  ///< Every target has asked for a pause.
+  kLimited,  ///< Every target has got what it takes by its own limit.
 };
 
 /** @return Name of a reason for logs. */
 constexpr std::string_view
 nameOf(RefusalReason aReason)
 {
-  constexpr std::string_view kNames[] = {
-    "none", "no_target", "full", "too_late", "resting"
-  };
+  constexpr std::string_view kNames[] = { "none",     "no_target", "full",
+                                          "too_late", "resting",   "limited" };
   return kNames[static_cast<std::size_t>(aReason)];
 }
 
@@ -176,7 +177,8 @@
   void setDispatcher(const state::ZoneId& aZone,
                      const state::Endpoint& aEndpoint);
   /**
-   * Selects the dispatcher that should place a request.
+   * Selects the dispatcher that should place a request. Requests for plain
+   * services have one only while one of their targets has a limit.
    * @param aNeed Requirements of the request.
    * @param aTried A dispatcher that could not place it, if any.
    * @return Endpoint of the dispatcher; nothing when no other dispatcher has
@@ -187,7 +189,8 @@
     const std::optional<state::Endpoint>& aTried = std::nullopt);
   /**
    * Places a request of any daemon on the replica with the earliest expected
-   * first event, given all placements so far. With many daemons and few
+   * first event, given all placements so far and within the limits that targets
+   * have named. Plain targets get equal shares. With many daemons and few
    * replicas that process prompts one after the other, the first event is
    * delayed mostly by uneven prompt arrivals, which a daemon that only sees
    * delayed loads cannot detect.
@@ -267,6 +270,20 @@
    * @param aPause Length of the pause.
    */
   void notePause(const state::VmId& aVm, state::Duration aPause);
+  /**
+   * Notes what a response said of the limit of its target.
+   * @param aVm The target.
+   * @param aPerSecond Requests a second that it takes of all daemons together;
+   * nothing when the response named no limit.
+   */
+  void noteLimit(const state::VmId& aVm, std::optional<double> aPerSecond);
+  /** @param aLimits What another daemon knows of limits. */
+  void noteLimits(const std::vector<TargetLimit>& aLimits);
+  /**
+   * @param aNeed Requirements of a request.
+   * @return What is known of the limits of its targets, for their dispatcher.
+   */
+  std::vector<TargetLimit> limitsFor(const TargetNeed& aNeed) const;
 
 private:
   /** Known state of a target. */
@@ -389,6 +406,10 @@
                                                state::TimePoint aNow) const;
   bool usesSharedDispatcher(
     const std::map<state::ZoneId, ZoneLoad>& aZones) const;
+  std::optional<state::Endpoint> plainDispatcher(
+    const TargetNeed& aNeed,
+    const std::optional<state::Endpoint>& aTried,
+    state::TimePoint aNow) const;
   bool hasFreshDigest(const state::ZoneId& aZone, state::TimePoint aNow) const;
   std::optional<state::ZoneId> sharedDispatcherZone(
     const TargetNeed& aNeed,
@@ -409,7 +430,13 @@
                                      const ModelTiming& aTiming,
                                      state::TimePoint aNow) const;
   TargetDecision makeRefusal(const std::vector<Candidate>& aCandidates,
-                             const TargetNeed& aNeed) const;
+                             const TargetNeed& aNeed);
+  bool hasLimitedTarget(const TargetNeed& aNeed, state::TimePoint aNow) const;
+  state::Duration eraseUnplaceable(std::vector<Candidate>& aCandidates);
+  TargetDecision refuseAtLimit(std::uint32_t aCandidates,
+                               state::Duration aWait) const;
+  TargetDecision placePlain(const std::vector<Candidate>& aCandidates,
+                            state::TimePoint aNow);
 
   const state::Clock& clock_;             ///< Clock.
   const TargetPoolSettings settings_;     ///< Thresholds and timing.
@@ -418,6 +445,7 @@
   state::RoutingConfigPtr config_;        ///< Current configuration.
   std::map<state::VmId, Target> targets_; ///< Targets.
   TargetNotices notices_;                 ///< Notices sent by targets.
+  TargetLimits limits_;                   ///< Limits named by targets.
   RecentPlacements placements_;           ///< Placements for all daemons.
   std::map<state::ZoneId, DigestState> digests_; ///< Newest digest by zone.
   std::map<std::pair<state::ZoneId, state::ModelId>, double>
--- a/src/coordination/routing/target_pool_place.cpp
+++ b/src/coordination/routing/target_pool_place.cpp
@@ -15,12 +15,14 @@
   0.1; ///< How far the utilization of the own zone may exceed that of all
        ///< zones before requests go elsewhere; fraction of the slots.
 
-/** @return Rank of a zone in the choice of the dispatcher for a model; the zone
- * with the highest rank is chosen. */
+/** @return Rank of a zone in the choice of the dispatcher for a model, or for a
+ * plain service; the zone with the highest rank is chosen. */
 std::uint64_t
-dispatcherRank(const state::ZoneId& aZone, const state::ModelId& aModel)
+dispatcherRank(const state::ZoneId& aZone, const TargetNeed& aNeed)
 {
-  return state::stableHash(aZone.value() + '/' + aModel.value());
+  const std::string& name =
+    aNeed.model_.empty() ? aNeed.service_.value() : aNeed.model_.value();
+  return state::stableHash(aZone.value() + '/' + name);
 }
 
 } // namespace
@@ -122,9 +124,13 @@
 {
   const std::lock_guard lock(mutex_);
   const state::TimePoint now = clock_.now();
-  if (!config_ || aNeed.model_.empty()) {
+  if (!config_) {
     return std::nullopt;
   }
+  if (aNeed.model_.empty()) {
+    return hasLimitedTarget(aNeed, now) ? plainDispatcher(aNeed, aTried, now)
+                                        : std::nullopt;
+  }
   auto zones = loadByZone(aNeed, now);
   const bool shared = usesSharedDispatcher(zones);
   if (aTried) {
@@ -142,6 +148,19 @@
   return dispatcher == aTried ? std::nullopt : dispatcher;
 }
 
+std::optional<state::Endpoint>
+TargetPool::plainDispatcher(const TargetNeed& aNeed,
+                            const std::optional<state::Endpoint>& aTried,
+                            state::TimePoint aNow) const
+{
+  const std::optional<state::ZoneId> zone = sharedDispatcherZone(aNeed, aNow);
+  if (!zone) {
+    return std::nullopt;
+  }
+  const auto& dispatcher = digests_.at(*zone).dispatcher_;
+  return dispatcher == aTried ? std::nullopt : dispatcher;
+}
+
 bool
 TargetPool::hasFreshDigest(const state::ZoneId& aZone,
                            state::TimePoint aNow) const
@@ -157,8 +176,8 @@
 {
   std::optional<state::ZoneId> best;
   for (const auto& [zone, digest] : digests_) {
-    const bool better = !best || dispatcherRank(zone, aNeed.model_) >
-                                   dispatcherRank(*best, aNeed.model_);
+    const bool better =
+      !best || dispatcherRank(zone, aNeed) > dispatcherRank(*best, aNeed);
     if (hasFreshDigest(zone, aNow) && better) {
       best = zone;
     }
@@ -201,15 +220,24 @@
   const state::TimePoint now = clock_.now();
   const std::optional<ModelTiming> timing =
     config_ ? timingOf(aNeed.service_, aNeed.model_) : std::nullopt;
-  if (!timing) {
+  const bool plain = aNeed.model_.empty();
+  if (!config_ || (!timing && !plain)) {
     return {};
   }
-  const bool shared = usesSharedDispatcher(loadByZone(aNeed, now));
+  const bool shared = plain || usesSharedDispatcher(loadByZone(aNeed, now));
   std::vector<Candidate> all = candidatesFor(aNeed, now);
   std::erase_if(all, [&](const Candidate& aCandidate) {
     return (!shared && aCandidate.target_->zone_ != settings_.zone_) ||
            !isAvailable(aCandidate, aNeed, now);
   });
+  const auto available = static_cast<std::uint32_t>(all.size());
+  const state::Duration wait = eraseUnplaceable(all);
+  if (all.empty() && available > 0) {
+    return refuseAtLimit(available, wait);
+  }
+  if (plain) {
+    return placePlain(all, now);
+  }
   for (Candidate& candidate : all) {
     candidate.load_ = estimatePlacedLoad(candidate, *timing, now);
     candidate.expected_ = estimatePlacedTime(candidate, aNeed, *timing, now);
@@ -239,6 +267,7 @@
   decision.reason_ = RefusalReason::kNone;
   decision.vm_ = *best->vm_;
   placements_.record(*best->vm_, now, prefillTimeOf(*best, aNeed, *timing));
+  limits_.notePlaced(*best->vm_);
   return decision;
 }
 
--- a/src/protocol/placement_codec.cpp
+++ b/src/protocol/placement_codec.cpp
@@ -13,6 +13,36 @@
 
 constexpr int kQuestionMark = 1; ///< First field of a question.
 constexpr int kAnswerMark = 2;   ///< First field of an answer.
+constexpr double kNoLimit = -1;  ///< Of a target that has named no limit.
+
+Json
+encodeLimits(const std::vector<coordination::TargetLimit>& aLimits)
+{
+  Json limits = Json::array();
+  for (const coordination::TargetLimit& limit : aLimits) {
+    limits.push_back({ limit.vm_.value(),
+                       limit.perSecond_.value_or(kNoLimit),
+                       state::countMs(limit.age_) });
+  }
+  return limits;
+}
+
+std::vector<coordination::TargetLimit>
+decodeLimits(const Json& aLimits)
+{
+  std::vector<coordination::TargetLimit> limits;
+  for (const Json& row : aLimits) {
+    coordination::TargetLimit limit;
+    limit.vm_ = state::VmId(row.at(0).get<std::string>());
+    const auto perSecond = row.at(1).get<double>();
+    if (perSecond >= 0) {
+      limit.perSecond_ = perSecond;
+    }
+    limit.age_ = std::chrono::milliseconds(row.at(2).get<std::uint32_t>());
+    limits.push_back(std::move(limit));
+  }
+  return limits;
+}
 
 } // namespace
 
@@ -32,7 +62,8 @@
                           need.tokens_.answer_,
                           state::countMs(need.latencyTarget_),
                           state::countMs(need.timeLeft_),
-                          std::move(excluded) });
+                          std::move(excluded),
+                          encodeLimits(aQuestion.limits_) });
 }
 
 std::optional<PlacementQuestion>
@@ -53,6 +84,7 @@
     for (const Json& vm : aMessage.at(8)) {
       need.excluded_.emplace_back(vm.get<std::string>());
     }
+    question.limits_ = decodeLimits(aMessage.at(9));
     return question;
   });
 }
@@ -76,7 +108,7 @@
     PlacementAnswer answer;
     answer.number_ = aMessage.at(1).get<std::uint64_t>();
     const auto reason = aMessage.at(2).get<unsigned>();
-    answer.reason_ = reason <= static_cast<unsigned>(RefusalReason::kResting)
+    answer.reason_ = reason <= static_cast<unsigned>(RefusalReason::kLimited)
                        ? static_cast<RefusalReason>(reason)
                        : RefusalReason::kNoTarget;
     answer.vm_ = state::VmId(aMessage.at(3).get<std::string>());
--- a/src/protocol/placement_codec.h
+++ b/src/protocol/placement_codec.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace auburnhaven::protocol {
 
@@ -14,6 +15,8 @@
 {
   std::uint64_t number_ = 0;      ///< Told again in the answer.
   coordination::TargetNeed need_; ///< What the request needs.
+  std::vector<coordination::TargetLimit>
+    limits_; ///< What the sender knows of the limits of its targets.
   bool operator==(const PlacementQuestion&) const = default;
 };
 
--- a/src/state/rate_limiter.h
+++ b/src/state/rate_limiter.h
@@ -48,6 +48,22 @@
     return true;
   }
 
+  /** @return Time until take() succeeds; zero when it would now, and the
+   * longest time when the rate is zero. */
+  Duration availableIn()
+  {
+    refill();
+    if (tokens_ >= 1) {
+      return {};
+    }
+    if (perSecond_ <= 0) {
+      return Duration::max();
+    }
+    // Rounded up, so that the token is there after this time.
+    return std::chrono::ceil<std::chrono::milliseconds>(
+      std::chrono::duration<double>((1 - tokens_) / perSecond_));
+  }
+
   /**
    * Takes the right to do several at once, which may borrow from the time to
    * come.
--- a/src/transport/http_client_type.h
+++ b/src/transport/http_client_type.h
@@ -96,14 +96,14 @@
 /** What reading a response body came to. */
 enum class HttpReadStatus : std::uint8_t
 {
-  kData,     ///< A piece of the body.
-  kEnd,      ///< The body has ended and is whole.
+  kData,            ///< A piece of the body.
+  kEnd,             ///< The body has ended and is whole.
   kEndOfConnection, ///< The body, which has no length, has ended with its
                     ///< connection; it is whole if the sender meant that.
-  kCutShort, ///< The connection broke before the end of the body.
-  kTimeout,  ///< No further piece in time.
-  kTooLong,  ///< A line or body exceeds its limit.
-  kPending,  ///< Nothing further has arrived yet.
+  kCutShort,        ///< The connection broke before the end of the body.
+  kTimeout,         ///< No further piece in time.
+  kTooLong,         ///< A line or body exceeds its limit.
+  kPending,         ///< Nothing further has arrived yet.
 };
 
 /** A piece of a response body. */
--- a/src/transport/relay/placement_client.cpp
+++ b/src/transport/relay/placement_client.cpp
@@ -46,7 +46,10 @@
   const auto dispatcher = targets_.dispatcherFor(aNeed);
   auto answer =
     dispatcher ? requestPlacement(*dispatcher, aNeed, aYield) : std::nullopt;
-  if (answer && answer->reason_ == RefusalReason::kTooLate) {
+  const bool lacksRoom =
+    answer && (answer->reason_ == RefusalReason::kTooLate ||
+               answer->reason_ == RefusalReason::kLimited);
+  if (lacksRoom) {
     // The replicas of another zone may serve the request in time.
     const auto other = targets_.dispatcherFor(aNeed, dispatcher);
     const auto second =
@@ -101,7 +104,9 @@
                  boost::asio::steady_timer(context_, settings_.answerTimeout_),
                  std::nullopt })
       .first->second;
-  socket_.send(aDispatcher, protocol::encodeQuestion({ number, aNeed }));
+  socket_.send(
+    aDispatcher,
+    protocol::encodeQuestion({ number, aNeed, targets_.limitsFor(aNeed) }));
   boost::system::error_code ignored;
   pending.timer_.async_wait(aYield[ignored]);
   std::optional<PlacementAnswer> answer = pending.answer_;
--- a/src/transport/relay/relay_attempt.cpp
+++ b/src/transport/relay/relay_attempt.cpp
@@ -165,6 +165,10 @@
   if (aInfo.leaving_) {
     dependencies_.targets_.noteLeaving(target_.vm_);
   }
+  // A rejection without a limit does not tell that the limit has ended.
+  if (aInfo.requestLimit_ || !aInfo.notRun_) {
+    dependencies_.targets_.noteLimit(target_.vm_, aInfo.requestLimit_);
+  }
   if (aInfo.requestedPause_) {
     dependencies_.targets_.notePause(target_.vm_, *aInfo.requestedPause_);
   }
--- a/src/transport/relay/relay_dialect.h
+++ b/src/transport/relay/relay_dialect.h
@@ -57,6 +57,9 @@
     requestedPause_; ///< How long the target wants no requests; nothing when
                      ///< it doesn't say.
   std::optional<state::TargetLoad> load_; ///< Load that the target reports.
+  std::optional<double> requestLimit_;    ///< Requests a second that the target
+                                          ///< takes of all daemons together;
+                                          ///< nothing when it names no limit.
   bool operator==(const RelayResponseInfo&) const = default;
 };
 
--- a/tests/protocol/placement_codec_test.cpp
+++ b/tests/protocol/placement_codec_test.cpp
@@ -21,14 +21,16 @@
 public:
   void questionPasses()
   {
-    const PlacementQuestion question{ 7,
-                                      { state::ServiceId("s"),
-                                        state::ModelId("m"),
-                                        { 1420, 144 },
-                                        500ms,
-                                        8s,
-                                        { state::VmId("a"),
-                                          state::VmId("b") } } };
+    const PlacementQuestion question{
+      7,
+      { state::ServiceId("s"),
+        state::ModelId("m"),
+        { 1420, 144 },
+        500ms,
+        8s,
+        { state::VmId("a"), state::VmId("b") } },
+      { { state::VmId("a"), 2.5, 20ms }, { state::VmId("b"), {}, 3s } }
+    };
     const auto decoded = decodeQuestion(encodeQuestion(question));
     CPPUNIT_ASSERT(decoded);
     CPPUNIT_ASSERT(*decoded == question);
@@ -49,7 +51,7 @@
   void otherBytesAreNone()
   {
     std::mt19937 random(3);
-    const std::string whole = encodeQuestion({ 7, {} });
+    const std::string whole = encodeQuestion({ 7, {}, {} });
     for (std::size_t size = 0; size < whole.size(); ++size) {
       CPPUNIT_ASSERT(!decodeQuestion(whole.substr(0, size)));
     }
