Decide at once on a part whose lost requests differed in all others

A part that is alone in its set waited 0.4 s for an acquittal, during which more targets end. Where each lost request had other shared parts too, and these differed, they speak for the one that did not differ. The waiting time stays for parts that came alone, as a first part does.

--- a/src/coordination/quarantine/crash_ledger.cpp
+++ b/src/coordination/quarantine/crash_ledger.cpp
@@ -178,6 +178,7 @@
           against.enoughAt_ = crash.at_;
         }
         ++against.requests_;
+        against.alone_ += request.size() == 1 ? 1 : 0;
       }
     }
   }
@@ -189,7 +190,7 @@
 {
   // A part that few lost requests had tells more than one that most had.
   const auto rankOf = [](const Evidence& aPart) {
-    return std::tuple(aPart.moments_ * 2 >= aPart.requests_,
+    return std::tuple(aPart.isPrecise(),
                       aPart.moments_,
                       -static_cast<std::int64_t>(aPart.requests_));
   };
@@ -247,7 +248,9 @@
     std::any_of(soundAt_.begin(), soundAt_.end(), [&](const auto& aEntry) {
       return aEntry.second > aEvidence.firstAt_;
     });
-  return aSet.size() > 1 || othersSound;
+  // Parts that differed from request to request speak for the one that did not.
+  const bool othersDiffer = aEvidence.isPrecise() && aEvidence.alone_ == 0;
+  return aSet.size() > 1 || othersSound || othersDiffer;
 }
 
 void
--- a/src/coordination/quarantine/crash_ledger.h
+++ b/src/coordination/quarantine/crash_ledger.h
@@ -96,8 +96,11 @@
   {
     std::uint32_t moments_ = 0;   ///< Moments at which targets ended under it.
     std::uint32_t requests_ = 0;  ///< Lost requests that have it.
+    std::uint32_t alone_ = 0;     ///< Of these, those without another part.
     state::TimePoint firstAt_{};  ///< When the first target ended.
     state::TimePoint enoughAt_{}; ///< When the moments became enough.
+    /** @return Whether few other requests were lost with it. */
+    bool isPrecise() const { return moments_ * 2 >= requests_; }
   };
   using EvidenceMap = std::map<state::PromptPartId, Evidence>; ///< By part.
 
