Answer requests that outlast a planned stop before it closes them

Now such requests get their final response first: 502, since they may have run; a stream that has begun is cut as before.

RelayTest requestThatOutlastsTheStopIsAnswered is new; the function that it calls did not exist before. By reading, the daemon only closed.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -251,7 +251,11 @@
                 log_,
                 settings_.listeners_.digests_,
                 { kQuarantinePrefix, settings_.daemon_.value() },
-                [this] { wakeRequests(); })
+                [this] {
+                  onTrafficThreads([this](std::size_t aThread) {
+                    relay_.wakeOpenRequests(aThread);
+                  });
+                })
   , extender_(clock_, digests_, duties_, registration_, log_)
   , budget_(budgetSettings(settings_.retries_))
   , relay_({ clock_,
@@ -563,15 +567,6 @@
   }
 }
 
-void
-RelayDaemon::wakeRequests()
-{
-  for (std::size_t thread = 0; thread < traffic_.size(); ++thread) {
-    boost::asio::post(traffic_.context(thread),
-                      [this, thread] { relay_.wakeOpenRequests(thread); });
-  }
-}
-
 void
 RelayDaemon::takeActivity(const protocol::ActivityNotice& aNotice,
                           state::TimePoint aCountedAt,
@@ -738,6 +733,11 @@
                settings_.stopLimit_ - kStopMargin);
   endStopPhase(stop, "requests");
   logOpenRequests();
+  // Better an error now than a connection that closes without an answer.
+  onTrafficThreads(
+    [this](std::size_t aThread) { relay_.giveUpOpenRequests(aThread); });
+  stop.waitFor([this] { return callers_->inFlight() == 0; },
+               stop.elapsed() + kAbandonWait);
   endRegistration();
   logStopped(stop);
   // No request may outlive the parts that its exchange uses.
@@ -812,4 +812,13 @@
   }
 }
 
+void
+RelayDaemon::onTrafficThreads(const std::function<void(std::size_t)>& aWork)
+{
+  for (std::size_t thread = 0; thread < traffic_.size(); ++thread) {
+    boost::asio::post(traffic_.context(thread),
+                      [aWork, thread] { aWork(thread); });
+  }
+}
+
 } // namespace auburnhaven::app
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -29,6 +29,7 @@
 #include "transport/system_clock.h"
 #include "transport/traffic_pool.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -63,7 +64,6 @@
   void takeDigest(const coordination::ZoneDigest& aDigest);
   void sendDigest(coordination::ZoneLeadership& aDuty);
   void askForActivity();
-  void wakeRequests();
   void takeActivity(const protocol::ActivityNotice& aNotice,
                     state::TimePoint aCountedAt,
                     bool aAsked);
@@ -82,6 +82,7 @@
   void noteSignals();
   void stop();
   void logOpenRequests();
+  void onTrafficThreads(const std::function<void(std::size_t)>& aWork);
   /** Ends the own registration. Not before the requests have ended: daemons ask
    * only registered ones for stream evidence, and send only these digests. */
   void endRegistration();
--- a/src/transport/relay/relay_attempt_type.h
+++ b/src/transport/relay/relay_attempt_type.h
@@ -43,6 +43,7 @@
   kOtherTarget, ///< This daemon, since another target responded first.
   kCaller,      ///< The caller, by closing its connection.
   kDeadline,    ///< The deadline.
+  kStop,        ///< This daemon, since it stops.
   kQuarantine,  ///< This daemon, since the prompt has parts in quarantine.
 };
 
@@ -50,9 +51,9 @@
 constexpr std::string_view
 nameOf(SendEnder aEnder)
 {
-  constexpr std::string_view kNames[] = {
-    "target", "other_target", "caller", "deadline", "quarantine"
-  };
+  constexpr std::string_view kNames[] = { "target", "other_target",
+                                          "caller", "deadline",
+                                          "stop",   "quarantine" };
   return kNames[static_cast<std::size_t>(aEnder)];
 }
 
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -191,7 +191,7 @@
     refuseAsQuarantined();
     return;
   }
-  if (timeLeft() < kMinSendTime) {
+  if (stopping_ || timeLeft() < kMinSendTime) {
     giveUp();
     return;
   }
@@ -315,6 +315,11 @@
     giveUp();
     return;
   }
+  if (stopping_) {
+    endAttempts(SendEnder::kStop);
+    giveUp();
+    return;
+  }
   if (isQuarantined()) {
     endUnansweredAttempts();
     if (attempts_.empty()) {
@@ -527,6 +532,14 @@
   }
 }
 
+void
+RelayExchange::giveUpAsStopping()
+{
+  stopping_ = true;
+  lastDetail_ = "the daemon stops";
+  wake();
+}
+
 bool
 RelayExchange::isBackupDue() const
 {
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -60,6 +60,9 @@
   /** Ends a wait for news, so that the request checks whether it may go on.
    * Call on its thread while its coroutine is suspended. */
   void wake() const;
+  /** Gives the request up because the daemon stops: the caller gets the final
+   * response at once. Call on its thread while its coroutine is suspended. */
+  void giveUpAsStopping();
 
 private:
   using AttemptPtr = std::unique_ptr<RelayAttempt>; ///< A send in flight.
@@ -138,6 +141,7 @@
   bool staleConnection_ = false; ///< Whether the last send failed on a reused
                                  ///< connection that its target had closed.
   bool streaming_ = false;       ///< Whether a streamed response has begun.
+  bool stopping_ = false; ///< Whether the daemon has no time left for it.
   bool answered_ = false; ///< Whether the final response was sent, or the
                           ///< caller has left.
   std::optional<HttpResponse> failure_; ///< Last error response of a
--- a/src/transport/relay/relay_handler.cpp
+++ b/src/transport/relay/relay_handler.cpp
@@ -66,21 +66,34 @@
 RelayHandler::logOpenRequests(std::size_t aThread,
                               std::string_view aEvent) const
 {
-  const std::lock_guard lock(openMutex_);
-  for (const auto& [thread, exchange] : open_) {
-    if (thread == aThread) {
-      exchange->logProgress(aEvent);
-    }
-  }
+  forEachOpen(aThread, [aEvent](const RelayExchange& aExchange) {
+    aExchange.logProgress(aEvent);
+  });
 }
 
 void
 RelayHandler::wakeOpenRequests(std::size_t aThread) const
+{
+  forEachOpen(aThread,
+              [](const RelayExchange& aExchange) { aExchange.wake(); });
+}
+
+void
+RelayHandler::giveUpOpenRequests(std::size_t aThread) const
+{
+  forEachOpen(aThread,
+              [](RelayExchange& aExchange) { aExchange.giveUpAsStopping(); });
+}
+
+void
+RelayHandler::forEachOpen(
+  std::size_t aThread,
+  const std::function<void(RelayExchange&)>& aVisit) const
 {
   const std::lock_guard lock(openMutex_);
   for (const auto& [thread, exchange] : open_) {
     if (thread == aThread) {
-      exchange->wake();
+      aVisit(*exchange);
     }
   }
 }
--- a/src/transport/relay/relay_handler.h
+++ b/src/transport/relay/relay_handler.h
@@ -127,11 +127,20 @@
    * @param aThread Index of the traffic thread.
    */
   void wakeOpenRequests(std::size_t aThread) const;
+  /**
+   * Gives up each request of a traffic thread that has no final response yet,
+   * because the daemon stops. Call on that thread.
+   * @param aThread Index of the traffic thread.
+   */
+  void giveUpOpenRequests(std::size_t aThread) const;
 
 private:
   class OpenRequest;
   using OpenEntry =
-    std::pair<std::size_t, const RelayExchange*>; ///< Thread and request.
+    std::pair<std::size_t, RelayExchange*>; ///< Thread and request.
+
+  void forEachOpen(std::size_t aThread,
+                   const std::function<void(RelayExchange&)>& aVisit) const;
 
   RelayDependencies dependencies_;           ///< Dependencies of the requests.
   RelaySettings settings_;                   ///< Timeouts and limits.
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(streamThatCannotResumeIsCut);
   CPPUNIT_TEST(silentTargetEndsAtTimeout);
   CPPUNIT_TEST(stoppingDaemonRefusesRequests);
+  CPPUNIT_TEST(requestThatOutlastsTheStopIsAnswered);
   CPPUNIT_TEST(outdatedDaemonRefusesUntilUpdated);
   CPPUNIT_TEST(requestWithoutTargetIsRefusedAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -323,6 +324,31 @@
     CPPUNIT_ASSERT(contains(response, "Retry-After: 0.000\r\n"));
   }
 
+  void requestThatOutlastsTheStopIsAnswered()
+  {
+    const RawServer silent([](Socket& aSocket, int) {
+      RawServer::readRequest(aSocket);
+      RawServer::readUntil(aSocket, "never");
+    });
+    for (const char* path : { "/unsafe/", "/safe/", "/stream/" }) {
+      RelayWorld world;
+      world.startWith({ silent.endpoint() });
+      boost::asio::steady_timer stop(world.pool_.context(0),
+                                     std::chrono::milliseconds(150));
+      stop.async_wait([&](const boost::system::error_code& /*aError*/) {
+        world.relay_.refuseAll();
+        world.relay_.giveUpOpenRequests(0);
+      });
+      const auto from = std::chrono::steady_clock::now();
+      const std::string response =
+        world.ask(RelayWorld::request("POST", path, "x"));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        path, std::string("502"), statusOf(response));
+      CPPUNIT_ASSERT(std::chrono::steady_clock::now() - from <
+                     std::chrono::seconds(1));
+    }
+  }
+
   void outdatedDaemonRefusesUntilUpdated()
   {
     RelayWorld world;
