--- a/src/coordination/quarantine/crash_ledger.cpp
+++ b/src/coordination/quarantine/crash_ledger.cpp
@@ -4,7 +4,6 @@
 #include "coordination/quarantine/crash_ledger.h"
 
 #include <algorithm>
-#include <iterator>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -20,6 +19,14 @@
   1); ///< Longest time between the losses of two requests by one end of a
       ///< target; no target is back sooner.
 
+/** Ends of targets under a part that has not proved sound since. */
+struct Suspicion
+{
+  PromptPartId part_;          ///< The part.
+  state::TimePoint firstAt_{}; ///< When the first target ended.
+  std::uint32_t crashes_ = 0;  ///< Targets that ended.
+};
+
 /** @return Whether a prompt has a part. */
 bool
 hasPart(const PromptParts& aPrompt, PromptPartId aPart)
@@ -122,13 +129,13 @@
       });
     if (remembered) {
       soundAt_[part] = clock_.now();
-      clear(part);
+      acquit(part);
     }
   }
 }
 
 void
-CrashLedger::clear(PromptPartId aPart)
+CrashLedger::acquit(PromptPartId aPart)
 {
   const std::set<PromptParts> before = guilty_;
   for (const PromptParts& set : before) {
@@ -315,7 +322,7 @@
 CrashLedger::suspects() const
 {
   const state::TimePoint now = clock_.now();
-  std::map<PromptPartId, std::pair<std::uint32_t, state::TimePoint>> crashes;
+  std::map<PromptPartId, Suspicion> suspicions;
   for (const Crash& crash : crashes_) {
     std::set<PromptPartId> parts;
     for (const PromptParts& request : crash.requests_) {
@@ -324,26 +331,29 @@
     const bool recent = now - crash.at_ <= settings_.suspicionTime_;
     for (const PromptPartId part : parts) {
       if ((recent || isGuilty(part)) && !isSoundAt(part, crash.at_)) {
-        auto& [count, firstAt] =
-          crashes.emplace(part, std::pair(0U, crash.at_)).first->second;
-        ++count;
+        Suspicion& suspicion =
+          suspicions.try_emplace(part, Suspicion{ part, crash.at_, 0 })
+            .first->second;
+        ++suspicion.crashes_;
       }
     }
   }
-  std::vector<std::tuple<std::uint32_t, PromptPartId, state::TimePoint>> order;
-  for (const auto& [part, entry] : crashes) {
-    order.emplace_back(entry.first, part, entry.second);
+  std::vector<Suspicion> order;
+  order.reserve(suspicions.size());
+  for (const auto& [part, suspicion] : suspicions) {
+    order.push_back(suspicion);
   }
-  std::sort(order.rbegin(), order.rend());
+  std::stable_sort(order.begin(),
+                   order.end(),
+                   [](const Suspicion& aLeft, const Suspicion& aRight) {
+                     return aLeft.crashes_ > aRight.crashes_;
+                   });
   order.resize(std::min(order.size(), settings_.maxSuspects_));
   std::vector<SuspectPart> suspects;
-  std::transform(
-    order.begin(),
-    order.end(),
-    std::back_inserter(suspects),
-    [&](const auto& aEntry) {
-      return SuspectPart{ std::get<1>(aEntry), now - std::get<2>(aEntry) };
-    });
+  suspects.reserve(order.size());
+  for (const Suspicion& suspicion : order) {
+    suspects.push_back({ suspicion.part_, now - suspicion.firstAt_ });
+  }
   return suspects;
 }
 
--- a/src/coordination/quarantine/crash_ledger.h
+++ b/src/coordination/quarantine/crash_ledger.h
@@ -116,7 +116,7 @@
                   const Evidence& aEvidence) const;
   void explain(const state::PromptParts& aSet);
   void findGuilty();
-  void clear(state::PromptPartId aPart);
+  void acquit(state::PromptPartId aPart);
   bool isGuilty(state::PromptPartId aPart) const;
 
   const state::Clock& clock_;          ///< Clock.
--- a/src/protocol/placement_codec.cpp
+++ b/src/protocol/placement_codec.cpp
@@ -11,9 +11,10 @@
 using Json = nlohmann::json;
 using coordination::RefusalReason;
 
-constexpr int kQuestionMark = 1; ///< First field of a question.
-constexpr int kAnswerMark = 2;   ///< First field of an answer.
-constexpr double kNoLimit = -1;  ///< Of a target that has named no limit.
+constexpr int kQuestionMark = 1;        ///< First field of a question.
+constexpr int kAnswerMark = 2;          ///< First field of an answer.
+constexpr std::size_t kLimitsField = 9; ///< Field of a question's limits.
+constexpr double kNoLimit = -1; ///< Of a target that has named no limit.
 
 Json
 encodeLimits(const std::vector<coordination::TargetLimit>& aLimits)
@@ -84,7 +85,10 @@
     for (const Json& vm : aMessage.at(8)) {
       need.excluded_.emplace_back(vm.get<std::string>());
     }
-    question.limits_ = decodeLimits(aMessage.at(9));
+    // Daemons of an earlier version send no limits.
+    if (aMessage.size() > kLimitsField) {
+      question.limits_ = decodeLimits(aMessage.at(kLimitsField));
+    }
     return question;
   });
 }
--- a/tests/coordination/crash_ledger_test.cpp
+++ b/tests/coordination/crash_ledger_test.cpp
@@ -222,6 +222,7 @@
     std::uint64_t fresh = 1000;
     for (int index = 0; index < 300; ++index) {
       std::vector<PromptParts> requests;
+      requests.reserve(40);
       for (int request = 0; request < 40; ++request) {
         requests.push_back({ PromptPartId(++fresh), PromptPartId(++fresh) });
       }
--- a/tests/protocol/placement_codec_test.cpp
+++ b/tests/protocol/placement_codec_test.cpp
@@ -3,6 +3,7 @@
 #include "protocol/placement_codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
 
 #include <random>
 
@@ -14,6 +15,7 @@
 {
   CPPUNIT_TEST_SUITE(PlacementCodecTest);
   CPPUNIT_TEST(questionPasses);
+  CPPUNIT_TEST(questionOfAnEarlierVersionIsRead);
   CPPUNIT_TEST(answerPasses);
   CPPUNIT_TEST(otherBytesAreNone);
   CPPUNIT_TEST_SUITE_END();
@@ -37,6 +39,17 @@
     CPPUNIT_ASSERT(!decodeAnswer(encodeQuestion(question)));
   }
 
+  void questionOfAnEarlierVersionIsRead()
+  {
+    nlohmann::json fields =
+      nlohmann::json::from_cbor(encodeQuestion({ 7, {}, {} }));
+    fields.erase(fields.size() - 1);
+    const auto bytes = nlohmann::json::to_cbor(fields);
+    const auto decoded = decodeQuestion({ bytes.begin(), bytes.end() });
+    CPPUNIT_ASSERT(decoded);
+    CPPUNIT_ASSERT(decoded->limits_.empty());
+  }
+
   void answerPasses()
   {
     const PlacementAnswer answer{
