Count evidence again when a guilty set ends, and explain later losses by it

Found by reading: a guilty set was remembered for ever, so that a part which ends targets again after its quarantine would not have been held back; losses under a set that was already known accused the parts beside it; and a lifted set kept its losses from counting against the part that caused them.

Guilty sets now end with the evidence's age, and whether a loss is explained follows from the sets in force. Three tests of CrashLedgerTest are new; the first two faults are shown by setIsFoundAgainAfterItsTime and crashesOfAGuiltySetAccuseNoOtherPart, which were written with the change and not run before it.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -406,9 +406,9 @@
                        : std::nullopt);
   activities_.tick();
   askForActivity();
-  const std::vector<state::Endpoint> others = otherDaemons();
+  std::vector<state::Endpoint> others = otherDaemons();
   extender_.tick(others);
-  quarantine_.tick({ targets_.dispatchers(), others, coordinates },
+  quarantine_.tick({ targets_.dispatchers(), std::move(others), coordinates },
                    mayRegister);
   const bool due = clock_.now() >= digestAt_;
   if (due) {
--- a/src/coordination/quarantine/crash_ledger.cpp
+++ b/src/coordination/quarantine/crash_ledger.cpp
@@ -70,6 +70,7 @@
       crash.requests_.push_back(request);
     }
   }
+  crash.explained_ = isExplained(crash);
 }
 
 CrashLedger::Crash&
@@ -97,6 +98,9 @@
   std::erase_if(crashes_, [&](const Crash& aCrash) {
     return now - aCrash.at_ > settings_.retention_;
   });
+  std::erase_if(guilty_, [&](const auto& aEntry) {
+    return now - aEntry.second > settings_.retention_;
+  });
   while (crashes_.size() >= settings_.maxCrashes_) {
     // Explained ones are no evidence any more.
     const auto explained =
@@ -137,19 +141,30 @@
 void
 CrashLedger::acquit(PromptPartId aPart)
 {
-  const std::set<PromptParts> before = guilty_;
-  for (const PromptParts& set : before) {
-    if (!hasPart(set, aPart)) {
-      continue;
+  std::vector<PromptParts> lifted;
+  for (const auto& [set, foundAt] : guilty_) {
+    if (hasPart(set, aPart)) {
+      lifted.push_back(set);
     }
-    PromptParts rest = set;
-    std::erase(rest, aPart);
+  }
+  for (const PromptParts& set : lifted) {
     guilty_.erase(set);
     changes_.lifted_.push_back(set);
-    if (!rest.empty() && guilty_.insert(rest).second) {
-      changes_.added_.push_back(rest);
+    PromptParts rest = set;
+    std::erase(rest, aPart);
+    if (!rest.empty()) {
+      convict(rest);
     }
   }
+  updateExplained();
+}
+
+void
+CrashLedger::convict(const PromptParts& aSet)
+{
+  if (guilty_.emplace(aSet, clock_.now()).second) {
+    changes_.added_.push_back(aSet);
+  }
 }
 
 bool
@@ -260,16 +275,23 @@
   return aSet.size() > 1 || othersSound || othersDiffer;
 }
 
+bool
+CrashLedger::isExplained(const Crash& aCrash) const
+{
+  return std::any_of(guilty_.begin(), guilty_.end(), [&](const auto& aEntry) {
+    return std::any_of(aCrash.requests_.begin(),
+                       aCrash.requests_.end(),
+                       [&](const PromptParts& aRequest) {
+                         return hasAll(aRequest, aEntry.first);
+                       });
+  });
+}
+
 void
-CrashLedger::explain(const PromptParts& aSet)
+CrashLedger::updateExplained()
 {
   for (Crash& crash : crashes_) {
-    crash.explained_ =
-      crash.explained_ || std::any_of(crash.requests_.begin(),
-                                      crash.requests_.end(),
-                                      [&](const PromptParts& aRequest) {
-                                        return hasAll(aRequest, aSet);
-                                      });
+    crash.explained_ = isExplained(crash);
   }
 }
 
@@ -294,11 +316,9 @@
       return;
     }
     for (const PromptParts& set : found) {
-      explain(set);
-      if (guilty_.insert(set).second) {
-        changes_.added_.push_back(set);
-      }
+      convict(set);
     }
+    updateExplained();
   }
 }
 
@@ -312,10 +332,9 @@
 bool
 CrashLedger::isGuilty(PromptPartId aPart) const
 {
-  return std::any_of(
-    guilty_.begin(), guilty_.end(), [&](const PromptParts& aSet) {
-      return hasPart(aSet, aPart);
-    });
+  return std::any_of(guilty_.begin(), guilty_.end(), [&](const auto& aEntry) {
+    return hasPart(aEntry.first, aPart);
+  });
 }
 
 std::vector<SuspectPart>
--- a/src/coordination/quarantine/crash_ledger.h
+++ b/src/coordination/quarantine/crash_ledger.h
@@ -36,8 +36,8 @@
           ///< traffic may still be shown to be sound.
   state::Duration soundTime_ = std::chrono::seconds(
     10); ///< How long a part counts as sound after a target answered with it.
-  state::Duration retention_ =
-    std::chrono::minutes(10);   ///< Age at which an ended target is forgotten.
+  state::Duration retention_ = std::chrono::minutes(
+    10); ///< Age at which an ended target or a guilty set is forgotten.
   std::size_t maxCrashes_ = 64; ///< Ended targets that are remembered.
   std::size_t maxRequests_ =
     32; ///< Requests of an ended target that are remembered.
@@ -114,7 +114,9 @@
                            const EvidenceMap& aEvidence) const;
   bool isDistinct(const state::PromptParts& aSet,
                   const Evidence& aEvidence) const;
-  void explain(const state::PromptParts& aSet);
+  void convict(const state::PromptParts& aSet);
+  bool isExplained(const Crash& aCrash) const;
+  void updateExplained();
   void findGuilty();
   void acquit(state::PromptPartId aPart);
   bool isGuilty(state::PromptPartId aPart) const;
@@ -124,8 +126,9 @@
   std::deque<Crash> crashes_;          ///< Ended targets in order of time.
   std::map<state::PromptPartId, state::TimePoint>
     soundAt_; ///< When a target last answered with a remembered part.
-  std::set<state::PromptParts> guilty_; ///< Guilty sets.
-  GuiltChanges changes_;                ///< What decide() returns next.
+  std::map<state::PromptParts, state::TimePoint>
+    guilty_;             ///< Guilty sets, and when they were found.
+  GuiltChanges changes_; ///< What decide() returns next.
 };
 
 } // namespace auburnhaven::coordination
--- a/tests/coordination/crash_ledger_test.cpp
+++ b/tests/coordination/crash_ledger_test.cpp
@@ -35,6 +35,9 @@
   CPPUNIT_TEST(requestsBesideTheGuiltyOneAreExplained);
   CPPUNIT_TEST(partsThatAreAlwaysTogetherAreGuiltyTogether);
   CPPUNIT_TEST(soundPartLeavesAGuiltySet);
+  CPPUNIT_TEST(crashesOfAGuiltySetAccuseNoOtherPart);
+  CPPUNIT_TEST(evidenceCountsAgainWhenASetIsLifted);
+  CPPUNIT_TEST(setIsFoundAgainAfterItsTime);
   CPPUNIT_TEST(loneSuspectMayStillProveSound);
   CPPUNIT_TEST(equalSuspectsMayStillProveSound);
   CPPUNIT_TEST(doubtDoesNotLastWhileTargetsEnd);
@@ -151,6 +154,43 @@
                    std::vector<PromptParts>{ { kBad } });
   }
 
+  void crashesOfAGuiltySetAccuseNoOtherPart()
+  {
+    for (int index = 0; index < 3; ++index) {
+      crash({ { kFirst, kBad } });
+    }
+    expectGuilty({ kFirst, kBad });
+    for (int index = 0; index < 6; ++index) {
+      crash({ { kFirst, kBad }, { kFirst, kOther } });
+    }
+    clock_.advance(2s);
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+  }
+
+  void evidenceCountsAgainWhenASetIsLifted()
+  {
+    for (int index = 0; index < 3; ++index) {
+      crash({ { kOther }, { kFirst, kBad } });
+    }
+    clock_.advance(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, ledger_.decide().added_.size());
+    ledger_.noteSound({ kOther });
+    const GuiltChanges changes = ledger_.decide();
+    CPPUNIT_ASSERT(changes.lifted_ == std::vector<PromptParts>{ { kOther } });
+    CPPUNIT_ASSERT(changes.added_.empty());
+  }
+
+  void setIsFoundAgainAfterItsTime()
+  {
+    for (int round = 0; round < 2; ++round) {
+      for (int index = 0; index < 3; ++index) {
+        crash({ { kFirst, kBad } });
+      }
+      expectGuilty({ kFirst, kBad });
+      clock_.advance(11min);
+    }
+  }
+
   void loneSuspectMayStillProveSound()
   {
     for (int index = 0; index < 3; ++index) {
