Count a target that is cut off as ended once, and doubt lone parts longer

Traced with its logs: at 33.5 s a zone is cut with resets. Daemons lost requests on kept connections to the same targets again and again for three seconds, connections to them were refused, and each loss counted as another end of the target. Three popular parts, alone in their prompts, were quarantined at 39.8 s; 222 requests were refused.

Losses at one target within 5 s are now one end of it, and parts that little tells apart have 1 s instead of 0.4 s to prove sound.

What remains: a target that another daemon still reaches is not told from one that ended.

--- a/src/coordination/quarantine/crash_ledger.cpp
+++ b/src/coordination/quarantine/crash_ledger.cpp
@@ -16,8 +16,8 @@
 using state::PromptParts;
 
 constexpr std::chrono::seconds kSameCrashTime(
-  1); ///< Longest time between the losses of two requests by one end of a
-      ///< target; no target is back sooner.
+  5); ///< Longest time between the losses of two requests by one end of a
+      ///< target; one that is cut off can look ended again and again.
 
 /** Ends of targets under a part that has not proved sound since. */
 struct Suspicion
--- a/src/coordination/quarantine/crash_ledger.h
+++ b/src/coordination/quarantine/crash_ledger.h
@@ -31,9 +31,9 @@
   state::Duration momentLength_ = std::chrono::milliseconds(
     100); ///< Targets that end within this time of each other may have a common
           ///< cause, such as their rack, and count once.
-  state::Duration doubtTime_ = std::chrono::milliseconds(
-    400); ///< How long parts that little tells apart from the rest of the
-          ///< traffic may still be shown to be sound.
+  state::Duration doubtTime_ = std::chrono::seconds(
+    1); ///< How long parts that little tells apart from the rest of the
+        ///< traffic may still be shown to be sound.
   state::Duration soundTime_ = std::chrono::seconds(
     10); ///< How long a part counts as sound after a target answered with it.
   state::Duration retention_ = std::chrono::minutes(
