Derive whether a loss is explained, and look for guilty sets only on news

Found by reading the change again. Whether a guilty set explains a loss was kept beside the sets and had to be brought up to date by hand in three places; it is derived now. The ledger went through all losses every 40 ms for ten minutes after one; it now does so when a report or a sound answer has come, or when the time of doubt ends. The parts of a loss are gathered by one function instead of three loops.

One edge changes: losses that a set explained count as evidence again as soon as that set has ended by its age; before, only once another set came or went. CrashLedgerTest passes unchanged.

--- a/src/coordination/quarantine/crash_ledger.cpp
+++ b/src/coordination/quarantine/crash_ledger.cpp
@@ -70,7 +70,7 @@
       crash.requests_.push_back(request);
     }
   }
-  crash.explained_ = isExplained(crash);
+  decideAt_ = clock_.now();
 }
 
 CrashLedger::Crash&
@@ -88,7 +88,7 @@
     std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& aCrash) {
       return aCrash.at_ > aAt;
     });
-  return *crashes_.insert(next, { aVm, aAt, {}, false });
+  return *crashes_.insert(next, { aVm, aAt, {} });
 }
 
 void
@@ -104,35 +104,45 @@
   while (crashes_.size() >= settings_.maxCrashes_) {
     // Explained ones are no evidence any more.
     const auto explained =
-      std::find_if(crashes_.begin(), crashes_.end(), [](const Crash& aCrash) {
-        return aCrash.explained_;
+      std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& aCrash) {
+        return isExplained(aCrash);
       });
     crashes_.erase(explained != crashes_.end() ? explained : crashes_.begin());
   }
-  std::set<PromptPartId> remembered;
-  for (const Crash& crash : crashes_) {
-    for (const PromptParts& request : crash.requests_) {
-      remembered.insert(request.begin(), request.end());
-    }
-  }
+  const std::set<PromptPartId> remembered = rememberedParts();
   std::erase_if(soundAt_, [&](const auto& aEntry) {
     return !remembered.contains(aEntry.first);
   });
 }
 
+std::set<PromptPartId>
+CrashLedger::partsOf(const Crash& aCrash)
+{
+  std::set<PromptPartId> parts;
+  for (const PromptParts& request : aCrash.requests_) {
+    parts.insert(request.begin(), request.end());
+  }
+  return parts;
+}
+
+std::set<PromptPartId>
+CrashLedger::rememberedParts() const
+{
+  std::set<PromptPartId> parts;
+  for (const Crash& crash : crashes_) {
+    parts.merge(partsOf(crash));
+  }
+  return parts;
+}
+
 void
 CrashLedger::noteSound(const PromptParts& aParts)
 {
+  const std::set<PromptPartId> remembered = rememberedParts();
   for (const PromptPartId part : aParts) {
-    const bool remembered =
-      std::any_of(crashes_.begin(), crashes_.end(), [&](const Crash& aCrash) {
-        return std::any_of(
-          aCrash.requests_.begin(),
-          aCrash.requests_.end(),
-          [&](const PromptParts& aRequest) { return hasPart(aRequest, part); });
-      });
-    if (remembered) {
+    if (remembered.contains(part)) {
       soundAt_[part] = clock_.now();
+      decideAt_ = clock_.now();
       acquit(part);
     }
   }
@@ -156,7 +166,6 @@
       convict(rest);
     }
   }
-  updateExplained();
 }
 
 void
@@ -180,7 +189,7 @@
   EvidenceMap evidence;
   std::map<PromptPartId, state::TimePoint> momentStart;
   for (const Crash& crash : crashes_) {
-    if (crash.explained_) {
+    if (isExplained(crash)) {
       continue;
     }
     for (const PromptParts& request : crash.requests_) {
@@ -239,7 +248,7 @@
 {
   std::optional<PromptParts> set;
   for (const Crash& crash : crashes_) {
-    if (crash.explained_ || isSoundAt(aPart, crash.at_)) {
+    if (isExplained(crash) || isSoundAt(aPart, crash.at_)) {
       continue;
     }
     for (const PromptParts& request : crash.requests_) {
@@ -287,14 +296,6 @@
   });
 }
 
-void
-CrashLedger::updateExplained()
-{
-  for (Crash& crash : crashes_) {
-    crash.explained_ = isExplained(crash);
-  }
-}
-
 void
 CrashLedger::findGuilty()
 {
@@ -312,20 +313,25 @@
     const bool doubtful = found.size() > 1 || !distinct;
     const bool mayProveSound =
       doubtful && clock_.now() - enoughAt < settings_.doubtTime_;
+    if (mayProveSound) {
+      decideAt_ = enoughAt + settings_.doubtTime_;
+    }
     if (found.empty() || mayProveSound) {
       return;
     }
     for (const PromptParts& set : found) {
       convict(set);
     }
-    updateExplained();
   }
 }
 
 GuiltChanges
 CrashLedger::decide()
 {
-  findGuilty();
+  if (clock_.now() >= decideAt_) {
+    decideAt_ = state::TimePoint::max();
+    findGuilty();
+  }
   return std::exchange(changes_, {});
 }
 
@@ -343,12 +349,11 @@
   const state::TimePoint now = clock_.now();
   std::map<PromptPartId, Suspicion> suspicions;
   for (const Crash& crash : crashes_) {
-    std::set<PromptPartId> parts;
-    for (const PromptParts& request : crash.requests_) {
-      parts.insert(request.begin(), request.end());
-    }
     const bool recent = now - crash.at_ <= settings_.suspicionTime_;
-    for (const PromptPartId part : parts) {
+    if (!recent && guilty_.empty()) {
+      continue;
+    }
+    for (const PromptPartId part : partsOf(crash)) {
       if ((recent || isGuilty(part)) && !isSoundAt(part, crash.at_)) {
         Suspicion& suspicion =
           suspicions.try_emplace(part, Suspicion{ part, crash.at_, 0 })
--- a/src/coordination/quarantine/crash_ledger.h
+++ b/src/coordination/quarantine/crash_ledger.h
@@ -89,7 +89,6 @@
     state::VmId vm_;                           ///< The target.
     state::TimePoint at_{};                    ///< When it ended.
     std::vector<state::PromptParts> requests_; ///< Parts of lost requests.
-    bool explained_ = false; ///< Whether a guilty set accounts for it.
   };
   /** Evidence against a part. */
   struct Evidence
@@ -106,6 +105,8 @@
 
   Crash& crashOf(const state::VmId& aVm, state::TimePoint aAt);
   void forgetOld();
+  static std::set<state::PromptPartId> partsOf(const Crash& aCrash);
+  std::set<state::PromptPartId> rememberedParts() const;
   bool isSoundAt(state::PromptPartId aPart, state::TimePoint aAt) const;
   EvidenceMap gatherEvidence() const;
   std::vector<state::PromptPartId> leadersOf(
@@ -116,7 +117,6 @@
                   const Evidence& aEvidence) const;
   void convict(const state::PromptParts& aSet);
   bool isExplained(const Crash& aCrash) const;
-  void updateExplained();
   void findGuilty();
   void acquit(state::PromptPartId aPart);
   bool isGuilty(state::PromptPartId aPart) const;
@@ -129,6 +129,8 @@
   std::map<state::PromptParts, state::TimePoint>
     guilty_;             ///< Guilty sets, and when they were found.
   GuiltChanges changes_; ///< What decide() returns next.
+  state::TimePoint decideAt_ =
+    state::TimePoint::max(); ///< When to look for guilty sets again.
 };
 
 } // namespace auburnhaven::coordination
