--- a/src/coordination/routing/target_limits.cpp
+++ b/src/coordination/routing/target_limits.cpp
@@ -2,6 +2,8 @@
 
 #include "coordination/routing/target_limits.h"
 
+#include "coordination/routing/incarnation_func.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -71,15 +73,7 @@
 void
 TargetLimits::noteIncarnation(const state::VmId& aVm, std::uint64_t aBornAtMs)
 {
-  const auto found = limits_.find(aVm);
-  if (found == limits_.end() || aBornAtMs == 0) {
-    return;
-  }
-  if (found->second.bornAtMs_ == 0) {
-    found->second.bornAtMs_ = aBornAtMs;
-  } else if (found->second.bornAtMs_ != aBornAtMs) {
-    limits_.erase(found);
-  }
+  noteIncarnationIn(limits_, aVm, aBornAtMs);
 }
 
 void
@@ -94,10 +88,7 @@
 TargetLimits::Limit*
 TargetLimits::find(const state::VmId& aVm)
 {
-  const auto found = limits_.find(aVm);
-  const bool limited =
-    found != limits_.end() && found->second.perSecond_.has_value();
-  return limited ? &found->second : nullptr;
+  return isLimited(aVm) ? &limits_.at(aVm) : nullptr;
 }
 
 bool
--- a/src/coordination/routing/target_notices.cpp
+++ b/src/coordination/routing/target_notices.cpp
@@ -2,6 +2,8 @@
 
 #include "coordination/routing/target_notices.h"
 
+#include "coordination/routing/incarnation_func.h"
+
 #include <algorithm>
 
 namespace auburnhaven::coordination {
@@ -39,15 +41,7 @@
 void
 TargetNotices::noteIncarnation(const state::VmId& aVm, std::uint64_t aBornAtMs)
 {
-  const auto found = notices_.find(aVm);
-  if (found == notices_.end() || aBornAtMs == 0) {
-    return;
-  }
-  if (found->second.bornAtMs_ == 0) {
-    found->second.bornAtMs_ = aBornAtMs;
-  } else if (found->second.bornAtMs_ != aBornAtMs) {
-    notices_.erase(found);
-  }
+  noteIncarnationIn(notices_, aVm, aBornAtMs);
 }
 
 bool
--- a/src/protocol/datagram_func.h
+++ b/src/protocol/datagram_func.h
@@ -3,8 +3,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace auburnhaven::protocol {
@@ -17,6 +19,26 @@
   return { bytes.begin(), bytes.end() };
 }
 
+/**
+ * Adds an entry to a list, unless it takes more bytes than are left of a
+ * datagram. Thread-safe.
+ * @param aList The list.
+ * @param aEntry The entry.
+ * @param aBytesLeft Bytes left; reduced by those of an entry that is added.
+ * @return Whether it was added.
+ */
+inline bool
+addIfFits(nlohmann::json& aList, nlohmann::json aEntry, std::size_t& aBytesLeft)
+{
+  const std::size_t size = nlohmann::json::to_cbor(aEntry).size();
+  if (size > aBytesLeft) {
+    return false;
+  }
+  aBytesLeft -= size;
+  aList.push_back(std::move(aEntry));
+  return true;
+}
+
 /**
  * Reads a datagram. Thread-safe.
  * @param aDatagram Any bytes.
--- a/src/protocol/quarantine_codec.cpp
+++ b/src/protocol/quarantine_codec.cpp
@@ -53,19 +53,6 @@
   return parts;
 }
 
-/** Adds an entry to a list unless it exceeds what is left of a datagram. */
-bool
-addIfFits(Json& aList, Json aEntry, std::size_t& aBytesLeft)
-{
-  const std::size_t size = Json::to_cbor(aEntry).size();
-  if (size > aBytesLeft) {
-    return false;
-  }
-  aBytesLeft -= size;
-  aList.push_back(std::move(aEntry));
-  return true;
-}
-
 /** @return A datagram of one crash notice. */
 std::string
 crashDatagram(Json aReports, Json aSound)
--- a/src/protocol/zone_digest_codec.cpp
+++ b/src/protocol/zone_digest_codec.cpp
@@ -47,12 +47,9 @@
                  copy.slowness_,
                  copy.draining_,
                  state::countMs(aNow - copy.asOf_) };
-    const std::size_t size = Json::to_cbor(row).size();
-    if (size > bytesLeft) {
+    if (!addIfFits(copies, std::move(row), bytesLeft)) {
       break;
     }
-    bytesLeft -= size;
-    copies.push_back(std::move(row));
   }
   const bool whole =
     aDigest.complete_ && copies.size() == aDigest.copies_.size();
--- a/tests/coordination/routing_limits_test.cpp
+++ b/tests/coordination/routing_limits_test.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/routing/target_pool.h"
 #include "fakes/fake_clock.h"
+#include "fakes/fake_engine_spec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -30,13 +31,10 @@
 state::RoutingConfigPtr
 config()
 {
-  state::EngineSpec engine;
+  state::EngineSpec engine = fakes::engineWithTimes();
   engine.batchSlots_ = 26;
-  engine.step_ = state::FloatMs(6.07);
-  engine.stepPerRequest_ = state::FloatMs(0.241);
   engine.stepsPerPass_ = 8;
   engine.stepTokens_ = 2048;
-  engine.promptTokensPerMs_ = 46;
   engine.usualPrompt_ = 700;
   engine.usualAnswer_ = 140;
   engine.models_ = { { kModel, 4, 1.0, 1.0, {}, {} } };
--- a/tests/coordination/routing_placement_test.cpp
+++ b/tests/coordination/routing_placement_test.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/routing/target_pool.h"
 #include "fakes/fake_clock.h"
+#include "fakes/fake_engine_spec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -23,13 +24,10 @@
 state::EngineSpec
 engine()
 {
-  state::EngineSpec engine;
+  state::EngineSpec engine = fakes::engineWithTimes();
   engine.batchSlots_ = 22;
-  engine.step_ = state::FloatMs(6.07);
-  engine.stepPerRequest_ = state::FloatMs(0.241);
   engine.stepsPerPass_ = 8;
   engine.stepTokens_ = 2048;
-  engine.promptTokensPerMs_ = 46;
   engine.usualPrompt_ = 1500;
   engine.usualAnswer_ = 144;
   engine.models_ = { { kModel, 16, 1.0, 1.0, {}, {} } };
--- a/tests/coordination/routing_pool_test.cpp
+++ b/tests/coordination/routing_pool_test.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/routing/target_pool.h"
 #include "fakes/fake_clock.h"
+#include "fakes/fake_engine_spec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -22,11 +23,8 @@
 state::RoutingConfigPtr
 config()
 {
-  state::EngineSpec engine;
+  state::EngineSpec engine = fakes::engineWithTimes();
   engine.batchSlots_ = 26;
-  engine.step_ = state::FloatMs(6.07);
-  engine.stepPerRequest_ = state::FloatMs(0.241);
-  engine.promptTokensPerMs_ = 46;
   engine.usualPrompt_ = 674;
   engine.usualAnswer_ = 135;
   engine.models_ = { { kModel, 2, 1.0, 0.6, {}, {} } };
--- a/tests/coordination/routing_timing_test.cpp
+++ b/tests/coordination/routing_timing_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the estimated request timing of replicas.
 
 #include "coordination/routing/engine_timing_func.h"
+#include "fakes/fake_engine_spec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -19,10 +20,8 @@
 public:
   void setUp() override
   {
+    engine_ = fakes::engineWithTimes();
     engine_.batchSlots_ = 26;
-    engine_.step_ = state::FloatMs(6.07);
-    engine_.stepPerRequest_ = state::FloatMs(0.241);
-    engine_.promptTokensPerMs_ = 46;
     engine_.perMillionPairs_ = state::FloatMs(0.7);
     engine_.usualPrompt_ = 1076;
     engine_.usualAnswer_ = 116;
