Simplify the tick of the quarantine and the end of a request at a stop

Reports are sent in one place of each tick, and a request that is out of time or out of its daemon's time ends by the same lines.

--- a/src/transport/relay/quarantine_service.cpp
+++ b/src/transport/relay/quarantine_service.cpp
@@ -86,7 +86,6 @@
 {
   peers_ = std::move(aPeers);
   collect();
-  sendReports();
   if (peers_.coordinates_ && aMayStore) {
     record_.update(quarantine_);
   }
@@ -99,19 +98,15 @@
   const state::TimePoint now = clock_.now();
   protocol::CrashNotice news;
   news.sound_ = observer_.takeSound();
-  bool hasReports = false;
   for (CrashReport& report : observer_.takeReports()) {
     ledger_.noteCrash(report);
     reports_.push_back({ std::move(report), now, {}, now });
-    hasReports = true;
   }
   if (!news.sound_.empty()) {
     ledger_.noteSound(news.sound_);
     tellCoordinators(news);
   }
-  if (hasReports) {
-    sendReports();
-  }
+  sendReports();
   decide();
 }
 
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -310,13 +310,9 @@
     endAttempts(SendEnder::kCaller);
     return;
   }
-  if (dependencies_.clock_.now() >= deadline_) {
-    endAttempts(SendEnder::kDeadline);
-    giveUp();
-    return;
-  }
-  if (stopping_) {
-    endAttempts(SendEnder::kStop);
+  const bool late = dependencies_.clock_.now() >= deadline_;
+  if (late || stopping_) {
+    endAttempts(late ? SendEnder::kDeadline : SendEnder::kStop);
     giveUp();
     return;
   }
