--- a/tests/platform/relay_caller_test.cpp
+++ b/tests/platform/relay_caller_test.cpp
@@ -58,7 +58,7 @@
   boost::asio::write(socket,
                      boost::asio::buffer(RelayWorld::request("POST", aPath)));
   std::this_thread::sleep_for(400ms);
-  socket.set_option(Socket::linger(true, 0));
+  RawServer::reset(socket);
 }
 
 } // namespace
--- a/tests/transport/caller_end_test.cpp
+++ b/tests/transport/caller_end_test.cpp
@@ -1,5 +1,6 @@
 // Tests of callers that close one or both sides while they are answered.
 
+#include "transport/loopback.h"
 #include "transport/server_world.h"
 
 #include <chrono>
@@ -240,7 +241,7 @@
         tcp::socket socket = world.connect();
         send(socket, get(path));
         letBegin();
-        socket.set_option(tcp::socket::linger(true, 0));
+        fakes::RawServer::reset(socket);
       }
       assertNoticed(world);
     }
