--- a/src/coordination/routing/store_follower_read.cpp
+++ b/src/coordination/routing/store_follower_read.cpp
@@ -173,6 +173,13 @@
     apply(item.key_, item.value_, item.revision_);
   }
   removeMissing(seen);
+  if (aReply.at_ < watchRevision_) {
+    log_.write(state::LogWeight::kChange,
+               kPart,
+               "list is older than what is known",
+               { state::logField("known", watchRevision_.value()),
+                 state::logField("listed", aReply.at_.value()) });
+  }
   watchRevision_ = aReply.at_;
   readRevision_ = watchRevision_;
   if (listed_) {
--- a/src/state/id_type.h
+++ b/src/state/id_type.h
@@ -96,6 +96,9 @@
   NumberId<struct GenerationTag>; ///< Configuration generation.
 using Revision =
   NumberId<struct RevisionTag>; ///< Revision of a key in the store.
+using StoreEra =
+  NumberId<struct StoreEraTag>; ///< Grows whenever the store has returned to an
+                                ///< older state; zero when it is unknown.
 using FencingNumber =
   NumberId<struct FencingTag>; ///< Number that orders carry.
 using Incarnation =
--- a/src/transport/service_caller.cpp
+++ b/src/transport/service_caller.cpp
@@ -77,10 +77,12 @@
   HttpCall call = client_.open(
     aEndpoint, aCall.request_, { limit, limit, limit }, aYield, aborter.get());
   if (!call.hasResponse()) {
-    return { 0, {}, call.failure().bytesMayHaveArrived_, 0, false };
+    return { 0, {}, call.failure().bytesMayHaveArrived_, 0, false, {} };
   }
+  std::string header(
+    aCall.wantedHeader_.empty() ? "" : call.header(aCall.wantedHeader_));
   if (announcesMoreThan(call, aCall.maxBytes_)) {
-    return { 0, {}, true, 0, true };
+    return { 0, {}, true, 0, true, std::move(header) };
   }
   if (aCall.transferTimeout_.count() > 0) {
     abortAfter(deadline, aCall.transferTimeout_, aborter);
@@ -89,9 +91,10 @@
   const std::size_t received = body.data_.size();
   if (body.status_ != HttpReadStatus::kEnd) {
     const bool tooLarge = body.status_ == HttpReadStatus::kTooLong;
-    return { 0, {}, true, received, tooLarge };
+    return { 0, {}, true, received, tooLarge, std::move(header) };
   }
-  return { call.status(), std::move(body.data_), true, received, false };
+  return { call.status(), std::move(body.data_), true, received,
+           false,         std::move(header) };
 }
 
 ServiceAnswer
--- a/src/transport/service_caller.h
+++ b/src/transport/service_caller.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburnhaven::transport {
@@ -25,6 +26,8 @@
   std::size_t received_ = 0; ///< Bytes of the body that came, also when the
                              ///< rest did not.
   bool tooLarge_ = false;    ///< Whether it was not read because of its size.
+  std::string header_;       ///< Value of ServiceCall::wantedHeader_; empty
+                             ///< when the answer lacks it.
   bool operator==(const ServiceAnswer&) const = default;
 };
 
@@ -40,6 +43,9 @@
                                       ///< the whole answer by timeout_.
   std::size_t maxBytes_ =
     std::size_t{ 4 } * 1024 * 1024; ///< Largest body that is read.
+  std::string_view
+    wantedHeader_{}; ///< Name of a header of the answer that the
+                     ///< caller needs; empty for none. A literal.
   bool operator==(const ServiceCall&) const = default;
 };
 
