Compare revisions of the store over its eras

Cause: a revision was used as a clock. The store gives revisions out again after it has lost writes, so a new change lay below what had been announced before, and no daemon that hears of changes from a coordinator took it for new. Same class: a watch resumed from a revision that has been given out again misses the changes below it without any 410; a list whose pages lie on both sides; a lease renewed by an identifier that is another holder's now; lease numbers, and the epochs made of them, that go back; a conditional write on a revision that exists again.

Ruled out: the coordinators missing the change (they applied it in 40 ms), the list that may lag (it succeeded and was current).

A revision is now the pair (era, number), compared in this order everywhere and carried in digests, questions and answers between daemons; those of earlier versions name no era and count as of the known one. A change of era ends each watch and makes one consistent list; leases are verified by their key; lease numbers grow with the era first; only the holder may acquire a lost lease before its authority has ended. A confirmed configuration stays in force.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -367,6 +367,12 @@
     [this](const state::RoutingConfigPtr& /*aConfig*/) { takeConfig(); });
   follower_.onInstances(
     [this](const state::InstanceMapPtr& /*aInstances*/) { takeInstances(); });
+  follower_.onRestored([this] {
+    for (auto& [zone, duty] : duties_) {
+      duty->noteRestored();
+    }
+    registration_.probe();
+  });
   follower_.onDaemonKey(
     [this](const std::string& aKey, const std::optional<std::string>& aValue) {
       takeOwnKey(aKey, aValue);
@@ -492,8 +498,9 @@
   } else if (activities_.take(aFrom, aDatagram) ||
              extender_.take(aFrom, aDatagram) || quarantine_.take(aDatagram)) {
     return;
-  } else if (const auto digest =
+  } else if (auto digest =
                protocol::decodeZoneDigest(aDatagram, clock_.now())) {
+    digest->sharedRevision_ = follower_.inKnownEra(digest->sharedRevision_);
     targets_.setDispatcher(digest->zone_, aFrom);
     exchange_.noteCoordinator(
       { aFrom.address_, settings_.listeners_.peers_.port_ },
--- a/src/coordination/prefix_store_port.h
+++ b/src/coordination/prefix_store_port.h
@@ -51,6 +51,8 @@
 {
   kChanges,     ///< Changes follow, or the watch timed out without any.
   kCompacted,   ///< The store has compacted the history; list the keys again.
+  kRestored,    ///< The store has returned to an older state, so that changes
+                ///< may be missing; list the keys again, consistently.
   kUnavailable, ///< No reply.
 };
 
--- a/src/coordination/replica/zone_leadership.cpp
+++ b/src/coordination/replica/zone_leadership.cpp
@@ -40,12 +40,22 @@
   holder_ = aHolder;
 }
 
+void
+ZoneLeadership::noteRestored()
+{
+  mayAcquireAt_ = clock_.now() + settings_.lease_.timeToLive_;
+  if (lease_.holds()) {
+    lease_.probe();
+  }
+}
+
 void
 ZoneLeadership::tick(bool aMayAcquire)
 {
+  const state::TimePoint now = clock_.now();
   const bool vacant = !holder_ || *holder_ == settings_.holderName_;
-  const bool acquires = aMayAcquire && vacant &&
-                        clock_.now() - vacantSince_ >= settings_.takeoverDelay_;
+  const bool acquires = aMayAcquire && vacant && now >= mayAcquireAt_ &&
+                        now - vacantSince_ >= settings_.takeoverDelay_;
   lease_.tick(acquires ? std::optional(settings_.acquirePeriod_)
                        : std::nullopt);
   coordinator_.tick();
--- a/src/coordination/replica/zone_leadership.h
+++ b/src/coordination/replica/zone_leadership.h
@@ -57,6 +57,12 @@
    * @param aHolder Name of the holder, or nothing when the lease is free.
    */
   void setHolder(const std::optional<std::string>& aHolder);
+  /**
+   * Notes that the store has returned to an older state, which may lack the
+   * lease of a holder that still has authority. Only that holder may acquire
+   * the lease before its authority has ended.
+   */
+  void noteRestored();
   /** @return Last known holder of the lease. */
   const std::optional<std::string>& holder() const { return holder_; }
   /**
@@ -99,9 +105,11 @@
     settings_; ///< Settings of the lease and the coordinator.
   std::optional<std::string> holder_; ///< Last known holder of the lease.
   state::TimePoint vacantSince_; ///< Since when the lease is known to be free.
-  LeaderLease lease_;            ///< The lease.
-  LeaseExtension extension_;     ///< Extends the authority in an outage.
-  ReplicaCoordinator coordinator_; ///< The coordinator.
+  state::TimePoint mayAcquireAt_{}; ///< Earliest time to acquire it after the
+                                    ///< store has lost writes.
+  LeaderLease lease_;               ///< The lease.
+  LeaseExtension extension_;        ///< Extends the authority in an outage.
+  ReplicaCoordinator coordinator_;  ///< The coordinator.
 };
 
 } // namespace auburnhaven::coordination
--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -78,6 +78,7 @@
                "peer announced a newer revision",
                { state::logField("known", knownRevision().value()),
                  state::logField("announced", announcedRevision_.value()),
+                 state::logField("era", announcedRevision_.era().value()),
                  state::logField("others_heard", peersHeard_) });
   }
 }
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -124,6 +124,9 @@
                                              ///< and its text.
   using InstanceHandler = std::function<void(
     const state::InstanceMapPtr&)>; ///< Receives the instances after a change.
+  using RestoreHandler =
+    std::function<void()>; ///< Called when the store has returned to an older
+                           ///< state, before its keys are applied.
   using KeyHandler =
     std::function<void(const std::string&, const std::optional<std::string>&)>;
   ///< Receives a changed daemon key and its value; no value when removed.
@@ -158,6 +161,11 @@
   {
     instanceHandler_ = std::move(aHandler);
   }
+  /** @param aHandler Called when the store has returned to an older state. */
+  void onRestored(RestoreHandler aHandler)
+  {
+    restoreHandler_ = std::move(aHandler);
+  }
   /** @param aHandler Called for each change under the daemons' key prefix. */
   void onDaemonKey(KeyHandler aHandler) { keyHandler_ = std::move(aHandler); }
   /**
@@ -193,6 +201,17 @@
    * @param aSnapshot The snapshot.
    */
   void offerSnapshot(const StoreSnapshot& aSnapshot);
+  /**
+   * @param aRevision A revision that a peer has named.
+   * @return It, in the era that is known here when the peer names none, since
+   * its version is an earlier one.
+   */
+  state::Revision inKnownEra(state::Revision aRevision) const
+  {
+    return aRevision.era() != state::StoreEra()
+             ? aRevision
+             : state::Revision(aRevision.value(), knownRevision().era());
+  }
   /** @return Revision of the newest change of a shared entry: the configuration
    * or a plain instance. */
   state::Revision sharedRevision() const { return sharedRevision_; }
@@ -238,6 +257,9 @@
   state::Duration watchTimeout() const;
   void onListReply(const ListReply& aReply);
   void applyList(const ListReply& aReply);
+  bool isOfLaterEra(state::Revision aRevision) const;
+  void listConsistently();
+  void noteRestored(state::Revision aAt);
   void onWatchReply(const WatchReply& aReply);
   bool mustReadByPrefix() const;
   void watchInstances();
@@ -271,6 +293,7 @@
   ConfigHandler configHandler_;     ///< Receives newer configurations.
   ReplacedHandler replacedHandler_; ///< Receives replaced configurations.
   InstanceHandler instanceHandler_; ///< Receives changed instances.
+  RestoreHandler restoreHandler_;   ///< Called when the store is older.
   KeyHandler keyHandler_;           ///< Receives changed daemon keys.
   state::RoutingConfigPtr config_;  ///< Newest configuration.
   std::string configText_;          ///< Its text.
--- a/src/coordination/routing/store_follower_read.cpp
+++ b/src/coordination/routing/store_follower_read.cpp
@@ -155,7 +155,12 @@
   }
   noteReply();
   mustList_ = false;
-  if (listConsistency_ == ListConsistency::kMayBeStale) {
+  const bool mayBeStale = listConsistency_ == ListConsistency::kMayBeStale;
+  if (mayBeStale && isOfLaterEra(aReply.at_)) {
+    listConsistently();
+    return;
+  }
+  if (mayBeStale) {
     staleList_ = aReply;
     return;
   }
@@ -164,22 +169,47 @@
   publish();
 }
 
+bool
+StoreFollower::isOfLaterEra(state::Revision aRevision) const
+{
+  return listed_ && aRevision.era() > watchRevision_.era();
+}
+
+void
+StoreFollower::listConsistently()
+{
+  mustList_ = true;
+  listConsistency_ = ListConsistency::kLinearizable;
+}
+
+void
+StoreFollower::noteRestored(state::Revision aAt)
+{
+  // Registrations that the copy lacks are written again.
+  graceEndsAt_ = clock_.now() + settings_.missingEntryGrace_;
+  log_.write(state::LogWeight::kChange,
+             kPart,
+             "store has returned to an older state",
+             { state::logField("era", aAt.era().value()),
+               state::logField("revision", aAt.value()),
+               state::logField("known", watchRevision_.value()) });
+  if (restoreHandler_) {
+    restoreHandler_();
+  }
+}
+
 void
 StoreFollower::applyList(const ListReply& aReply)
 {
+  if (isOfLaterEra(aReply.at_)) {
+    noteRestored(aReply.at_);
+  }
   std::set<std::string> seen;
   for (const StoreItem& item : aReply.items_) {
     seen.insert(item.key_);
     apply(item.key_, item.value_, item.revision_);
   }
   removeMissing(seen);
-  if (aReply.at_ < watchRevision_) {
-    log_.write(state::LogWeight::kChange,
-               kPart,
-               "list is older than what is known",
-               { state::logField("known", watchRevision_.value()),
-                 state::logField("listed", aReply.at_.value()) });
-  }
   watchRevision_ = aReply.at_;
   readRevision_ = watchRevision_;
   if (listed_) {
@@ -224,6 +254,10 @@
     return;
   }
   noteReply();
+  if (aReply.status_ == WatchStatus::kRestored) {
+    listConsistently();
+    return;
+  }
   if (aReply.status_ == WatchStatus::kCompacted) {
     mustList_ = true;
     listConsistency_ =
@@ -321,6 +355,10 @@
     return;
   }
   noteReply();
+  if (isOfLaterEra(aReply.revision_)) {
+    listConsistently();
+    return;
+  }
   sharedRevision_ = std::max(sharedRevision_, aReply.revision_);
   readRevision_ = std::max(readRevision_, aAt);
   adoptConfig(aReply.value_, "store");
@@ -341,6 +379,9 @@
   } else {
     noteReply();
     mustList_ = true;
+    if (aReply.status_ == WatchStatus::kRestored) {
+      listConsistently();
+    }
   }
   return false;
 }
--- a/src/coordination/routing/zone_digest_type.h
+++ b/src/coordination/routing/zone_digest_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "state/instance_type.h"
+#include "state/revision_type.h"
 #include "state/time_type.h"
 
 #include <cstdint>
--- a/src/coordination/store_port.h
+++ b/src/coordination/store_port.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "state/id_type.h"
+#include "state/revision_type.h"
 #include "state/time_type.h"
 
 #include <functional>
--- a/src/protocol/config_exchange.cpp
+++ b/src/protocol/config_exchange.cpp
@@ -211,7 +211,8 @@
   }
   const auto snapshot = follower_.snapshot();
   const bool hasNewer = version() > aQuestion.version_;
-  if (!hasNewer && !(snapshot && snapshot->at_ > aQuestion.at_)) {
+  const state::Revision askerAt = follower_.inKnownEra(aQuestion.at_);
+  if (!hasNewer && !(snapshot && snapshot->at_ > askerAt)) {
     links_.send(aFrom, encodeNewsReferral({}));
     return;
   }
@@ -309,7 +310,8 @@
     text = *newer;
   }
   if (aAnswer.at_ != state::Revision()) {
-    follower_.offerSnapshot({ aAnswer.at_, text, aAnswer.plainInstances_ });
+    follower_.offerSnapshot(
+      { follower_.inKnownEra(aAnswer.at_), text, aAnswer.plainInstances_ });
   } else if (!text.empty()) {
     follower_.offerConfig(text);
   }
--- a/src/protocol/datagram_func.h
+++ b/src/protocol/datagram_func.h
@@ -1,9 +1,12 @@
 // Bytes of datagrams between daemons.
 #pragma once
 
+#include "state/revision_type.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
@@ -19,6 +22,24 @@
   return { bytes.begin(), bytes.end() };
 }
 
+/**
+ * Reads a revision whose number and era are fields of a message. Thread-safe.
+ * @param aMessage The message.
+ * @param aNumber Field of the number.
+ * @param aEra Field of the era, which daemons of earlier versions do not send.
+ * @return The revision.
+ */
+inline state::Revision
+decodeRevision(const nlohmann::json& aMessage,
+               std::size_t aNumber,
+               std::size_t aEra)
+{
+  const std::uint64_t era =
+    aMessage.size() > aEra ? aMessage.at(aEra).get<std::uint64_t>() : 0;
+  return state::Revision(aMessage.at(aNumber).get<std::uint64_t>(),
+                         state::StoreEra(era));
+}
+
 /**
  * Adds an entry to a list, unless it takes more bytes than are left of a
  * datagram. Thread-safe.
--- a/src/protocol/news_codec.cpp
+++ b/src/protocol/news_codec.cpp
@@ -34,7 +34,7 @@
 readQuestion(const nlohmann::json& aMessage)
 {
   return { state::Generation(aMessage.at(0).get<std::uint64_t>()),
-           state::Revision(aMessage.at(1).get<std::uint64_t>()) };
+           decodeRevision(aMessage, 1, 2) };
 }
 
 nlohmann::json
@@ -66,7 +66,7 @@
   answer.version_ = state::Generation(aMessage.at(0).get<std::uint64_t>());
   answer.way_.from_ = state::Generation(aMessage.at(1).get<std::uint64_t>());
   answer.way_.patches_ = decodePatches(aMessage.at(2));
-  answer.at_ = state::Revision(aMessage.at(3).get<std::uint64_t>());
+  answer.at_ = decodeRevision(aMessage, 3, 5);
   for (const nlohmann::json& plain : aMessage.at(4)) {
     answer.plainInstances_[state::VmId(plain.at(0).get<std::string>())] =
       plain.at(1).get<std::string>();
@@ -79,8 +79,9 @@
 std::string
 encodeNewsQuestion(const NewsQuestion& aQuestion)
 {
-  return kQuestion +
-         encodeDatagram({ aQuestion.version_.value(), aQuestion.at_.value() });
+  return kQuestion + encodeDatagram({ aQuestion.version_.value(),
+                                      aQuestion.at_.value(),
+                                      aQuestion.at_.era().value() });
 }
 
 std::optional<NewsQuestion>
@@ -116,7 +117,8 @@
                                     aAnswer.way_.from_.value(),
                                     encodePatches(aAnswer.way_.patches_),
                                     aAnswer.at_.value(),
-                                    std::move(plains) });
+                                    std::move(plains),
+                                    aAnswer.at_.era().value() });
 }
 
 std::optional<NewsAnswer>
--- a/src/protocol/news_codec.h
+++ b/src/protocol/news_codec.h
@@ -4,6 +4,7 @@
 #include "protocol/config_patches.h"
 #include "state/endpoint_type.h"
 #include "state/id_type.h"
+#include "state/revision_type.h"
 
 #include <map>
 #include <optional>
--- a/src/protocol/zone_digest_codec.cpp
+++ b/src/protocol/zone_digest_codec.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t kHeadBytes = 160; ///< Bound of all but the copies.
 constexpr std::size_t kCopyFields = 9;  ///< Fields of an encoded copy.
+constexpr std::size_t kEraField = 8;    ///< Field with the revision's era.
 
 coordination::CopyLoad
 decodeCopy(const Json& aCopy, state::TimePoint aNow)
@@ -60,7 +61,8 @@
                         aDigest.sharedRevision_.value(),
                         std::move(copies),
                         whole,
-                        aDigest.released_ };
+                        aDigest.released_,
+                        aDigest.sharedRevision_.era().value() };
   return encodeDatagram(digest);
 }
 
@@ -73,8 +75,7 @@
     result.service_ = state::ServiceId(aMessage.at(1).get<std::string>());
     result.authority_ = aMessage.at(2).get<std::uint64_t>();
     result.count_ = aMessage.at(3).get<std::uint64_t>();
-    result.sharedRevision_ =
-      state::Revision(aMessage.at(4).get<std::uint64_t>());
+    result.sharedRevision_ = decodeRevision(aMessage, 4, kEraField);
     for (const Json& copy : aMessage.at(5)) {
       result.copies_.push_back(decodeCopy(copy, aNow));
     }
--- a/src/state/id_type.h
+++ b/src/state/id_type.h
@@ -94,8 +94,6 @@
 
 using Generation =
   NumberId<struct GenerationTag>; ///< Configuration generation.
-using Revision =
-  NumberId<struct RevisionTag>; ///< Revision of a key in the store.
 using StoreEra =
   NumberId<struct StoreEraTag>; ///< Grows whenever the store has returned to an
                                 ///< older state; zero when it is unknown.
--- a/standins/platform/kv_standin.cpp
+++ b/standins/platform/kv_standin.cpp
@@ -94,17 +94,36 @@
   if (!aExchange.body().empty()) {
     const json wish = json::parse(aExchange.body());
     setFaults(wish, faults_);
+    if (wish.value("copy", false)) {
+      copy_ = data_;
+    }
+    if (wish.value("restore", false)) {
+      restore();
+    }
     if (wish.value("forget", false)) {
-      history_.clear();
-      forgotten_ = revision_;
+      data_.history_.clear();
+      data_.forgotten_ = data_.revision_;
     }
   }
   json body = toJson(faults_);
   body["calls"] = calls_;
-  body["revision"] = revision_;
+  body["revision"] = data_.revision_;
   aExchange.reply(200, body.dump());
 }
 
+void
+KvStandin::restore()
+{
+  data_ = copy_;
+  ++era_;
+  for (auto& [id, lease] : data_.leases_) {
+    lease.until_ = steady_clock::now() + lease.timeToLive_;
+  }
+  for (const auto& timer : watches_) {
+    timer->cancel();
+  }
+}
+
 void
 KvStandin::put(const std::string& aKey, std::string aValue)
 {
@@ -120,9 +139,9 @@
 std::optional<std::string>
 KvStandin::find(const std::string& aKey) const
 {
-  const auto found = items_.find(aKey);
-  return found == items_.end() ? std::nullopt
-                               : std::optional(found->second.value_);
+  const auto found = data_.items_.find(aKey);
+  return found == data_.items_.end() ? std::nullopt
+                                     : std::optional(found->second.value_);
 }
 
 void
@@ -132,7 +151,8 @@
     aExchange.drop();
     return;
   }
-  aExchange.reply(aStatus, aBody.dump());
+  aExchange.replyWith(
+    aStatus, aBody.dump(), { { "Store-Era", std::to_string(era_) } });
 }
 
 json
@@ -149,13 +169,13 @@
 KvStandin::read(Exchange& aExchange)
 {
   const std::string key = aExchange.query("key");
-  const auto found = items_.find(key);
-  if (found == items_.end()) {
-    answer(aExchange, 404, { { "at", revision_ } });
+  const auto found = data_.items_.find(key);
+  if (found == data_.items_.end()) {
+    answer(aExchange, 404, { { "at", data_.revision_ } });
     return;
   }
   json body = itemJson(key, found->second);
-  body["at"] = revision_;
+  body["at"] = data_.revision_;
   answer(aExchange, 200, body);
 }
 
@@ -166,7 +186,7 @@
   const std::string after = aExchange.query("after");
   json entries = json::array();
   bool more = false;
-  for (const auto& [key, item] : items_) {
+  for (const auto& [key, item] : data_.items_) {
     if (!key.starts_with(prefix) || key <= after) {
       continue;
     }
@@ -178,14 +198,16 @@
   }
   answer(aExchange,
          200,
-         { { "entries", entries }, { "has_more", more }, { "at", revision_ } });
+         { { "entries", entries },
+           { "has_more", more },
+           { "at", data_.revision_ } });
 }
 
 json
 KvStandin::eventsSince(const std::string& aPrefix, std::uint64_t aAfter) const
 {
   json events = json::array();
-  for (const Change& change : history_) {
+  for (const Change& change : data_.history_) {
     if (change.revision_ > aAfter && change.key_.starts_with(aPrefix)) {
       events.push_back(change.event_);
     }
@@ -199,13 +221,14 @@
   const std::string prefix = aExchange.query("prefix");
   const std::uint64_t after = std::stoull('0' + aExchange.query("after"));
   const milliseconds wait(std::stoll('0' + aExchange.query("wait_ms")));
-  if (after < forgotten_) {
+  if (after < data_.forgotten_ || after > data_.revision_) {
     answer(aExchange, 410, json::object());
     return;
   }
+  const std::uint64_t era = era_;
   const auto end = steady_clock::now() + wait;
   json events = eventsSince(prefix, after);
-  while (events.empty() && steady_clock::now() < end) {
+  while (events.empty() && steady_clock::now() < end && era == era_) {
     const auto timer =
       std::make_shared<asio::steady_timer>(aExchange.executor(), end);
     watches_.insert(timer);
@@ -215,8 +238,13 @@
     events = eventsSince(prefix, after);
   }
   // A watch that waited answers under the faults of now.
-  if (passFaults(aExchange, faults_)) {
-    answer(aExchange, 200, { { "events", events }, { "at", revision_ } });
+  if (!passFaults(aExchange, faults_)) {
+    return;
+  }
+  if (era != era_) {
+    answer(aExchange, 410, json::object());
+  } else {
+    answer(aExchange, 200, { { "events", events }, { "at", data_.revision_ } });
   }
 }
 
@@ -229,11 +257,11 @@
   json differing = json::array();
   for (const json& row : request.value("expected", json::array())) {
     const auto key = row.at("key").get<std::string>();
-    const auto found = items_.find(key);
+    const auto found = data_.items_.find(key);
     const std::uint64_t present =
-      found == items_.end() ? 0 : found->second.changed_;
+      found == data_.items_.end() ? 0 : found->second.changed_;
     if (present != row.at("mod_revision").get<std::uint64_t>()) {
-      differing.push_back(found == items_.end()
+      differing.push_back(found == data_.items_.end()
                             ? json{ { "key", key }, { "mod_revision", 0 } }
                             : itemJson(key, found->second));
     }
@@ -248,7 +276,7 @@
       answer(aExchange, 403, json::object());
       return;
     }
-    if (lease != 0 && !leases_.contains(lease)) {
+    if (lease != 0 && !data_.leases_.contains(lease)) {
       answer(aExchange, 404, json::object());
       return;
     }
@@ -262,7 +290,7 @@
   for (const json& key : removed) {
     erase(key.get<std::string>());
   }
-  answer(aExchange, 200, { { "mod_revision", revision_ } });
+  answer(aExchange, 200, { { "mod_revision", data_.revision_ } });
 }
 
 void
@@ -270,8 +298,8 @@
 {
   const json request = json::parse(aExchange.body());
   const milliseconds timeToLive(request.at("ttl_ms").get<std::int64_t>());
-  const std::uint64_t id = nextLease_++;
-  leases_[id] = { timeToLive, steady_clock::now() + timeToLive };
+  const std::uint64_t id = data_.nextLease_++;
+  data_.leases_[id] = { timeToLive, steady_clock::now() + timeToLive };
   answer(
     aExchange, 200, { { "lease_id", id }, { "ttl_ms", timeToLive.count() } });
 }
@@ -279,8 +307,9 @@
 void
 KvStandin::keep(Exchange& aExchange)
 {
-  const auto found = leases_.find(numberAfter(aExchange.path(), kKeepPath));
-  if (found == leases_.end()) {
+  const auto found =
+    data_.leases_.find(numberAfter(aExchange.path(), kKeepPath));
+  if (found == data_.leases_.end()) {
     answer(aExchange, 404, json::object());
     return;
   }
@@ -300,36 +329,36 @@
                  std::string aValue,
                  std::uint64_t aLease)
 {
-  ++revision_;
-  Item& item = items_[aKey];
-  item.created_ = item.created_ == 0 ? revision_ : item.created_;
-  item.changed_ = revision_;
+  ++data_.revision_;
+  Item& item = data_.items_[aKey];
+  item.created_ = item.created_ == 0 ? data_.revision_ : item.created_;
+  item.changed_ = data_.revision_;
   item.value_ = std::move(aValue);
   item.lease_ = aLease;
-  note({ revision_, aKey, itemJson(aKey, item) });
+  note({ data_.revision_, aKey, itemJson(aKey, item) });
 }
 
 void
 KvStandin::erase(const std::string& aKey)
 {
-  if (items_.erase(aKey) == 0) {
+  if (data_.items_.erase(aKey) == 0) {
     return;
   }
-  ++revision_;
-  note({ revision_,
+  ++data_.revision_;
+  note({ data_.revision_,
          aKey,
          { { "key", aKey },
-           { "mod_revision", revision_ },
+           { "mod_revision", data_.revision_ },
            { "compacted", true } } });
 }
 
 void
 KvStandin::note(Change aChange)
 {
-  history_.push_back(std::move(aChange));
-  if (history_.size() > kHistory) {
-    forgotten_ = history_.front().revision_;
-    history_.pop_front();
+  data_.history_.push_back(std::move(aChange));
+  if (data_.history_.size() > kHistory) {
+    data_.forgotten_ = data_.history_.front().revision_;
+    data_.history_.pop_front();
   }
   for (const auto& timer : watches_) {
     timer->cancel();
@@ -339,11 +368,11 @@
 void
 KvStandin::dropLease(std::uint64_t aLease)
 {
-  if (leases_.erase(aLease) == 0) {
+  if (data_.leases_.erase(aLease) == 0) {
     return;
   }
   std::vector<std::string> bound;
-  for (const auto& [key, item] : items_) {
+  for (const auto& [key, item] : data_.items_) {
     if (item.lease_ == aLease) {
       bound.push_back(key);
     }
@@ -358,7 +387,7 @@
 {
   const auto now = steady_clock::now();
   std::vector<std::uint64_t> ended;
-  for (const auto& [id, lease] : leases_) {
+  for (const auto& [id, lease] : data_.leases_) {
     if (lease.until_ <= now) {
       ended.push_back(id);
     }
@@ -378,7 +407,7 @@
       if (isUp()) {
         expire();
       } else {
-        for (auto& [id, lease] : leases_) {
+        for (auto& [id, lease] : data_.leases_) {
           lease.until_ += kExpiryPeriod;
         }
       }
--- a/standins/platform/kv_standin.h
+++ b/standins/platform/kv_standin.h
@@ -18,8 +18,8 @@
 
 namespace auburnhaven::standins {
 
-/** The store: keys with revisions, leases, transactions, ranges and watches.
- * One thread. */
+/** The store: keys with revisions, leases, transactions, ranges and watches. It
+ * can return to an older copy. One thread. */
 class KvStandin
 {
 public:
@@ -60,7 +60,19 @@
     nlohmann::json event_;       ///< The event that a watch returns.
   };
 
+  /** Everything that a copy of the store has. */
+  struct Data
+  {
+    std::map<std::string, Item> items_;     ///< Values by key.
+    std::map<std::uint64_t, Lease> leases_; ///< Leases by identifier.
+    std::deque<Change> history_;            ///< Changes kept for watches.
+    std::uint64_t revision_ = 100;          ///< Newest revision.
+    std::uint64_t forgotten_ = 0; ///< Newest revision without history.
+    std::uint64_t nextLease_ = 1; ///< Identifier of the next lease.
+  };
+
   void handleControl(Exchange& aExchange);
+  void restore();
   void read(Exchange& aExchange);
   void range(Exchange& aExchange);
   void watch(Exchange& aExchange);
@@ -81,13 +93,10 @@
               unsigned aStatus,
               const nlohmann::json& aBody);
 
-  std::map<std::string, Item> items_;     ///< Values by key.
-  std::map<std::uint64_t, Lease> leases_; ///< Leases by identifier.
-  std::deque<Change> history_;            ///< Changes kept for watches.
-  std::uint64_t revision_ = 100;          ///< Newest revision.
-  std::uint64_t forgotten_ = 0;           ///< Newest revision without history.
-  std::uint64_t nextLease_ = 1;           ///< Identifier of the next lease.
-  std::uint64_t calls_ = 0;               ///< Calls, refused ones included.
+  Data data_;               ///< The present data.
+  Data copy_;               ///< An older copy of it.
+  std::uint64_t era_ = 1;   ///< Grows with each return to the copy.
+  std::uint64_t calls_ = 0; ///< Calls, refused ones included.
   std::set<std::shared_ptr<asio::steady_timer>>
     watches_;                 ///< Watches that wait.
   asio::steady_timer expiry_; ///< Wakes the expiry of leases.
--- a/tests/coordination/replica_leadership_test.cpp
+++ b/tests/coordination/replica_leadership_test.cpp
@@ -52,6 +52,8 @@
   CPPUNIT_TEST(failedCandidateDoesNotRetry);
   CPPUNIT_TEST(freeLeaseIsAcquiredAfterExpiry);
   CPPUNIT_TEST(releasedLeaseIsAcquiredAtOnce);
+  CPPUNIT_TEST(leaseLostByTheStoreStaysWithItsHolder);
+  CPPUNIT_TEST(leaseLostByTheStoreIsNotAcquiredBesideItsHolder);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -105,7 +107,44 @@
     CPPUNIT_ASSERT(daemons_[1]->leadership_.isHeld());
   }
 
+  void leaseLostByTheStoreStaysWithItsHolder()
+  {
+    run(1s);
+    const std::uint64_t before = daemons_[0]->leadership_.authority();
+    loseLease();
+    run(3s);
+    CPPUNIT_ASSERT(daemons_[0]->leadership_.isHeld());
+    CPPUNIT_ASSERT(daemons_[0]->leadership_.authority() > before);
+  }
+
+  // The holder learns of the loss as late as at its next renewal.
+  void leaseLostByTheStoreIsNotAcquiredBesideItsHolder()
+  {
+    run(1s);
+    daemons_[0]->store_.faults().down_ = true;
+    loseLease();
+    for (int step = 0; step < 200; ++step) {
+      run(10ms);
+      CPPUNIT_ASSERT(!daemons_[0]->leadership_.isHeld() ||
+                     !daemons_[1]->leadership_.isHeld());
+    }
+    CPPUNIT_ASSERT(daemons_[1]->leadership_.isHeld());
+  }
+
 private:
+  /** Restores an empty copy of the store; the daemons see that the lease is
+   * gone. */
+  void loseLease()
+  {
+    data_->restore({});
+    for (const auto& daemon : daemons_) {
+      daemon->leadership_.noteRestored();
+      if (!daemon->leadership_.isHeld()) {
+        daemon->leadership_.setHolder(std::nullopt);
+      }
+    }
+  }
+
   void run(state::Duration aTime)
   {
     for (const auto end = clock_.now() + aTime; clock_.now() < end;) {
--- a/tests/coordination/routing_follower_test.cpp
+++ b/tests/coordination/routing_follower_test.cpp
@@ -207,7 +207,7 @@
     run(1500ms);
     CPPUNIT_ASSERT(!follower_->hasOutage());
     data_->remove("vm/a");
-    follower_->offerSnapshot({ state::Revision(data_->nextRevision_), "", {} });
+    follower_->offerSnapshot({ data_->revision(data_->nextRevision_), "", {} });
     CPPUNIT_ASSERT(follower_->instances()->empty());
   }
 
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -4,6 +4,7 @@
 #include "coordination/prefix_store_port.h"
 #include "fakes/fake_clock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -51,6 +52,7 @@
   std::uint64_t writes_ = 0;       ///< Writes answered, lease calls included.
   std::uint64_t readBytes_ = 0;    ///< Bytes of the values told.
   std::uint64_t nextRevision_ = 1; ///< Revision of the next write.
+  std::uint64_t era_ = 0;          ///< Returns to an older copy.
   std::vector<coordination::StoreChange> history_; ///< Changes in order.
   state::Revision compactedAt_; ///< Newest change that was dropped.
   std::optional<coordination::ListReply>
@@ -61,32 +63,53 @@
   {
     coordination::ListReply reply;
     reply.status_ = coordination::StoreStatus::kOk;
-    reply.at_ = state::Revision(nextRevision_ - 1);
+    reply.at_ = revision(nextRevision_ - 1);
     for (const auto& [key, item] : items_) {
-      reply.items_.push_back({ key, item.value_, item.revision_ });
+      reply.items_.push_back(
+        { key, item.value_, revision(item.revision_.value()) });
     }
     return reply;
   }
   /** Writes a key without a condition. @return Its revision. */
   state::Revision put(const std::string& aKey, std::string aValue)
   {
-    const state::Revision revision(nextRevision_++);
-    history_.push_back({ aKey, aValue, revision });
-    items_[aKey] = { std::move(aValue), revision };
-    return revision;
+    const state::Revision at = revision(nextRevision_++);
+    history_.push_back({ aKey, aValue, at });
+    items_[aKey] = { std::move(aValue), at };
+    return at;
   }
   /** Removes a key. */
   void remove(const std::string& aKey)
   {
     items_.erase(aKey);
-    history_.push_back(
-      { aKey, std::nullopt, state::Revision(nextRevision_++) });
+    history_.push_back({ aKey, std::nullopt, revision(nextRevision_++) });
+  }
+  /** Returns to an older copy of the data and loses all later writes. */
+  void restore(const FakeStoreData& aCopy)
+  {
+    items_ = aCopy.items_;
+    leases_ = aCopy.leases_;
+    nextRevision_ = aCopy.nextRevision_;
+    history_ = aCopy.history_;
+    compactedAt_ = aCopy.compactedAt_;
+    ++era_;
+  }
+  /** @return A revision of the present era. */
+  state::Revision revision(std::uint64_t aNumber) const
+  {
+    return state::Revision(aNumber, state::StoreEra(era_));
+  }
+  /** @return A change as the present era tells it. */
+  coordination::StoreChange told(coordination::StoreChange aChange) const
+  {
+    aChange.revision_ = revision(aChange.revision_.value());
+    return aChange;
   }
   /** Drops all history. */
   void compact()
   {
     history_.clear();
-    compactedAt_ = state::Revision(nextRevision_ - 1);
+    compactedAt_ = revision(nextRevision_ - 1);
   }
 };
 
@@ -256,6 +279,9 @@
   }
 
 private:
+  static constexpr std::uint64_t kLeaseNumbersOfEra =
+    1000; ///< Lease numbers by which an era lies above the one before.
+
   /** A watch of a prefix that waits. */
   struct PrefixWatch
   {
@@ -265,26 +291,35 @@
     WatchHandler handler_;   ///< Takes the answer.
   };
 
+  coordination::WatchStatus statusOf(const PrefixWatch& aWatch,
+                                     state::Revision aNow) const
+  {
+    if (aWatch.after_ != state::Revision() &&
+        aWatch.after_.era() != aNow.era()) {
+      return coordination::WatchStatus::kRestored;
+    }
+    const bool compacted = aWatch.after_.value() < data_->compactedAt_.value();
+    return compacted ? coordination::WatchStatus::kCompacted
+                     : coordination::WatchStatus::kChanges;
+  }
+
   void answerPrefixWatches()
   {
     std::vector<PrefixWatch> rest;
     for (PrefixWatch& watch : prefixWatches_) {
       coordination::WatchReply reply;
-      reply.status_ = watch.after_ < data_->compactedAt_
-                        ? coordination::WatchStatus::kCompacted
-                        : coordination::WatchStatus::kChanges;
-      reply.at_ = state::Revision(data_->nextRevision_ - 1);
+      reply.at_ = data_->revision(data_->nextRevision_ - 1);
+      reply.status_ = statusOf(watch, reply.at_);
       std::uint64_t bytes = 0;
       for (const coordination::StoreChange& change : data_->history_) {
-        if (change.revision_ > watch.after_ &&
+        if (change.revision_.value() > watch.after_.value() &&
             change.key_.starts_with(watch.prefix_)) {
-          reply.changes_.push_back(change);
+          reply.changes_.push_back(data_->told(change));
           bytes += change.value_.value_or("").size();
         }
       }
-      const bool done =
-        reply.status_ == coordination::WatchStatus::kCompacted ||
-        !reply.changes_.empty() || watch.until_ <= clock_.now();
+      const bool done = reply.status_ != coordination::WatchStatus::kChanges ||
+                        !reply.changes_.empty() || watch.until_ <= clock_.now();
       if (faults_.down_) {
         answer(std::move(watch.handler_), coordination::WatchReply{});
       } else if (done) {
@@ -328,7 +363,7 @@
     }
     return { coordination::StoreStatus::kOk,
              found->second.value_,
-             found->second.revision_ };
+             data_->revision(found->second.revision_.value()) };
   }
 
   coordination::StoreReply swap(const std::string& aKey,
@@ -336,9 +371,10 @@
                                 std::string aValue)
   {
     const auto found = data_->items_.find(aKey);
-    const state::Revision present = found == data_->items_.end()
-                                      ? state::Revision()
-                                      : found->second.revision_;
+    const state::Revision present =
+      found == data_->items_.end()
+        ? state::Revision()
+        : data_->revision(found->second.revision_.value());
     if (present != aExpected) {
       return { coordination::StoreStatus::kConflict, {}, present };
     }
@@ -360,6 +396,7 @@
     if (!held || lease.holder_ != aHolder) {
       ++lease.number_;
     }
+    lease.number_ = std::max(lease.number_, data_->era_ * kLeaseNumbersOfEra);
     lease.holder_ = aHolder;
     lease.until_ = clock_.now() + aTimeToLive;
     return { coordination::StoreStatus::kOk, aHolder, lease.number_ };
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -137,6 +137,12 @@
   CPPUNIT_TEST(leaseHeldByAnotherIsConflict);
   CPPUNIT_TEST(ownLeaseIsRecoveredAfterLostAnswer);
   CPPUNIT_TEST(unansweredCompareAndSwapIsUnknown);
+  CPPUNIT_TEST(leaseThatTheStoreHasLostIsNotRenewed);
+  CPPUNIT_TEST(leaseThatTheStoreHasKeptIsTakenOver);
+  CPPUNIT_TEST(leaseNumbersGrowWhenRevisionsGoBack);
+  CPPUNIT_TEST(listAcrossARestoreIsReadAgain);
+  CPPUNIT_TEST(watchFromAnEarlierEraIsRestored);
+  CPPUNIT_TEST(writeOnARevisionOfAnEarlierEraIsConflict);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -355,7 +361,141 @@
     }
   }
 
+  void leaseThatTheStoreHasLostIsNotRenewed()
+  {
+    ScriptedStore scripted(
+      { { inEra("200 OK", 1), R"({"lease_id":77,"ttl_ms":1500})" },
+        { inEra("200 OK", 1), R"({"mod_revision":41})" },
+        // The same number now belongs to a lease of another holder.
+        { inEra("200 OK", 2), R"({"ttl_ms":1500})" },
+        { inEra("200 OK", 2), R"({"lease_id":78,"ttl_ms":1500})" },
+        { inEra("412 Precondition Failed", 2),
+          R"({"entries":[{"key":"k","data":"b3RoZXI=","mod_revision":35,
+              "created_revision":35,"lease_id":77}]})" } });
+    CPPUNIT_ASSERT(acquire(scripted).status_ == StoreStatus::kOk);
+    const LeaseReply reply = acquire(scripted);
+    CPPUNIT_ASSERT(reply.status_ == StoreStatus::kConflict);
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), reply.holder_);
+  }
+
+  void leaseThatTheStoreHasKeptIsTakenOver()
+  {
+    ScriptedStore scripted(
+      { { inEra("200 OK", 1), R"({"lease_id":77,"ttl_ms":1500})" },
+        { inEra("200 OK", 1), R"({"mod_revision":41})" },
+        { inEra("200 OK", 2), R"({"ttl_ms":1500})" },
+        { inEra("200 OK", 2), R"({"lease_id":78,"ttl_ms":1500})" },
+        { inEra("412 Precondition Failed", 2),
+          R"({"entries":[{"key":"k","data":"bWU=","mod_revision":41,
+              "created_revision":41,"lease_id":77}]})" },
+        { inEra("200 OK", 2), R"({"ttl_ms":1500})" },
+        { inEra("200 OK", 2), R"({"ttl_ms":1500})" } });
+    const std::uint64_t before = acquire(scripted).number_;
+    const LeaseReply reply = acquire(scripted);
+    CPPUNIT_ASSERT(reply.status_ == StoreStatus::kOk);
+    CPPUNIT_ASSERT(reply.number_ > before);
+    CPPUNIT_ASSERT_EQUAL(reply.number_, acquire(scripted).number_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 7 }, scripted.requests_.size());
+  }
+
+  void leaseNumbersGrowWhenRevisionsGoBack()
+  {
+    ScriptedStore scripted(
+      { { inEra("200 OK", 1), R"({"lease_id":77,"ttl_ms":1500})" },
+        { inEra("200 OK", 1), R"({"mod_revision":265})" },
+        { inEra("404 Not Found", 2), "{}" },
+        { inEra("200 OK", 2), R"({"lease_id":70,"ttl_ms":1500})" },
+        { inEra("200 OK", 2), R"({"mod_revision":213})" } });
+    const std::uint64_t before = acquire(scripted).number_;
+    CPPUNIT_ASSERT(acquire(scripted).number_ > before);
+  }
+
+  void listAcrossARestoreIsReadAgain()
+  {
+    const char* const first =
+      R"({"entries":[{"key":"a","data":"MQ==","mod_revision":3,
+          "created_revision":3,"lease_id":0}],"has_more":true,"at":11})";
+    const char* const last =
+      R"({"entries":[{"key":"b","data":"Mg==","mod_revision":8,
+          "created_revision":8,"lease_id":0}],"has_more":false,"at":9})";
+    ScriptedStore scripted({ { inEra("200 OK", 1), first },
+                             { inEra("200 OK", 2), last },
+                             { inEra("200 OK", 2), first },
+                             { inEra("200 OK", 2), last } });
+    bool done = false;
+    scripted.store_.list("",
+                         coordination::ListConsistency::kLinearizable,
+                         [&](const coordination::ListReply& aReply) {
+                           CPPUNIT_ASSERT(aReply.status_ == StoreStatus::kOk);
+                           CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 },
+                                                aReply.items_.size());
+                           done = true;
+                         });
+    scripted.await(done);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, scripted.requests_.size());
+  }
+
+  void watchFromAnEarlierEraIsRestored()
+  {
+    const char* const events = R"({"events":[],"at":90})";
+    ScriptedStore scripted({ { inEra("200 OK", 2), events },
+                             { inEra("410 Gone", 2), "{}" },
+                             { inEra("200 OK", 2), events } });
+    using coordination::WatchStatus;
+    const state::StoreEra earlier(1);
+    const state::StoreEra present(2);
+    const std::pair<state::Revision, WatchStatus> cases[] = {
+      { state::Revision(41, earlier), WatchStatus::kRestored },
+      { state::Revision(95, earlier), WatchStatus::kRestored },
+      { state::Revision(41, present), WatchStatus::kChanges }
+    };
+    for (const auto& [after, expected] : cases) {
+      bool done = false;
+      scripted.store_.watchPrefix(
+        "", after, 100ms, [&, wanted = expected](const auto& aReply) {
+          CPPUNIT_ASSERT(aReply.status_ == wanted);
+          done = true;
+        });
+      scripted.await(done);
+    }
+  }
+
+  void writeOnARevisionOfAnEarlierEraIsConflict()
+  {
+    ScriptedStore scripted(
+      { { inEra("200 OK", 2), R"({"mod_revision":41})" },
+        { inEra("200 OK", 2), R"({"mod_revision":42})" } });
+    const state::StoreEra earlier(1);
+    // The era is not known yet, so the write takes effect.
+    CPPUNIT_ASSERT(swap(scripted, state::Revision(40, earlier)) ==
+                   StoreStatus::kUnknown);
+    CPPUNIT_ASSERT(swap(scripted, state::Revision(40, earlier)) ==
+                   StoreStatus::kConflict);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, scripted.requests_.size());
+    CPPUNIT_ASSERT(swap(scripted, state::Revision(41, state::StoreEra(2))) ==
+                   StoreStatus::kOk);
+  }
+
 private:
+  static StoreStatus swap(ScriptedStore& aScripted, state::Revision aExpected)
+  {
+    bool done = false;
+    StoreStatus status{};
+    aScripted.store_.compareAndSwap(
+      "k", aExpected, "v", {}, [&](const coordination::StoreReply& aReply) {
+        status = aReply.status_;
+        done = true;
+      });
+    aScripted.await(done);
+    return status;
+  }
+
+  /** @return A status line's end, and the header with an era of the store. */
+  static std::string inEra(const char* aStatus, int aEra)
+  {
+    return aStatus + std::string("\r\nStore-Era: ") + std::to_string(aEra);
+  }
+
   static LeaseReply acquire(ScriptedStore& aScripted)
   {
     bool done = false;
--- a/tests/protocol/config_patches_test.cpp
+++ b/tests/protocol/config_patches_test.cpp
@@ -107,7 +107,7 @@
   {
     protocol::NewsAnswer answer{ version(9),
                                  { version(7), { "a\xff", "" } },
-                                 state::Revision(5),
+                                 state::Revision(5, state::StoreEra(3)),
                                  { { state::VmId("v"), "entry" } } };
     const std::string bytes = protocol::encodeNewsAnswer(answer);
     CPPUNIT_ASSERT(protocol::decodeNewsAnswer(bytes) == answer);
@@ -115,7 +115,9 @@
     for (std::size_t size = 0; size < bytes.size(); ++size) {
       CPPUNIT_ASSERT(!protocol::decodeNewsAnswer(bytes.substr(0, size)));
     }
-    const protocol::NewsQuestion question{ version(9), state::Revision(5) };
+    const protocol::NewsQuestion question{
+      version(9), state::Revision(5, state::StoreEra(3))
+    };
     CPPUNIT_ASSERT(protocol::decodeNewsQuestion(
                      protocol::encodeNewsQuestion(question)) == question);
   }
--- a/tests/protocol/zone_digest_test.cpp
+++ b/tests/protocol/zone_digest_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the digests and of the exchange of the configuration.
 
 #include "protocol/config_exchange.h"
+#include "protocol/datagram_func.h"
 #include "protocol/zone_digest_codec.h"
 
 #include "fakes/fake_byte_links.h"
@@ -24,7 +25,7 @@
                                    state::ServiceId("s"),
                                    7,
                                    9,
-                                   state::Revision(33),
+                                   state::Revision(33, state::StoreEra(2)),
                                    {},
                                    true,
                                    true };
@@ -70,6 +71,7 @@
 {
   CPPUNIT_TEST_SUITE(ZoneDigestTest);
   CPPUNIT_TEST(digestComesBack);
+  CPPUNIT_TEST(digestOfEarlierVersionNamesNoEra);
   CPPUNIT_TEST(largeDigestFitsIntoDatagram);
   CPPUNIT_TEST(garbageIsNoDigest);
   CPPUNIT_TEST(cutOffDaemonLearnsFromPeer);
@@ -86,6 +88,17 @@
                      protocol::encodeZoneDigest(sent, now), now) == sent);
   }
 
+  void digestOfEarlierVersionNamesNoEra()
+  {
+    const state::TimePoint now{ 1h };
+    auto message = nlohmann::json::from_cbor(
+      protocol::encodeZoneDigest(digest(1, now), now));
+    message.erase(message.size() - 1);
+    const auto taken =
+      protocol::decodeZoneDigest(protocol::encodeDatagram(message), now);
+    CPPUNIT_ASSERT(taken->sharedRevision_ == state::Revision(33));
+  }
+
   void largeDigestFitsIntoDatagram()
   {
     const state::TimePoint now{ 1h };
