Announce plain instances that leave after a grace period

Cause: entries that are missing after an outage or a restore stay in use for 2.5 s and are then dropped by the daemon that watches the store. That is no change of the store, so no revision announced it, and the daemons that are told of changes kept using the instance until their next regular read, up to 14 s later. Bound of the platform: 2 s after the entry is gone.

Now the next revision that the watch reports is announced as a change too, so that the others take the instances again. VMs write each second or so, so it is never far.

Test before: RestoredStoreTest::entryThatTheCopyLacksLeavesToldDaemonsToo failed (told_.knows("b")); with the change 7 of 7 pass.

--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -291,6 +291,8 @@
   const state::TimePoint now = clock_.now();
   for (auto at = missing_.begin(); at != missing_.end();) {
     if (at->second <= now && !inOutage_) {
+      announcesExpiry_ =
+        announcesExpiry_ || plainInstances_.contains(at->first);
       eraseInstance(at->first);
       at = missing_.erase(at);
     } else {
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -304,12 +304,14 @@
     missing_; ///< Instances whose entries vanished in an outage, with the time
               ///< of their removal.
   std::set<std::string> daemonKeys_; ///< Existing daemon keys.
-  bool changed_ = false;     ///< Whether instances have unpublished changes.
-  bool listed_ = false;      ///< Whether the keys have been listed once.
-  bool awaitsConfig_ = true; ///< Whether the store may not have the first
+  bool changed_ = false; ///< Whether instances have unpublished changes.
+  bool announcesExpiry_ = false; ///< Whether plain instances have left after a
+                                 ///< grace period that peers don't know of yet.
+  bool listed_ = false;          ///< Whether the keys have been listed once.
+  bool awaitsConfig_ = true;     ///< Whether the store may not have the first
                              ///< configuration yet; until then no other entry
                              ///< is worth reading.
-  bool mustList_ = true;     ///< Whether the keys must be listed next.
+  bool mustList_ = true; ///< Whether the keys must be listed next.
   ListConsistency listConsistency_ =
     ListConsistency::kMayBeStale; ///< Consistency of the next list call.
   std::optional<ListReply>
--- a/src/coordination/routing/store_follower_read.cpp
+++ b/src/coordination/routing/store_follower_read.cpp
@@ -275,8 +275,14 @@
       apply(change.key_, change.value_, change.revision_);
     }
   }
+  const bool advances = aReply.at_ > watchRevision_;
   watchRevision_ = std::max(watchRevision_, aReply.at_);
   readRevision_ = watchRevision_;
+  if (announcesExpiry_ && advances) {
+    // Peers that know an earlier revision take the instances from here again.
+    announcesExpiry_ = false;
+    sharedRevision_ = std::max(sharedRevision_, watchRevision_);
+  }
   if (!aReply.changes_.empty()) {
     nextCall_ = clock_.now() +
                 settings_.*kPauseByUrgency[static_cast<std::size_t>(urgency_)];
--- a/tests/coordination/restored_store_test.cpp
+++ b/tests/coordination/restored_store_test.cpp
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(confirmedVersionIsNotUndone);
   CPPUNIT_TEST(laggingListAfterRestoreIsNotUsed);
   CPPUNIT_TEST(entryThatTheCopyLacksStaysForGracePeriod);
+  CPPUNIT_TEST(entryThatTheCopyLacksLeavesToldDaemonsToo);
   CPPUNIT_TEST(announcementWithoutEraCountsInKnownEra);
   CPPUNIT_TEST_SUITE_END();
 
@@ -136,6 +137,19 @@
     CPPUNIT_ASSERT(watching_.knows("b") && told_.knows("b"));
   }
 
+  void entryThatTheCopyLacksLeavesToldDaemonsToo()
+  {
+    data_->put("vm/b", "plain");
+    run(1s);
+    data_->restore(copy_);
+    for (int write = 0; write < kLostWrites; ++write) {
+      data_->put("vm/e", "engine");
+      run(100ms);
+    }
+    CPPUNIT_ASSERT(!watching_.knows("b"));
+    CPPUNIT_ASSERT(!told_.knows("b"));
+  }
+
   void announcementWithoutEraCountsInKnownEra()
   {
     data_->restore(copy_);
