Name the request as a whole in the log of a send that failed

Cause: a request that comes again has another identifier each time, and the log of a failed send named only the shared parts of its prompt.

The upper bit tells it from parts that callers name. No decision changes.

--- a/src/state/prompt_part_func.cpp
+++ b/src/state/prompt_part_func.cpp
@@ -3,6 +3,7 @@
 #include "state/prompt_part_func.h"
 
 #include "state/digest_func.h"
+#include "state/request_digest_func.h"
 
 #include <algorithm>
 #include <charconv>
@@ -32,7 +33,7 @@
 promptPartFrom(std::string_view aName)
 {
   const std::optional<std::uint64_t> number = readHex(aName);
-  return PromptPartId(number ? *number : stableHash(aName));
+  return namedPart(number ? *number : stableHash(aName));
 }
 
 std::string
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -92,6 +92,7 @@
   , responder_(aResponder)
   , yield_(aYield)
   , info_(aDependencies.dialect_.read(aRequest))
+  , identity_(aRequest, info_, account_)
   , routes_(aDependencies.routes_.get())
   , startedAt_(aDependencies.clock_.now())
 {
@@ -766,7 +767,7 @@
   const state::Duration silence =
     dependencies_.clock_.now() - aAttempt.lastNewsAt();
   const std::string parts =
-    good ? std::string() : state::textOf(info_.sharedParts_);
+    good ? std::string() : state::textOf(identity_.parts());
   dependencies_.log_.write(
     good ? state::LogWeight::kRoutine : state::LogWeight::kChange,
     kPart,
@@ -783,7 +784,7 @@
       state::logField("load_age_ms",
                       target.loadAge_ ? logMs(*target.loadAge_) : -1.0),
       state::logField("expected_ms", logMs(target.expected_)),
-      state::logField("shared_parts", std::string_view(parts)),
+      state::logField("parts", std::string_view(parts)),
       state::logField("detail", std::string_view(aAttempt.detail())) });
 }
 
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -3,6 +3,7 @@
 
 #include "transport/relay/relay_attempt.h"
 #include "transport/relay/relay_handler.h"
+#include "transport/relay/request_identity.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -115,9 +116,10 @@
   HttpResponder& responder_;              ///< Sends the response to the caller.
   const boost::asio::yield_context& yield_; ///< The coroutine.
   const RelayRequestInfo info_;             ///< Contents of its headers.
+  state::AccountId account_;                ///< Client account; empty for none.
+  const RequestIdentity identity_;          ///< What tells it from others.
   RouteTablePtr routes_;                    ///< Routes in force at its start.
   const state::Route* route_ = nullptr;     ///< Route of the request.
-  state::AccountId account_;                ///< Client account; empty for none.
   coordination::TargetNeed need_;           ///< Requirements for its target.
   state::TimePoint startedAt_;              ///< When relaying began.
   state::TimePoint deadline_{};             ///< Latest time for the response.
