Hold back a request that ended targets again and again

Cause: evidence was kept by parts of prompts only. A request of a plain service has none, and where parts were shared, either sound requests were held back with it or their answers acquitted it. Class: the evidence was kept under a key that is not the identity of what is observed.

Ruled out: our own repeats as the whole cause (confirmations are never repeated and ended 24 of 24 targets in the test).

The request as a whole, known by its digest, is now one more part in the same reports, ledger, notices and store keys. It is guilty after two moments, since holding it back harms nobody else; after three if another request that is as suspicious was lost at all the same targets. A lost request that its target had begun to answer is less suspicious: the reports tell so. A guilty request explains the losses beside it, and speaks against the parts of its own prompt once only.

Nine new ledger tests.

--- a/src/coordination/quarantine/crash_ledger.cpp
+++ b/src/coordination/quarantine/crash_ledger.cpp
@@ -3,7 +3,10 @@
 
 #include "coordination/quarantine/crash_ledger.h"
 
+#include "state/request_digest_func.h"
+
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -62,17 +65,38 @@
   }
   Crash& crash = crashOf(aReport.vm_, at);
   for (const PromptParts& request : aReport.requests_) {
-    const bool known =
-      std::find(crash.requests_.begin(), crash.requests_.end(), request) !=
-      crash.requests_.end();
-    if (!known && !request.empty() &&
-        crash.requests_.size() < settings_.maxRequests_) {
-      crash.requests_.push_back(request);
-    }
+    addRequest(crash, request, false);
+  }
+  for (const PromptParts& request : aReport.begun_) {
+    addRequest(crash, request, true);
   }
   decideAt_ = clock_.now();
 }
 
+void
+CrashLedger::addRequest(Crash& aCrash, const PromptParts& aParts, bool aBegun)
+{
+  PromptParts prompt;
+  std::copy_if(
+    aParts.begin(),
+    aParts.end(),
+    std::back_inserter(prompt),
+    [](PromptPartId aPart) { return !state::isWholeRequest(aPart); });
+  for (const PromptPartId part : aParts) {
+    if (state::isWholeRequest(part) &&
+        aCrash.wholes_.size() < settings_.maxWholeRequests_) {
+      aCrash.wholes_.emplace(part, LostRequestInfo{ prompt, aBegun });
+    }
+  }
+  const bool known =
+    std::find(aCrash.requests_.begin(), aCrash.requests_.end(), prompt) !=
+    aCrash.requests_.end();
+  if (!known && !prompt.empty() &&
+      aCrash.requests_.size() < settings_.maxRequests_) {
+    aCrash.requests_.push_back(std::move(prompt));
+  }
+}
+
 CrashLedger::Crash&
 CrashLedger::crashOf(const state::VmId& aVm, state::TimePoint aAt)
 {
@@ -88,7 +112,7 @@
     std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& aCrash) {
       return aCrash.at_ > aAt;
     });
-  return *crashes_.insert(next, { aVm, aAt, {} });
+  return *crashes_.insert(next, { aVm, aAt, {}, {} });
 }
 
 void
@@ -119,12 +143,60 @@
 CrashLedger::partsOf(const Crash& aCrash)
 {
   std::set<PromptPartId> parts;
+  for (const auto& [whole, lost] : aCrash.wholes_) {
+    parts.insert(whole);
+  }
   for (const PromptParts& request : aCrash.requests_) {
     parts.insert(request.begin(), request.end());
   }
   return parts;
 }
 
+bool
+CrashLedger::hasGuiltyRequest(const Crash& aCrash) const
+{
+  return std::any_of(
+    aCrash.wholes_.begin(), aCrash.wholes_.end(), [&](const auto& aEntry) {
+      return guilty_.contains({ aEntry.first });
+    });
+}
+
+std::vector<PromptParts>
+CrashLedger::accusingPrompts(const Crash& aCrash) const
+{
+  if (!hasGuiltyRequest(aCrash)) {
+    return aCrash.requests_;
+  }
+  // The other requests were only in flight beside the guilty ones.
+  std::vector<PromptParts> prompts;
+  for (const auto& [whole, lost] : aCrash.wholes_) {
+    const bool known =
+      std::find(prompts.begin(), prompts.end(), lost.prompt_) != prompts.end();
+    if (guilty_.contains({ whole }) && !lost.prompt_.empty() && !known) {
+      prompts.push_back(lost.prompt_);
+    }
+  }
+  return prompts;
+}
+
+bool
+CrashLedger::countRequests(const Crash& aCrash,
+                           PromptPartId aPart,
+                           CountedRequests& aCounted) const
+{
+  const bool onlyGuilty = hasGuiltyRequest(aCrash);
+  bool known = false;
+  bool isNew = false;
+  for (const auto& [whole, lost] : aCrash.wholes_) {
+    const bool counts = !onlyGuilty || guilty_.contains({ whole });
+    if (counts && hasPart(lost.prompt_, aPart)) {
+      known = true;
+      isNew = aCounted[aPart].insert(whole).second || isNew;
+    }
+  }
+  return isNew || !known;
+}
+
 std::set<PromptPartId>
 CrashLedger::rememberedParts() const
 {
@@ -188,16 +260,24 @@
 {
   EvidenceMap evidence;
   std::map<PromptPartId, state::TimePoint> momentStart;
+  CountedRequests counted;
   for (const Crash& crash : crashes_) {
-    if (isExplained(crash)) {
+    if (isExplainedByParts(crash)) {
       continue;
     }
-    for (const PromptParts& request : crash.requests_) {
+    std::map<PromptPartId, bool> counts;
+    for (const PromptParts& request : accusingPrompts(crash)) {
       for (const PromptPartId part :
            std::set<PromptPartId>(request.begin(), request.end())) {
         if (isSoundAt(part, crash.at_)) {
           continue;
         }
+        const auto [known, isFirst] = counts.emplace(part, false);
+        known->second =
+          isFirst ? countRequests(crash, part, counted) : known->second;
+        if (!known->second) {
+          continue;
+        }
         const auto [start, first] = momentStart.emplace(part, crash.at_);
         const bool newMoment =
           first || crash.at_ - start->second >= settings_.momentLength_;
@@ -248,10 +328,10 @@
 {
   std::optional<PromptParts> set;
   for (const Crash& crash : crashes_) {
-    if (isExplained(crash) || isSoundAt(aPart, crash.at_)) {
+    if (isExplainedByParts(crash) || isSoundAt(aPart, crash.at_)) {
       continue;
     }
-    for (const PromptParts& request : crash.requests_) {
+    for (const PromptParts& request : accusingPrompts(crash)) {
       if (!hasPart(request, aPart)) {
         continue;
       }
@@ -286,6 +366,12 @@
 
 bool
 CrashLedger::isExplained(const Crash& aCrash) const
+{
+  return hasGuiltyRequest(aCrash) || isExplainedByParts(aCrash);
+}
+
+bool
+CrashLedger::isExplainedByParts(const Crash& aCrash) const
 {
   return std::any_of(guilty_.begin(), guilty_.end(), [&](const auto& aEntry) {
     return std::any_of(aCrash.requests_.begin(),
@@ -296,6 +382,100 @@
   });
 }
 
+CrashLedger::RequestEvidenceMap
+CrashLedger::gatherRequestEvidence() const
+{
+  RequestEvidenceMap evidence;
+  for (const Crash& crash : crashes_) {
+    if (isExplained(crash)) {
+      continue;
+    }
+    for (const auto& [request, lost] : crash.wholes_) {
+      if (isSoundAt(request, crash.at_)) {
+        continue;
+      }
+      RequestEvidence& against = evidence[request];
+      const bool newMoment =
+        against.crashes_.empty() ||
+        crash.at_ - against.lastAt_ >= settings_.momentLength_;
+      against.crashes_.push_back(&crash);
+      if (newMoment) {
+        ++against.moments_;
+        against.lastAt_ = crash.at_;
+      }
+    }
+  }
+  return evidence;
+}
+
+std::size_t
+CrashLedger::countUnanswered(const std::vector<const Crash*>& aCrashes,
+                             PromptPartId aRequest)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aCrashes.begin(), aCrashes.end(), [&](const Crash* aCrash) {
+      const auto lost = aCrash->wholes_.find(aRequest);
+      return lost != aCrash->wholes_.end() && !lost->second.begun_;
+    }));
+}
+
+bool
+CrashLedger::hasTwin(PromptPartId aRequest,
+                     const RequestEvidenceMap& aEvidence) const
+{
+  const std::vector<const Crash*>& crashes = aEvidence.at(aRequest).crashes_;
+  const std::size_t unanswered = countUnanswered(crashes, aRequest);
+  const auto isTwin = [&](PromptPartId aOther) {
+    const bool isCandidate = aOther != aRequest && aEvidence.contains(aOther);
+    return isCandidate &&
+           std::all_of(crashes.begin(),
+                       crashes.end(),
+                       [&](const Crash* aCrash) {
+                         return aCrash->wholes_.contains(aOther);
+                       }) &&
+           countUnanswered(crashes, aOther) >= unanswered;
+  };
+  const auto& others = crashes.front()->wholes_;
+  return std::any_of(others.begin(), others.end(), [&](const auto& aEntry) {
+    return isTwin(aEntry.first);
+  });
+}
+
+std::optional<PromptPartId>
+CrashLedger::guiltyRequest()
+{
+  const RequestEvidenceMap evidence = gatherRequestEvidence();
+  std::optional<PromptPartId> worst;
+  for (const auto& [request, against] : evidence) {
+    if (against.moments_ < settings_.minRequestMoments_) {
+      continue;
+    }
+    const bool twin = hasTwin(request, evidence);
+    if (twin && against.moments_ < settings_.minMoments_) {
+      continue;
+    }
+    const state::TimePoint decidedAt =
+      against.lastAt_ + (twin ? settings_.doubtTime_ : settings_.settleTime_);
+    if (clock_.now() < decidedAt) {
+      decideAt_ = std::min(decideAt_, decidedAt);
+      continue;
+    }
+    if (!worst || against.moments_ > evidence.at(*worst).moments_) {
+      worst = request;
+    }
+  }
+  return worst;
+}
+
+void
+CrashLedger::findGuiltyRequests()
+{
+  // Each one found explains crashes that spoke against others.
+  while (const auto request = guiltyRequest()) {
+    convict({ *request });
+  }
+}
+
 void
 CrashLedger::findGuilty()
 {
@@ -314,7 +494,7 @@
     const bool mayProveSound =
       doubtful && clock_.now() - enoughAt < settings_.doubtTime_;
     if (mayProveSound) {
-      decideAt_ = enoughAt + settings_.doubtTime_;
+      decideAt_ = std::min(decideAt_, enoughAt + settings_.doubtTime_);
     }
     if (found.empty() || mayProveSound) {
       return;
@@ -330,6 +510,7 @@
 {
   if (clock_.now() >= decideAt_) {
     decideAt_ = state::TimePoint::max();
+    findGuiltyRequests();
     findGuilty();
   }
   return std::exchange(changes_, {});
--- a/src/coordination/quarantine/crash_ledger.h
+++ b/src/coordination/quarantine/crash_ledger.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -40,7 +41,15 @@
     10); ///< Age at which an ended target or a guilty set is forgotten.
   std::size_t maxCrashes_ = 64; ///< Ended targets that are remembered.
   std::size_t maxRequests_ =
-    32; ///< Requests of an ended target that are remembered.
+    32; ///< Different prompts of an ended target that are remembered.
+  std::size_t maxWholeRequests_ =
+    64; ///< Requests of an ended target that are known as a whole.
+  std::uint32_t minRequestMoments_ =
+    2; ///< Times at which targets must have ended under one same request, if
+       ///< no other is as suspicious; minMoments_ otherwise.
+  state::Duration settleTime_ = std::chrono::milliseconds(
+    40); ///< From the end of a target until all daemons have reported what they
+         ///< lost by it.
   std::size_t maxSuspects_ = 48; ///< Parts returned by suspects().
   state::Duration suspicionTime_ = std::chrono::seconds(
     30); ///< How long after the end of a target sound answers are asked for.
@@ -50,11 +59,14 @@
 
 /**
  * Remembers which requests were in flight at targets that ended, as reported by
- * all daemons. A set of parts is guilty when targets ended under it at several
- * moments, while none answered with it. Parts that were always together in the
- * lost requests can't be told apart, so requests are dangerous only if they
- * have all of them. The other requests of the same targets are explained by the
- * guilty set. Control thread only.
+ * all daemons. A request is guilty as a whole when targets ended under it again
+ * and again; this needs least evidence and harms nobody else, so it goes first.
+ * A set of parts is guilty when targets ended under it at several moments,
+ * while none answered with it; one request counts once against its parts,
+ * however often it is repeated. Parts that were always together in the lost
+ * requests can't be told apart, so requests are dangerous only if they have all
+ * of them. The other requests of the same targets are explained by the guilty
+ * set. Control thread only.
  */
 class CrashLedger
 {
@@ -83,13 +95,30 @@
   std::size_t crashes() const { return crashes_.size(); }
 
 private:
+  /** A lost request that is known as a whole. */
+  struct LostRequestInfo
+  {
+    state::PromptParts prompt_; ///< Parts of its prompt.
+    bool begun_ = false;        ///< Whether the target had begun to answer it.
+  };
   /** A target that ended. */
   struct Crash
   {
     state::VmId vm_;                           ///< The target.
     state::TimePoint at_{};                    ///< When it ended.
-    std::vector<state::PromptParts> requests_; ///< Parts of lost requests.
+    std::vector<state::PromptParts> requests_; ///< Prompts of lost requests.
+    std::map<state::PromptPartId, LostRequestInfo>
+      wholes_; ///< Lost requests that are known as a whole.
+  };
+  /** Evidence against a request as a whole. */
+  struct RequestEvidence
+  {
+    std::vector<const Crash*> crashes_; ///< Targets that ended under it.
+    std::uint32_t moments_ = 0;         ///< Moments at which they ended.
+    state::TimePoint lastAt_{};         ///< The latest of these.
   };
+  using RequestEvidenceMap =
+    std::map<state::PromptPartId, RequestEvidence>; ///< By request.
   /** Evidence against a part. */
   struct Evidence
   {
@@ -102,10 +131,22 @@
     bool isPrecise() const { return moments_ * 2 >= requests_; }
   };
   using EvidenceMap = std::map<state::PromptPartId, Evidence>; ///< By part.
+  using CountedRequests =
+    std::map<state::PromptPartId,
+             std::set<state::PromptPartId>>; ///< By part, the requests that
+                                             ///< have counted against it.
 
+  void addRequest(Crash& aCrash, const state::PromptParts& aParts, bool aBegun);
+  static std::size_t countUnanswered(const std::vector<const Crash*>& aCrashes,
+                                     state::PromptPartId aRequest);
   Crash& crashOf(const state::VmId& aVm, state::TimePoint aAt);
   void forgetOld();
   static std::set<state::PromptPartId> partsOf(const Crash& aCrash);
+  std::vector<state::PromptParts> accusingPrompts(const Crash& aCrash) const;
+  bool hasGuiltyRequest(const Crash& aCrash) const;
+  bool countRequests(const Crash& aCrash,
+                     state::PromptPartId aPart,
+                     CountedRequests& aCounted) const;
   std::set<state::PromptPartId> rememberedParts() const;
   bool isSoundAt(state::PromptPartId aPart, state::TimePoint aAt) const;
   EvidenceMap gatherEvidence() const;
@@ -117,6 +158,12 @@
                   const Evidence& aEvidence) const;
   void convict(const state::PromptParts& aSet);
   bool isExplained(const Crash& aCrash) const;
+  bool isExplainedByParts(const Crash& aCrash) const;
+  RequestEvidenceMap gatherRequestEvidence() const;
+  bool hasTwin(state::PromptPartId aRequest,
+               const RequestEvidenceMap& aEvidence) const;
+  std::optional<state::PromptPartId> guiltyRequest();
+  void findGuiltyRequests();
   void findGuilty();
   void acquit(state::PromptPartId aPart);
   bool isGuilty(state::PromptPartId aPart) const;
--- a/src/coordination/quarantine/crash_observer.cpp
+++ b/src/coordination/quarantine/crash_observer.cpp
@@ -15,6 +15,14 @@
 constexpr std::chrono::milliseconds kCheckTime(
   1000); ///< How long the result of a check holds; no target is back sooner.
 
+/** Adds a lost request to a report on its target. */
+void
+addRequest(CrashReport& aReport, const LostRequest& aRequest)
+{
+  (aRequest.begun_ ? aReport.begun_ : aReport.requests_)
+    .push_back(aRequest.parts_);
+}
+
 } // namespace
 
 CrashObserver::CrashObserver(const state::Clock& aClock,
@@ -83,10 +91,10 @@
     if (check == checks_.end()) {
       startCheck(request);
     } else if (check->second.ended_) {
-      reports_.push_back(
-        { request.vm_, now - request.at_, { request.parts_ } });
+      reports_.push_back({ request.vm_, now - request.at_, {}, {} });
+      addRequest(reports_.back(), request);
     } else {
-      check->second.requests_.push_back(request.parts_);
+      addRequest(check->second.report_, request);
     }
   }
 }
@@ -94,7 +102,9 @@
 void
 CrashObserver::startCheck(const LostRequest& aRequest)
 {
-  checks_[aRequest.vm_] = { aRequest.at_, false, { aRequest.parts_ } };
+  Check& check = checks_[aRequest.vm_];
+  check = { aRequest.at_, false, { aRequest.vm_, {}, {}, {} } };
+  addRequest(check.report_, aRequest);
   const std::weak_ptr<bool> alive = alive_;
   probe_.probe(aRequest.endpoint_,
                [this, alive, vm = aRequest.vm_](bool aRefused) {
@@ -118,14 +128,17 @@
              aRefused ? "target ended under requests"
                       : "target outlived lost requests",
              { state::logField("target", std::string_view(aVm.value())),
-               state::logField("requests", check.requests_.size()),
+               state::logField("requests", check.report_.requests_.size()),
+               state::logField("begun", check.report_.begun_.size()),
                state::logField("age_ms", state::countMs(age)) });
   if (!aRefused) {
     checks_.erase(found);
     return;
   }
   check.ended_ = true;
-  reports_.push_back({ aVm, age, std::exchange(check.requests_, {}) });
+  check.report_.age_ = age;
+  reports_.push_back(
+    std::exchange(check.report_, CrashReport{ aVm, {}, {}, {} }));
   handler_();
 }
 
--- a/src/coordination/quarantine/crash_observer.h
+++ b/src/coordination/quarantine/crash_observer.h
@@ -36,8 +36,9 @@
 {
   state::VmId vm_;           ///< The target.
   state::Endpoint endpoint_; ///< Its endpoint.
-  state::PromptParts parts_; ///< Shared parts of its prompt, at least one.
+  state::PromptParts parts_; ///< Its parts, at least one.
   state::TimePoint at_{};    ///< When the connection ended.
+  bool begun_ = false;       ///< Whether the target had begun to answer it.
   bool operator==(const LostRequest&) const = default;
 };
 
@@ -70,11 +71,14 @@
   /**
    * Notes that a target answers a request, and went on for some time after the
    * answer had begun.
-   * @param aParts Shared parts of its prompt.
+   * @param aParts Its parts.
    * @param aBegunAt When the answer began.
    */
   void noteAnswer(const state::PromptParts& aParts, state::TimePoint aBegunAt);
 
+  /** @return Whether answers are wanted at present. Thread-safe. */
+  bool hasSuspects() const { return hasSuspects_; }
+
   /** Checks the targets of lost requests. To be called after the handler, and
    * regularly. */
   void poll();
@@ -91,8 +95,7 @@
   {
     state::TimePoint lostAt_{}; ///< When the first of them was lost.
     bool ended_ = false;        ///< Whether it is known to have ended.
-    std::vector<state::PromptParts>
-      requests_; ///< Lost requests that are not reported yet.
+    CrashReport report_;        ///< Lost requests that are not reported yet.
   };
 
   void startCheck(const LostRequest& aRequest);
--- a/src/coordination/quarantine/crash_report_type.h
+++ b/src/coordination/quarantine/crash_report_type.h
@@ -15,7 +15,11 @@
   state::VmId vm_;        ///< The target.
   state::Duration age_{}; ///< Time since the requests were lost.
   std::vector<state::PromptParts>
-    requests_; ///< Shared parts of each request's prompt.
+    requests_; ///< Parts of each request: those of its prompt that others
+               ///< share, and one for the request as a whole. Requests
+               ///< that the target had not begun to answer.
+  std::vector<state::PromptParts>
+    begun_{}; ///< The same of requests that it had begun to answer.
   bool operator==(const CrashReport&) const = default;
 };
 
--- a/src/coordination/quarantine/prompt_quarantine.h
+++ b/src/coordination/quarantine/prompt_quarantine.h
@@ -45,9 +45,11 @@
   /** @param aParts Parts of a set that ends now, in ascending order. @return
    * Whether it was known. */
   bool lift(const state::PromptParts& aParts);
-  /** @param aPrompt Shared parts of a request. @return Whether the request must
+  /** @param aPrompt Parts of a request. @return Whether the request must
    * not be sent. */
   bool blocks(const state::PromptParts& aPrompt) const;
+  /** @return Whether there are no sets, so that nothing is blocked. */
+  bool isEmpty() const { return empty_; }
   /** @return All sets that have not ended. */
   std::vector<QuarantinedParts> sets() const;
 
--- a/src/protocol/quarantine_codec.cpp
+++ b/src/protocol/quarantine_codec.cpp
@@ -60,6 +60,19 @@
   return encodeDatagram({ kCrashMark, std::move(aReports), std::move(aSound) });
 }
 
+/** @return One datagram for a lost request. */
+std::string
+requestDatagram(const coordination::CrashReport& aReport,
+                const state::PromptParts& aRequest,
+                bool aBegun)
+{
+  Json row = { aReport.vm_.value(),
+               state::countMs(aReport.age_),
+               encodeParts(aRequest),
+               aBegun };
+  return crashDatagram(Json::array({ std::move(row) }), Json::array());
+}
+
 /** @return A time of a message; never negative, and bounded so that it can be
  * added to the present time. */
 template<class Unit>
@@ -80,11 +93,10 @@
   std::vector<std::string> pieces;
   for (const coordination::CrashReport& report : aNotice.reports_) {
     for (const state::PromptParts& request : report.requests_) {
-      Json row = { report.vm_.value(),
-                   state::countMs(report.age_),
-                   encodeParts(request) };
-      pieces.push_back(
-        crashDatagram(Json::array({ std::move(row) }), Json::array()));
+      pieces.push_back(requestDatagram(report, request, false));
+    }
+    for (const state::PromptParts& request : report.begun_) {
+      pieces.push_back(requestDatagram(report, request, true));
     }
   }
   if (!aNotice.sound_.empty()) {
@@ -103,7 +115,13 @@
     for (const Json& row : aMessage.at(1)) {
       notice.reports_.push_back({ state::VmId(row.at(0).get<std::string>()),
                                   decodeTime<milliseconds>(row.at(1)),
-                                  { decodeParts(row.at(2)) } });
+                                  {},
+                                  {} });
+      // Daemons of earlier versions do not tell whether it had begun.
+      const bool begun = row.size() > 3 && row.at(3).get<bool>();
+      coordination::CrashReport& report = notice.reports_.back();
+      (begun ? report.begun_ : report.requests_)
+        .push_back(decodeParts(row.at(2)));
     }
     notice.sound_ = decodeParts(aMessage.at(2));
     return notice;
--- a/src/transport/relay/relay_attempt.cpp
+++ b/src/transport/relay/relay_attempt.cpp
@@ -52,9 +52,11 @@
                            const RelayRequestInfo& aInfo,
                            coordination::TargetDecision aTarget,
                            bool aStream,
-                           const StreamPosition& aPosition)
+                           const StreamPosition& aPosition,
+                           const RequestIdentity& aIdentity)
   : dependencies_(aDependencies)
   , info_(aInfo)
+  , identity_(aIdentity)
   , target_(std::move(aTarget))
   , stream_(aStream)
   , call_(HttpFailure{ HttpFailureKind::kAborted, false, "not sent" })
@@ -342,11 +344,13 @@
 void
 RelayAttempt::noteAnswer()
 {
-  if (answerNoted_ || dependencies_.crashes_ == nullptr) {
+  const bool isWanted =
+    dependencies_.crashes_ != nullptr && dependencies_.crashes_->hasSuspects();
+  if (answerNoted_ || !isWanted) {
     return;
   }
   answerNoted_ = true;
-  dependencies_.crashes_->noteAnswer(info_.sharedParts_, begunAt_);
+  dependencies_.crashes_->noteAnswer(identity_.parts(), begunAt_);
 }
 
 void
--- a/src/transport/relay/relay_attempt.h
+++ b/src/transport/relay/relay_attempt.h
@@ -4,6 +4,7 @@
 #include "transport/relay/event_splitter.h"
 #include "transport/relay/relay_attempt_type.h"
 #include "transport/relay/relay_handler.h"
+#include "transport/relay/request_identity.h"
 
 #include <functional>
 #include <string>
@@ -26,12 +27,15 @@
    * @param aTarget The target.
    * @param aStream Whether a success is a stream of events.
    * @param aPosition How far the caller's stream has come.
+   * @param aIdentity What tells the request from others; must outlive this
+   * object.
    */
   RelayAttempt(const RelayDependencies& aDependencies,
                const RelayRequestInfo& aInfo,
                coordination::TargetDecision aTarget,
                bool aStream,
-               const StreamPosition& aPosition);
+               const StreamPosition& aPosition,
+               const RequestIdentity& aIdentity);
   ~RelayAttempt();
   RelayAttempt(const RelayAttempt&) = delete;
   RelayAttempt& operator=(const RelayAttempt&) = delete;
@@ -131,6 +135,7 @@
 
   const RelayDependencies& dependencies_;     ///< Dependencies.
   const RelayRequestInfo& info_;              ///< Contents of the headers.
+  const RequestIdentity& identity_;           ///< The request's identity.
   const coordination::TargetDecision target_; ///< The target.
   const bool stream_;           ///< Whether a success is a stream.
   HttpCall call_;               ///< The call.
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -287,7 +287,7 @@
   const HttpClientRequest request = requestFor(aTarget);
   staleConnection_ = false;
   auto attempt = std::make_unique<RelayAttempt>(
-    dependencies_, info_, aTarget, isStream(), position_);
+    dependencies_, info_, aTarget, isStream(), position_, identity_);
   HttpAborter aborter;
   aborter_ = &aborter;
   attempt->send(
@@ -426,13 +426,12 @@
   const SendOutcome outcome = ended->outcome();
   lastDetail_ = ended->detail();
   logSend(*ended, outcome, SendEnder::kTarget);
-  const bool tellsOfCrash =
-    ended->hasLostConnection() && !info_.sharedParts_.empty();
-  if (tellsOfCrash && dependencies_.crashes_ != nullptr) {
+  if (ended->hasLostConnection() && dependencies_.crashes_ != nullptr) {
     dependencies_.crashes_->noteLost({ ended->target().vm_,
                                        ended->target().endpoint_,
-                                       info_.sharedParts_,
-                                       dependencies_.clock_.now() });
+                                       identity_.parts(),
+                                       dependencies_.clock_.now(),
+                                       ended->hasBegun() });
   }
   position_.isTorn_ = position_.isTorn_ || ended->streamGoesOn();
   staleConnection_ = ended->hadStaleConnection();
@@ -491,13 +490,14 @@
 RelayExchange::isQuarantined() const
 {
   return dependencies_.quarantine_ != nullptr &&
-         dependencies_.quarantine_->blocks(info_.sharedParts_);
+         !dependencies_.quarantine_->isEmpty() &&
+         dependencies_.quarantine_->blocks(identity_.parts());
 }
 
 void
 RelayExchange::refuseAsQuarantined()
 {
-  lastDetail_ = "prompt has parts in quarantine";
+  lastDetail_ = "request is in quarantine";
   if (streaming_ || runs_ > 0 || sends_ > rejections_) {
     giveUp();
     return;
--- a/tests/coordination/crash_ledger_test.cpp
+++ b/tests/coordination/crash_ledger_test.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/quarantine/crash_ledger.h"
 #include "fakes/fake_clock.h"
+#include "state/request_digest_func.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -20,6 +21,8 @@
 constexpr PromptPartId kFirst(1); ///< First part of all prompts.
 constexpr PromptPartId kBad(7);   ///< Part that ends targets.
 constexpr PromptPartId kOther(3); ///< Sound part.
+const PromptPartId kDeadly =
+  state::wholeRequestPart({ "deadly" }); ///< Request that ends targets.
 
 } // namespace
 
@@ -46,6 +49,15 @@
   CPPUNIT_TEST(earlierCrashesDoNotAccuseTheFirstPart);
   CPPUNIT_TEST(manyPartsNeitherGrowTheLedgerNorHideTheGuiltyOne);
   CPPUNIT_TEST(suspectsAreAskedForAWhile);
+  CPPUNIT_TEST(repeatedRequestIsGuiltyAfterTwoMoments);
+  CPPUNIT_TEST(repeatedRequestAccusesNoneOfItsParts);
+  CPPUNIT_TEST(requestsLostBesideARepeatedOneAreNotGuilty);
+  CPPUNIT_TEST(requestsAlwaysLostTogetherNeedMoreEvidence);
+  CPPUNIT_TEST(requestWhoseAnswerHadBegunIsLessSuspicious);
+  CPPUNIT_TEST(requestThatWasAnsweredBetweenIsNotGuilty);
+  CPPUNIT_TEST(requestOnTargetsThatEndTogetherIsNotGuilty);
+  CPPUNIT_TEST(repeatedRequestsStillAccuseTheirCommonPart);
+  CPPUNIT_TEST(manyRequestsDoNotHideARepeatedOne);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -301,7 +313,106 @@
     CPPUNIT_ASSERT(ledger_.suspects().empty());
   }
 
+  void repeatedRequestIsGuiltyAfterTwoMoments()
+  {
+    crash({ { kDeadly } });
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+    crash({ { kDeadly } });
+    expectGuilty({ kDeadly });
+  }
+
+  void repeatedRequestAccusesNoneOfItsParts()
+  {
+    for (int index = 0; index < 6; ++index) {
+      crash({ { kDeadly, kFirst, kBad }, { whole(index), kFirst, kOther } });
+    }
+    expectGuilty({ kDeadly });
+    clock_.advance(5s);
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+  }
+
+  void requestsLostBesideARepeatedOneAreNotGuilty()
+  {
+    crash({ { kDeadly, kFirst }, { whole(1), kFirst }, { whole(2), kFirst } });
+    // Two of them have been sent once more, to the target that ends next.
+    crash({ { kDeadly, kFirst }, { whole(1), kFirst }, { whole(2), kFirst } });
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+    crash({ { kDeadly, kFirst } });
+    expectGuilty({ kDeadly });
+    clock_.advance(5s);
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+  }
+
+  void requestsAlwaysLostTogetherNeedMoreEvidence()
+  {
+    for (int index = 0; index < 3; ++index) {
+      crash({ { kDeadly }, { whole(1) } });
+    }
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+    ledger_.noteSound({ whole(1) });
+    expectGuilty({ kDeadly });
+  }
+
+  void requestWhoseAnswerHadBegunIsLessSuspicious()
+  {
+    ledger_.noteCrash({ nextVm(), 0ms, { { kDeadly } }, { { whole(1) } } });
+    clock_.advance(200ms);
+    crash({ { kDeadly }, { whole(1) } });
+    expectGuilty({ kDeadly });
+  }
+
+  void requestThatWasAnsweredBetweenIsNotGuilty()
+  {
+    for (int index = 0; index < 8; ++index) {
+      crash({ { kDeadly } }, 2s);
+      ledger_.noteSound({ kDeadly });
+      CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+    }
+  }
+
+  void requestOnTargetsThatEndTogetherIsNotGuilty()
+  {
+    for (int index = 0; index < 4; ++index) {
+      crash({ { kDeadly } }, 5ms);
+    }
+    clock_.advance(5s);
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+  }
+
+  void repeatedRequestsStillAccuseTheirCommonPart()
+  {
+    for (int index = 0; index < 2; ++index) {
+      crash({ { whole(index), kFirst, kBad } });
+      CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+      crash({ { whole(index), kFirst, kBad } });
+      expectGuilty({ whole(index) });
+    }
+    crash({ { whole(2), kFirst, kBad } });
+    expectGuilty({ kFirst, kBad });
+  }
+
+  void manyRequestsDoNotHideARepeatedOne()
+  {
+    for (int index = 0; index < 40; ++index) {
+      std::vector<PromptParts> lost;
+      for (int other = 0; other < 20; ++other) {
+        lost.push_back({ whole(100 + index * 20 + other) });
+      }
+      crash(lost, 150ms);
+    }
+    CPPUNIT_ASSERT(ledger_.decide() == GuiltChanges{});
+    crash({ { kDeadly }, { whole(7) } });
+    crash({ { whole(8) }, { kDeadly } });
+    expectGuilty({ kDeadly });
+  }
+
 private:
+  /** @return A request as a whole. */
+  static PromptPartId whole(int aIndex)
+  {
+    return state::wholeRequestPart({ "request", std::to_string(aIndex) });
+  }
+
   VmId nextVm() { return VmId("i-" + std::to_string(++vms_)); }
 
   /** Reports the end of another target, and lets time pass. */
--- a/tests/protocol/quarantine_codec_test.cpp
+++ b/tests/protocol/quarantine_codec_test.cpp
@@ -30,6 +30,11 @@
                    crash);
     CPPUNIT_ASSERT(decodeCrashNotice(encodeCrashNotice(sound).front()) ==
                    sound);
+    const CrashNotice begun{
+      { { state::VmId("a"), 30ms, {}, { { PromptPartId(1) } } } }, {}
+    };
+    CPPUNIT_ASSERT(decodeCrashNotice(encodeCrashNotice(begun).front()) ==
+                   begun);
     const std::string datagram = encodeQuarantineNotice(notice_);
     CPPUNIT_ASSERT(decodeQuarantineNotice(datagram) == notice_);
     CPPUNIT_ASSERT(!decodeCrashNotice(datagram));
