--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -63,14 +63,17 @@
 
 const state::VmId kVm("i-1");
 
+using Replies =
+  std::vector<std::pair<std::string, std::string>>; ///< Status and body of each
+                                                    ///< response.
+
 /** A store client connected to a server that sends scripted responses. */
 class ScriptedStore
 {
 public:
   /** @param aReplies Status and body of each response, in order; an empty
    * status closes the connection without a response. */
-  explicit ScriptedStore(
-    std::vector<std::pair<std::string, std::string>> aReplies)
+  explicit ScriptedStore(Replies aReplies)
     : replies_(std::move(aReplies))
     , server_([this](Socket& aSocket, int) { serve(aSocket); })
     , client_(context_)
@@ -107,8 +110,7 @@
     }
   }
 
-  std::vector<std::pair<std::string, std::string>>
-    replies_;                       ///< Scripted responses.
+  Replies replies_;                 ///< Scripted responses.
   std::size_t next_ = 0;            ///< Index of the next response.
   RawServer server_;                ///< Stands in for the store.
   boost::asio::io_context context_; ///< Event loop.
@@ -363,15 +365,11 @@
 
   void leaseThatTheStoreHasLostIsNotRenewed()
   {
-    ScriptedStore scripted(
-      { { inEra("200 OK", 1), R"({"lease_id":77,"ttl_ms":1500})" },
-        { inEra("200 OK", 1), R"({"mod_revision":41})" },
-        // The same number now belongs to a lease of another holder.
-        { inEra("200 OK", 2), R"({"ttl_ms":1500})" },
-        { inEra("200 OK", 2), R"({"lease_id":78,"ttl_ms":1500})" },
-        { inEra("412 Precondition Failed", 2),
+    // The same number now belongs to a lease of another holder.
+    ScriptedStore scripted(renewedInNextEra(
+      { { inEra("412 Precondition Failed", 2),
           R"({"entries":[{"key":"k","data":"b3RoZXI=","mod_revision":35,
-              "created_revision":35,"lease_id":77}]})" } });
+              "created_revision":35,"lease_id":77}]})" } }));
     CPPUNIT_ASSERT(acquire(scripted).status_ == StoreStatus::kOk);
     const LeaseReply reply = acquire(scripted);
     CPPUNIT_ASSERT(reply.status_ == StoreStatus::kConflict);
@@ -380,16 +378,12 @@
 
   void leaseThatTheStoreHasKeptIsTakenOver()
   {
-    ScriptedStore scripted(
-      { { inEra("200 OK", 1), R"({"lease_id":77,"ttl_ms":1500})" },
-        { inEra("200 OK", 1), R"({"mod_revision":41})" },
-        { inEra("200 OK", 2), R"({"ttl_ms":1500})" },
-        { inEra("200 OK", 2), R"({"lease_id":78,"ttl_ms":1500})" },
-        { inEra("412 Precondition Failed", 2),
+    ScriptedStore scripted(renewedInNextEra(
+      { { inEra("412 Precondition Failed", 2),
           R"({"entries":[{"key":"k","data":"bWU=","mod_revision":41,
               "created_revision":41,"lease_id":77}]})" },
         { inEra("200 OK", 2), R"({"ttl_ms":1500})" },
-        { inEra("200 OK", 2), R"({"ttl_ms":1500})" } });
+        { inEra("200 OK", 2), R"({"ttl_ms":1500})" } }));
     const std::uint64_t before = acquire(scripted).number_;
     const LeaseReply reply = acquire(scripted);
     CPPUNIT_ASSERT(reply.status_ == StoreStatus::kOk);
@@ -496,6 +490,20 @@
     return aStatus + std::string("\r\nStore-Era: ") + std::to_string(aEra);
   }
 
+  /** @return Replies to a lease that is acquired, renewed in the next era, and
+   * created again there; then some more. */
+  static Replies renewedInNextEra(const Replies& aMore)
+  {
+    Replies replies = {
+      { inEra("200 OK", 1), R"({"lease_id":77,"ttl_ms":1500})" },
+      { inEra("200 OK", 1), R"({"mod_revision":41})" },
+      { inEra("200 OK", 2), R"({"ttl_ms":1500})" },
+      { inEra("200 OK", 2), R"({"lease_id":78,"ttl_ms":1500})" }
+    };
+    replies.insert(replies.end(), aMore.begin(), aMore.end());
+    return replies;
+  }
+
   static LeaseReply acquire(ScriptedStore& aScripted)
   {
     bool done = false;
