Write quarantined sets again that the store has lost

Cause (same class as the revisions): a set that was written just before the store returned to an older state counted as stored, since the daemon had its answer. If its key had not come back by the watch yet, the list after the restore showed no removal, and nobody wrote it again; a daemon that starts would not have known it.

After a restore each set counts as not stored, until the list shows its key.

Test: PromptQuarantineTest::setThatTheStoreLosesIsWrittenAgain, new with the call it needs, so it has no run on the code before.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -363,6 +363,7 @@
     for (auto& [zone, duty] : duties_) {
       duty->noteRestored();
     }
+    quarantine_.noteRestored();
     registration_.probe();
   });
   follower_.onDaemonKey(
--- a/src/coordination/quarantine/quarantine_record.cpp
+++ b/src/coordination/quarantine/quarantine_record.cpp
@@ -102,6 +102,14 @@
     keyOf(aParts), holder_, [](const LeaseReply& /*aReply*/) {});
 }
 
+void
+QuarantineRecord::noteRestored()
+{
+  for (auto& [parts, entry] : entries_) {
+    entry.stored_ = false;
+  }
+}
+
 std::optional<state::PromptParts>
 QuarantineRecord::take(const std::string& aKey, bool aPresent)
 {
--- a/src/coordination/quarantine/quarantine_record.h
+++ b/src/coordination/quarantine/quarantine_record.h
@@ -42,6 +42,9 @@
    * @param aQuarantine The sets.
    */
   void update(const PromptQuarantine& aQuarantine);
+  /** Notes that the store has returned to an older state. Entries that it still
+   * has are told by take() after this. */
+  void noteRestored();
   /**
    * Takes a changed key of the store.
    * @param aKey The key.
--- a/src/transport/relay/quarantine_service.h
+++ b/src/transport/relay/quarantine_service.h
@@ -86,6 +86,9 @@
    * @return Whether it was one of this service.
    */
   bool take(const std::string& aDatagram);
+  /** Notes that the store has returned to an older state; the keys that it has
+   * follow by takeKey(). */
+  void noteRestored() { record_.noteRestored(); }
   /**
    * Takes a changed key of the store; other keys are ignored.
    * @param aKey The key.
--- a/tests/coordination/prompt_quarantine_test.cpp
+++ b/tests/coordination/prompt_quarantine_test.cpp
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(startingDaemonLearnsFromTheStore);
   CPPUNIT_TEST(liftedSetLeavesTheStore);
   CPPUNIT_TEST(failedWriteIsRepeated);
+  CPPUNIT_TEST(setThatTheStoreLosesIsWrittenAgain);
   CPPUNIT_TEST(malformedEntryIsIgnored);
   CPPUNIT_TEST(refusedConnectionTellsThatATargetEnded);
   CPPUNIT_TEST(listeningTargetHasNotEnded);
@@ -139,6 +140,22 @@
     CPPUNIT_ASSERT_EQUAL(writes, data_->writes_);
   }
 
+  void setThatTheStoreLosesIsWrittenAgain()
+  {
+    PromptQuarantine quarantine(clock_);
+    quarantine.add({ { kOne }, 1min });
+    quarantine.add({ { kTwo }, 1min });
+    QuarantineRecord record(clock_, store_, log_, "q/", "one");
+    run(record, quarantine, 2s);
+    const auto writes = data_->writes_;
+    data_->restore({});
+    record.noteRestored();
+    CPPUNIT_ASSERT(record.take("q/2", true).has_value());
+    run(record, quarantine, 3s);
+    CPPUNIT_ASSERT(data_->leases_.contains("q/1"));
+    CPPUNIT_ASSERT_EQUAL(writes + 1, data_->writes_);
+  }
+
   void malformedEntryIsIgnored()
   {
     QuarantineRecord record(clock_, store_, log_, "q/", "one");
