--- a/tests/coordination/crash_ledger_test.cpp
+++ b/tests/coordination/crash_ledger_test.cpp
@@ -393,10 +393,12 @@
 
   void manyRequestsDoNotHideARepeatedOne()
   {
+    constexpr int kLost = 20;
     for (int index = 0; index < 40; ++index) {
       std::vector<PromptParts> lost;
-      for (int other = 0; other < 20; ++other) {
-        lost.push_back({ whole(100 + index * 20 + other) });
+      lost.reserve(kLost);
+      for (int other = 0; other < kLost; ++other) {
+        lost.push_back({ whole(100 + index * kLost + other) });
       }
       crash(lost, 150ms);
     }
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -461,17 +461,18 @@
         { inEra("200 OK", 2), R"({"mod_revision":42})" } });
     const state::StoreEra earlier(1);
     // The era is not known yet, so the write takes effect.
-    CPPUNIT_ASSERT(swap(scripted, state::Revision(40, earlier)) ==
+    CPPUNIT_ASSERT(swapKey(scripted, state::Revision(40, earlier)) ==
                    StoreStatus::kUnknown);
-    CPPUNIT_ASSERT(swap(scripted, state::Revision(40, earlier)) ==
+    CPPUNIT_ASSERT(swapKey(scripted, state::Revision(40, earlier)) ==
                    StoreStatus::kConflict);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, scripted.requests_.size());
-    CPPUNIT_ASSERT(swap(scripted, state::Revision(41, state::StoreEra(2))) ==
+    CPPUNIT_ASSERT(swapKey(scripted, state::Revision(41, state::StoreEra(2))) ==
                    StoreStatus::kOk);
   }
 
 private:
-  static StoreStatus swap(ScriptedStore& aScripted, state::Revision aExpected)
+  static StoreStatus swapKey(ScriptedStore& aScripted,
+                             state::Revision aExpected)
   {
     bool done = false;
     StoreStatus status{};
--- a/tests/platform/crashing_world.h
+++ b/tests/platform/crashing_world.h
@@ -137,6 +137,7 @@
       targets_.push_back(std::make_unique<CrashingTarget>(aScript));
     }
     std::vector<state::Endpoint> endpoints;
+    endpoints.reserve(static_cast<std::size_t>(aDaemons));
     for (int index = 0; index < aDaemons; ++index) {
       endpoints.push_back(freeDatagramEndpoint());
     }
