--- /dev/null
+++ b/review/world.py
@@ -0,0 +1,284 @@
+"""Starts the project's programs and stand-ins on loopback for the review's scripts.
+
+Standard library only. Each daemon reaches the store through a proxy of its own, which can stop
+answering, as the platform's store does that turns some machines away.
+"""
+
+import json
+import os
+import select
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import urllib.parse
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+DAEMON = os.path.join(ROOT, "target", "auburnhaven")
+STANDINS = os.path.join(ROOT, "target", "auburnhaven-standins")
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
+ZONES = ["malmo", "lund", "ystad"]
+
+
+class CannotRun(Exception):
+    """The case could not be set up."""
+
+
+class StoreProxy:
+    """Forwards TCP connections to one address; forwards nothing while it is silent."""
+
+    def __init__(self, target):
+        self.target = target
+        self.silent = False
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(128)
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                caller, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._forward, args=(caller,), daemon=True).start()
+
+    def _forward(self, caller):
+        try:
+            server = socket.create_connection(self.target, 5)
+        except OSError:
+            caller.close()
+            return
+        for end in (caller, server):
+            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            while True:
+                readable, _, _ = select.select([caller, server], [], [], 0.05)
+                if self.silent:
+                    # What has come is kept in the sockets: no answer, no reset.
+                    time.sleep(0.01)
+                    continue
+                for end in readable:
+                    data = end.recv(65536)
+                    if not data:
+                        return
+                    (server if end is caller else caller).sendall(data)
+        except OSError:
+            pass
+        finally:
+            caller.close()
+            server.close()
+
+
+class World:
+    """The platform's stand-ins and the daemons of one run."""
+
+    def __init__(self, daemons_per_zone, options=()):
+        self.work = tempfile.mkdtemp(prefix="auburnhaven-review-")
+        self.processes = []
+        self.records = []
+        self.daemons = []
+        self.per_zone = daemons_per_zone
+        self.base = free_base()
+        self.started = time.monotonic()
+        if not os.path.exists(DAEMON) or not os.path.exists(STANDINS):
+            raise CannotRun("build the deploy file and run review/build.sh first")
+        self.standins = self._start(
+            [STANDINS, "platform", "--base-port", str(self.base), *options], "standins.log")
+        wait_until(10, lambda: "\nready" in self.log("standins.log"), "stand-ins are ready")
+
+    def _start(self, command, log):
+        with open(os.path.join(self.work, log), "ab") as out:
+            process = subprocess.Popen(command, cwd=ROOT, stdout=out, stderr=subprocess.STDOUT,
+                                       stdin=subprocess.DEVNULL)
+        self.processes.append(process)
+        return process
+
+    def log(self, name):
+        with open(os.path.join(self.work, name), encoding="utf-8", errors="replace") as text:
+            return text.read()
+
+    def note(self, text):
+        line = f"{time.monotonic() - self.started:9.3f} s  {text}"
+        self.records.append(line)
+
+    def start_daemons(self, proxy_type=StoreProxy):
+        hosts = [(zone, f"127.0.0.{2 + 3 * number + index}")
+                 for number in range(self.per_zone) for index, zone in enumerate(ZONES)]
+        for zone, host in hosts:
+            proxy = proxy_type(("127.0.0.1", self.base))
+            self.daemons.append(Daemon(self, zone, host, proxy, [h for _, h in hosts[:3]]))
+        for daemon in self.daemons:
+            daemon.start(True)
+        for daemon in self.daemons:
+            wait_until(20, daemon.is_ready, f"daemon {daemon.host} is ready")
+
+    def operator(self, path, body=None):
+        data = None if body is None else json.dumps(body).encode()
+        url = f"http://127.0.0.1:{self.base + 1}{path}"
+        with urllib.request.urlopen(urllib.request.Request(url, data), timeout=5) as answer:
+            return json.loads(answer.read())
+
+    def worker_ports(self):
+        rows = [line.split() for line in self.log("standins.log").splitlines()]
+        return {row[1]: int(row[2].rsplit(":", 1)[1]) for row in rows
+                if len(row) == 3 and row[0] == "worker"}
+
+    def control(self, port, wish):
+        url = f"http://127.0.0.1:{port}/control"
+        with urllib.request.urlopen(
+                urllib.request.Request(url, json.dumps(wish).encode()), timeout=5) as answer:
+            return json.loads(answer.read())
+
+    def coordinator(self, zone):
+        key = urllib.parse.quote(f"auburnhaven/coordinator/{zone}")
+        value = self.operator(f"/key?name={key}")["value"]
+        host = value.split(":")[0]
+        found = [daemon for daemon in self.daemons if daemon.host == host]
+        return found[0] if found else None
+
+    def copies(self):
+        return self.operator("/checks")["open_copies"]
+
+    def end(self):
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes:
+            process.wait()
+        if os.environ.get("KEEP_WORK"):
+            print("logs:", self.work)
+        else:
+            shutil.rmtree(self.work, ignore_errors=True)
+
+    def write_record(self, path):
+        with open(path, "w", encoding="utf-8") as out:
+            out.write("\n".join(self.records) + "\n")
+
+
+class Daemon:
+    """One relay daemon, with settings as the deploy file's template gives them."""
+
+    def __init__(self, world, zone, host, proxy, seeds):
+        self.world, self.zone, self.host, self.proxy = world, zone, host, proxy
+        base = world.base
+        self.port = base + 60
+        self.settings = f"""daemon = "edge-{zone}-{host}"
+zone = "{zone}"
+zones = ["malmo", "lund", "ystad"]
+store = "127.0.0.1:{proxy.port}"
+seed_peers = [{", ".join(f'"{seed}:{base + 62}"' for seed in seeds)}]
+peer_key = "auburnhaven relay daemons"
+ready_path = "/v1/readyz"
+first_start = FIRST
+processor_share = 0.17
+link_mbps = 700.0
+stall_limit_ms = 1500
+news_limit_ms = 2000
+stop_limit_ms = 8000
+formation_time_ms = 500
+[listeners]
+callers = "{host}:{base + 60}"
+status = "{host}:{base + 61}"
+peers = "{host}:{base + 62}"
+digests = "{host}:{base + 63}"
+[retries]
+ratio = 0.2
+extra = 302
+window_s = 10
+"""
+        self.process = None
+
+    def start(self, first):
+        path = os.path.join(self.world.work, f"{self.host}.toml")
+        with open(path, "w", encoding="utf-8") as out:
+            out.write(self.settings.replace("FIRST", "true" if first else "false"))
+        self.process = self.world._start([DAEMON, "relay", "--settings", path], f"{self.host}.log")
+
+    def is_ready(self):
+        try:
+            url = f"http://{self.host}:{self.world.base + 61}/v1/readyz"
+            with urllib.request.urlopen(url, timeout=1) as answer:
+                return answer.status == 200
+        except OSError:
+            return False
+
+    def ask(self, route, attempt, key="key-of-shop-0", body="", headers=(), timeout=10,
+            deadline_ms=6000):
+        """Sends one request on a connection of its own. Returns the status and the answer's bytes;
+        the status is 0 without an answer."""
+        lines = [f"POST {route} HTTP/1.1", "Host: shop.example", f"X-Attempt-Id: {attempt}",
+                 f"Authorization: Bearer {key}", f"X-Deadline-Ms: {deadline_ms}",
+                 f"Content-Length: {len(body)}", "Connection: close", *headers]
+        answer = b""
+        try:
+            with socket.create_connection((self.host, self.port), 2) as connection:
+                connection.settimeout(timeout)
+                connection.sendall(("\r\n".join(lines) + "\r\n\r\n" + body).encode())
+                while True:
+                    data = connection.recv(65536)
+                    if not data:
+                        break
+                    answer += data
+        except OSError:
+            pass
+        head = answer.split(b"\r\n", 1)[0].split()
+        return (int(head[1]) if len(head) > 1 and head[1].isdigit() else 0), answer
+
+
+def free_base():
+    """Returns a base port, from which on the ports of a run are free."""
+    for base in range(23000, 30000, 200):
+        try:
+            for offset in (0, 1, 10, 30, 60, 61, 62, 63):
+                with socket.socket() as probe:
+                    probe.bind(("127.0.0.1", base + offset))
+            return base
+        except OSError:
+            continue
+    raise CannotRun("no free ports")
+
+
+def wait_until(seconds, condition, what):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return
+        except (OSError, ValueError, KeyError):
+            pass
+        time.sleep(0.05)
+    raise CannotRun("not reached: " + what)
+
+
+def run_case(case, folder, daemons_per_zone, options=()):
+    """Runs case(world), which returns whether the rule was broken, and exits with its result."""
+    world = None
+    result = COULD_NOT_RUN
+    # Ends what was started also when the script itself is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    try:
+        world = World(daemons_per_zone, options)
+        result = BROKEN if case(world) else HELD
+    except CannotRun as error:
+        print("could not run:", error)
+        if world:
+            world.note(f"could not run: {error}")
+    finally:
+        if world:
+            world.end()
+            world.note({BROKEN: "the rule was broken", HELD: "the rule held",
+                        COULD_NOT_RUN: "the case could not run"}[result])
+            world.write_record(os.path.join(folder, "record.txt"))
+            print("\n".join(world.records[-15:]))
+    sys.exit(result)
