--- a/review/world.py
+++ b/review/world.py
@@ -88,13 +88,24 @@
         self.records = []
         self.daemons = []
         self.per_zone = daemons_per_zone
-        self.base = free_base()
+        self.base = 0
         self.started = time.monotonic()
         if not os.path.exists(DAEMON) or not os.path.exists(STANDINS):
             raise CannotRun("build the deploy file and run review/build.sh first")
-        self.standins = self._start(
-            [STANDINS, "platform", "--base-port", str(self.base), *options], "standins.log")
-        wait_until(10, lambda: "\nready" in self.log("standins.log"), "stand-ins are ready")
+        for _ in range(5):
+            # Another script may take the same ports at the same time.
+            self.base = free_base(self.base)
+            standins = self._start(
+                [STANDINS, "platform", "--base-port", str(self.base), *options],
+                f"standins-{self.base}.log")
+            wait_until(10, lambda: standins.poll() is not None or self._stand_ins_are_ready(),
+                       "stand-ins are ready")
+            if standins.poll() is None:
+                return
+        raise CannotRun("the stand-ins do not start")
+
+    def _stand_ins_are_ready(self):
+        return "\nready" in self.log(f"standins-{self.base}.log")
 
     def _start(self, command, log):
         with open(os.path.join(self.work, log), "ab") as out:
@@ -129,7 +140,7 @@
             return json.loads(answer.read())
 
     def worker_ports(self):
-        rows = [line.split() for line in self.log("standins.log").splitlines()]
+        rows = [line.split() for line in self.log(f"standins-{self.base}.log").splitlines()]
         return {row[1]: int(row[2].rsplit(":", 1)[1]) for row in rows
                 if len(row) == 3 and row[0] == "worker"}
 
@@ -236,11 +247,11 @@
         return (int(head[1]) if len(head) > 1 and head[1].isdigit() else 0), answer
 
 
-def free_base():
-    """Returns a base port, from which on the ports of a run are free."""
-    for base in range(23000, 30000, 200):
+def free_base(after):
+    """Returns a base port above another one, from which on the ports of a run are free."""
+    for base in range(max(22800, after) + 200, 31000, 200):
         try:
-            for offset in (0, 1, 10, 30, 60, 61, 62, 63):
+            for offset in range(80):
                 with socket.socket() as probe:
                     probe.bind(("127.0.0.1", base + offset))
             return base
