--- a/review/5/case.py
+++ b/review/5/case.py
@@ -42,7 +42,7 @@
             results.append((sent, daemon.host, attempt, status))
             time.sleep(0.04)
 
-    threads = [threading.Thread(target=press, args=(daemon,)) for daemon in others]
+    threads = [threading.Thread(target=press, args=(daemon,), daemon=True) for daemon in others]
     for thread in threads:
         thread.start()
     time.sleep(0.5)
--- a/review/world.py
+++ b/review/world.py
@@ -24,6 +24,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
+LONGEST_RUN_S = 112
 ZONES = ["malmo", "lund", "ystad"]
 
 
@@ -82,14 +83,16 @@
 class World:
     """The platform's stand-ins and the daemons of one run."""
 
-    def __init__(self, daemons_per_zone, options=()):
+    def __init__(self, daemons_per_zone):
         self.work = tempfile.mkdtemp(prefix="auburnhaven-review-")
         self.processes = []
         self.records = []
         self.daemons = []
         self.per_zone = daemons_per_zone
         self.base = 0
-        self.started = time.monotonic()
+        self.begun = time.monotonic()
+
+    def start_standins(self, options):
         if not os.path.exists(DAEMON) or not os.path.exists(STANDINS):
             raise CannotRun("build the deploy file and run review/build.sh first")
         for _ in range(5):
@@ -104,6 +107,17 @@
                 return
         raise CannotRun("the stand-ins do not start")
 
+    @classmethod
+    def started(cls, daemons_per_zone, options):
+        """Returns a world whose stand-ins run; ends what was started if they do not."""
+        world = cls(daemons_per_zone)
+        try:
+            world.start_standins(options)
+        except BaseException:
+            world.end()
+            raise
+        return world
+
     def _stand_ins_are_ready(self):
         return "\nready" in self.log(f"standins-{self.base}.log")
 
@@ -119,7 +133,7 @@
             return text.read()
 
     def note(self, text):
-        line = f"{time.monotonic() - self.started:9.3f} s  {text}"
+        line = f"{time.monotonic() - self.begun:9.3f} s  {text}"
         self.records.append(line)
 
     def start_daemons(self, proxy_type=StoreProxy):
@@ -273,19 +287,23 @@
 
 
 def run_case(case, folder, daemons_per_zone, options=()):
-    """Runs case(world), which returns whether the rule was broken, and exits with its result."""
+    """Runs case(world), which returns whether the rule was broken, and exits with its result. Ends
+    what was started in every case: also after an error, a signal, or when the time is over."""
     world = None
     result = COULD_NOT_RUN
-    # Ends what was started also when the script itself is ended.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, lambda *_: sys.exit(COULD_NOT_RUN))
+    signal.alarm(LONGEST_RUN_S)
     try:
-        world = World(daemons_per_zone, options)
+        world = World.started(daemons_per_zone, options)
         result = BROKEN if case(world) else HELD
-    except CannotRun as error:
-        print("could not run:", error)
+    except Exception as error:  # pylint: disable=broad-except
+        # An error of the script must not look like a broken rule.
+        print("could not run:", repr(error))
         if world:
-            world.note(f"could not run: {error}")
+            world.note(f"could not run: {error!r}")
     finally:
+        signal.alarm(0)
         if world:
             world.end()
             world.note({BROKEN: "the rule was broken", HELD: "the rule held",
