Bound the places that VMs state before they index a replica's members

Cause: the rank of a registration became the size of the list of members, in 32 bits (rank + 1 = 0), and then an index. The same lines stood for reports.

Ruled out: decoding and lists (daemons that do not coordinate read the entry for seconds and go on). A unit test with the entry ends by the same signal.

Fix: a place counts only if the replica's name allows it (epoch, head) and, when it is only registered, if the replica's model has that rank and nobody answers for it. Ranks are bounded where they are decoded, epochs of a handover and ages of digests likewise.

--- a/src/coordination/replica/replica_coordinator.h
+++ b/src/coordination/replica/replica_coordinator.h
@@ -141,8 +141,18 @@
   void logMissingReports();
   void removeDissolved();
   void adoptReported();
+  void logImpossiblePlace(const state::VmId& aVm,
+                          const state::MemberPlace& aPlace);
   void adopt(const state::MemberPlace& aPlace);
-  static const state::EngineState* statedBy(const MonitoredEngine& aEngine);
+  /** @return State that a VM registered, if it has not answered yet. */
+  static const state::EngineState* registeredBy(const MonitoredEngine& aEngine);
+  /** @return Whether a replica of a configured model has a rank. */
+  bool isRankOf(const state::ModelId& aModel, std::uint32_t aRank) const;
+  /** Enters a VM into a replica at the place that it states, if that is in this
+   * replica and has no member yet. */
+  static void addStatedMember(Replica& aReplica,
+                              const state::VmId& aVm,
+                              const state::EngineState& aState);
   Replica collectMembers(const state::MemberPlace& aPlace) const;
   bool isComplete(const Replica& aReplica) const;
   bool isAccountedFor(const Replica& aReplica) const;
@@ -215,6 +225,8 @@
   std::map<state::ReplicaId, Replica> replicas_; ///< Known replicas.
   std::set<state::ReplicaId>
     dissolved_; ///< Replicas whose members are free again.
+  std::set<state::VmId>
+    impossible_; ///< VMs that have reported an impossible place in this term.
   std::set<state::ReplicaId>
     unreachable_; ///< Replicas to drop at the next removal because no member
                   ///< responds.
--- a/src/coordination/replica/replica_coordinator_adopt.cpp
+++ b/src/coordination/replica/replica_coordinator_adopt.cpp
@@ -24,6 +24,7 @@
   evidence_.clear();
   orders_.clear();
   stableSince_.clear();
+  impossible_.clear();
   monitor_.discardReports();
   log_.write(state::LogWeight::kChange,
              kReplicaLogPart,
@@ -63,9 +64,14 @@
       continue;
     }
     const state::MemberPlace& place = *engine.report_->state_.place_;
-    if (isKnown(place)) {
+    if (isSpare(place.replica_)) {
+      continue;
+    }
+    if (!isPossiblePlace(vm, place)) {
+      logImpossiblePlace(vm, place);
+    } else if (isKnown(place)) {
       addMember(vm, place);
-    } else if (!isSpare(place.replica_)) {
+    } else {
       adopt(place);
     }
   }
@@ -76,36 +82,75 @@
   }
 }
 
+void
+ReplicaCoordinator::logImpossiblePlace(const state::VmId& aVm,
+                                       const state::MemberPlace& aPlace)
+{
+  if (!impossible_.insert(aVm).second) {
+    return;
+  }
+  log_.write(
+    state::LogWeight::kChange,
+    kReplicaLogPart,
+    "reported place cannot be true",
+    { state::logField("vm", std::string_view(aVm.value())),
+      state::logField("replica", std::string_view(aPlace.replica_.value())),
+      state::logField("epoch", aPlace.epoch_.value()),
+      state::logField("rank", aPlace.rank_) });
+}
+
 void
 ReplicaCoordinator::addMember(const state::VmId& aVm,
                               const state::MemberPlace& aPlace)
 {
   const auto found = replicas_.find(aPlace.replica_);
-  const bool missing = found != replicas_.end() &&
-                       found->second.epoch_ == aPlace.epoch_ &&
-                       (found->second.members_.size() <= aPlace.rank_ ||
-                        found->second.members_[aPlace.rank_].vm_.empty());
-  if (!missing) {
+  if (found == replicas_.end() || found->second.epoch_ != aPlace.epoch_) {
     return;
   }
   auto& members = found->second.members_;
-  members.resize(std::max<std::size_t>(members.size(), aPlace.rank_ + 1));
-  members[aPlace.rank_] = { aVm,
-                            monitor_.find(aVm)->report_->state_.bornAtMs_ };
+  if (aPlace.rank_ < members.size() && members[aPlace.rank_].vm_.empty()) {
+    members[aPlace.rank_] = { aVm,
+                              monitor_.find(aVm)->report_->state_.bornAtMs_ };
+  }
 }
 
 const state::EngineState*
-ReplicaCoordinator::statedBy(const MonitoredEngine& aEngine)
+ReplicaCoordinator::registeredBy(const MonitoredEngine& aEngine)
 {
-  if (aEngine.isIdentified()) {
-    return &aEngine.report_->state_;
-  }
-  // A VM that has not answered yet keeps the place that it registered.
   const auto& registered = aEngine.instance_.engine_;
   return aEngine.registered_ && !aEngine.report_ && registered ? &*registered
                                                                : nullptr;
 }
 
+bool
+ReplicaCoordinator::isRankOf(const state::ModelId& aModel,
+                             std::uint32_t aRank) const
+{
+  const state::ModelSpec* model = state::findModel(*engine_, aModel);
+  return model != nullptr && aRank < model->size_;
+}
+
+void
+ReplicaCoordinator::addStatedMember(Replica& aReplica,
+                                    const state::VmId& aVm,
+                                    const state::EngineState& aState)
+{
+  const auto& place = aState.place_;
+  if (!place || place->replica_ != aReplica.id_ ||
+      place->epoch_ != aReplica.epoch_ || !isPossiblePlace(aVm, *place)) {
+    return;
+  }
+  const std::size_t ranks = std::size_t{ place->rank_ } + 1;
+  if (aReplica.members_.size() < ranks) {
+    aReplica.members_.resize(ranks);
+  }
+  ReplicaMember& member = aReplica.members_[place->rank_];
+  if (member.vm_.empty()) {
+    member = { aVm, aState.bornAtMs_ };
+    aReplica.domain_ = aState.domain_;
+  }
+}
+
 Replica
 ReplicaCoordinator::collectMembers(const state::MemberPlace& aPlace) const
 {
@@ -115,20 +160,21 @@
   replica.model_ = modelOf(aPlace.replica_);
   replica.maybeOpened_ = true;
   replica.since_ = clock_.now();
+  const state::ModelSpec* model = state::findModel(*engine_, replica.model_);
+  replica.members_.resize(model != nullptr ? model->size_ : 1);
   for (const auto& [vm, engine] : monitor_.engines()) {
-    const state::EngineState* state = statedBy(engine);
-    const bool here = state != nullptr && state->place_ &&
-                      state->place_->replica_ == replica.id_ &&
-                      state->place_->epoch_ == replica.epoch_;
-    if (!here) {
-      continue;
+    if (engine.isIdentified()) {
+      addStatedMember(replica, vm, engine.report_->state_);
     }
-    const std::uint32_t rank = state->place_->rank_;
-    if (replica.members_.size() <= rank) {
-      replica.members_.resize(rank + 1);
+  }
+  // A VM that has not answered yet keeps the place that it registered, unless
+  // another one reports that place or the replica has no such rank.
+  for (const auto& [vm, engine] : monitor_.engines()) {
+    const state::EngineState* state = registeredBy(engine);
+    if (state != nullptr && state->place_ &&
+        isRankOf(replica.model_, state->place_->rank_)) {
+      addStatedMember(replica, vm, *state);
     }
-    replica.members_[rank] = { vm, state->bornAtMs_ };
-    replica.domain_ = state->domain_;
   }
   return replica;
 }
@@ -150,7 +196,8 @@
     const auto& registered = engine.instance_.engine_;
     const bool silent = !monitor_.isResponding(vm) && registered &&
                         registered->place_ &&
-                        registered->place_->replica_ == aReplica.id_;
+                        registered->place_->replica_ == aReplica.id_ &&
+                        isRankOf(aReplica.model_, registered->place_->rank_);
     known += silent ? 1 : 0;
   }
   return model != nullptr && known >= model->size_;
--- a/src/coordination/replica/replica_coordinator_orders.cpp
+++ b/src/coordination/replica/replica_coordinator_orders.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr std::uint64_t kEpochsPerTerm =
-  1ULL << 20U; ///< Epochs available to one lease term.
 constexpr std::chrono::milliseconds kRejoinTime{
   200
 }; ///< Time to join a replica of the model of the VM's latest replica.
--- a/src/coordination/replica/replica_coordinator_plan.cpp
+++ b/src/coordination/replica/replica_coordinator_plan.cpp
@@ -79,8 +79,13 @@
   if (!monitor_.isAvailable(vm) || aEngine.instance_.leaving_) {
     return false;
   }
+  // A VM that reports a replica which exists stays with it, also when it is
+  // none of its known members.
   const auto& place = aEngine.report_->state_.place_;
-  if (place && !isKnown(*place) && !isSpare(place->replica_)) {
+  const bool left =
+    !place || isSpare(place->replica_) ||
+    (dissolved_.contains(place->replica_) && isPossiblePlace(vm, *place));
+  if (!left) {
     return false;
   }
   return std::none_of(
--- a/src/coordination/replica/replica_func.cpp
+++ b/src/coordination/replica/replica_func.cpp
@@ -76,6 +76,16 @@
   return state::ModelId(identifierPart(aReplica, 2));
 }
 
+bool
+isPossiblePlace(const state::VmId& aVm, const state::MemberPlace& aPlace)
+{
+  const std::string& name = aPlace.replica_.value();
+  const std::string ofEpoch =
+    kReplicaPrefix + std::to_string(aPlace.epoch_.value()) + kNameSeparator;
+  const bool isHead = name.starts_with(ofEpoch + aVm.value() + kNameSeparator);
+  return name.starts_with(ofEpoch) && isHead == (aPlace.rank_ == 0);
+}
+
 bool
 takesRequests(ReplicaPhase aPhase)
 {
--- a/src/coordination/replica/replica_func.h
+++ b/src/coordination/replica/replica_func.h
@@ -52,6 +52,15 @@
 state::ModelId
 modelOf(const state::ReplicaId& aReplica);
 
+/**
+ * @param aVm A VM.
+ * @param aPlace Place that it states.
+ * @return Whether the identifier of the replica allows it: it names the epoch
+ * and the head, which alone has rank 0. Thread-safe.
+ */
+bool
+isPossiblePlace(const state::VmId& aVm, const state::MemberPlace& aPlace);
+
 /** @return Whether a replica takes requests in a phase. Thread-safe. */
 bool
 takesRequests(ReplicaPhase aPhase);
--- a/src/coordination/replica/replica_type.h
+++ b/src/coordination/replica/replica_type.h
@@ -10,6 +10,9 @@
 
 namespace auburnhaven::coordination {
 
+inline constexpr std::uint64_t kEpochsPerTerm =
+  1ULL << 20U; ///< Epochs available to one lease term.
+
 /** Life-cycle phase of a replica. */
 enum class ReplicaPhase : std::uint8_t
 {
--- a/src/protocol/datagram_func.h
+++ b/src/protocol/datagram_func.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -40,6 +41,27 @@
                          state::StoreEra(era));
 }
 
+/**
+ * Reads a time in milliseconds, bounded so that sums with points in time do not
+ * overflow. Thread-safe.
+ * @param aValue A field of a message.
+ * @return The time.
+ * @throws nlohmann::json::exception for a value that is no whole number or lies
+ * beyond a year.
+ */
+inline std::chrono::milliseconds
+decodeMs(const nlohmann::json& aValue)
+{
+  constexpr std::int64_t kMaxMs = 1000LL * 86400 * 365;
+  constexpr int kBadTime = 503; // error number of the exception
+  const auto count = aValue.get<std::int64_t>();
+  if (!aValue.is_number_integer() || count > kMaxMs || count < -kMaxMs) {
+    throw nlohmann::json::other_error::create(
+      kBadTime, "no time in range", &aValue);
+  }
+  return std::chrono::milliseconds(count);
+}
+
 /**
  * Adds an entry to a list, unless it takes more bytes than are left of a
  * datagram. Thread-safe.
--- a/src/protocol/extension_codec.cpp
+++ b/src/protocol/extension_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/extension_codec.h"
 
+#include "coordination/replica/replica_type.h"
 #include "protocol/datagram_func.h"
 
 namespace auburnhaven::protocol {
@@ -49,9 +50,15 @@
 decodeHandover(const std::string& aDatagram)
 {
   return decodeMarked(aDatagram, kHandoverMark, [](const Json& aMessage) {
+    constexpr int kBadCount = 504; // error number of the exception
+    const auto epochs = aMessage.at(3).get<std::uint64_t>();
+    if (epochs >= coordination::kEpochsPerTerm) {
+      throw Json::other_error::create(
+        kBadCount, "more epochs than a term has", &aMessage);
+    }
     return HandoverMessage{ state::ZoneId(aMessage.at(1).get<std::string>()),
                             aMessage.at(2).get<std::uint64_t>(),
-                            aMessage.at(3).get<std::uint64_t>() };
+                            epochs };
   });
 }
 
--- a/src/protocol/placement_codec.cpp
+++ b/src/protocol/placement_codec.cpp
@@ -78,10 +78,8 @@
     need.model_ = state::ModelId(aMessage.at(3).get<std::string>());
     need.tokens_.prompt_ = aMessage.at(4).get<std::uint32_t>();
     need.tokens_.answer_ = aMessage.at(5).get<std::uint32_t>();
-    need.latencyTarget_ =
-      std::chrono::milliseconds(aMessage.at(6).get<std::int64_t>());
-    need.timeLeft_ =
-      std::chrono::milliseconds(aMessage.at(7).get<std::int64_t>());
+    need.latencyTarget_ = decodeMs(aMessage.at(6));
+    need.timeLeft_ = decodeMs(aMessage.at(7));
     for (const Json& vm : aMessage.at(8)) {
       need.excluded_.emplace_back(vm.get<std::string>());
     }
@@ -116,10 +114,8 @@
                        ? static_cast<RefusalReason>(reason)
                        : RefusalReason::kNoTarget;
     answer.vm_ = state::VmId(aMessage.at(3).get<std::string>());
-    answer.expected_ =
-      std::chrono::milliseconds(aMessage.at(4).get<std::int64_t>());
-    answer.retryAfter_ =
-      std::chrono::milliseconds(aMessage.at(5).get<std::int64_t>());
+    answer.expected_ = decodeMs(aMessage.at(4));
+    answer.retryAfter_ = decodeMs(aMessage.at(5));
     answer.candidates_ = aMessage.at(6).get<std::uint32_t>();
     return answer;
   });
--- a/src/protocol/zone_digest_codec.cpp
+++ b/src/protocol/zone_digest_codec.cpp
@@ -26,8 +26,7 @@
   copy.waiting_ = aCopy.at(5).get<std::uint32_t>();
   copy.slowness_ = aCopy.at(6).get<double>();
   copy.draining_ = aCopy.at(7).get<bool>();
-  copy.asOf_ = aNow - std::chrono::milliseconds(
-                        aCopy.at(kCopyFields - 1).get<std::int64_t>());
+  copy.asOf_ = aNow - decodeMs(aCopy.at(kCopyFields - 1));
   return copy;
 }
 
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -72,6 +72,9 @@
     entryWith("preloaded", nested),
     entryWith("group", R"({"name":"g","epoch":1e300,"rank":0,"state":"open"})"),
     entryWith("group", R"({"name":"g","epoch":12,"rank":-1,"state":"open"})"),
+    entryWith("group",
+              R"({"name":"g","epoch":12,"rank":4294967295,"state":"open"})"),
+    entryWith("group", R"({"name":"g","epoch":12,"rank":4096,"state":"open"})"),
     entryWith("state", "\"asleep\""),
     entryWith("backend", "7"),
   };
--- a/tests/protocol/activity_codec_test.cpp
+++ b/tests/protocol/activity_codec_test.cpp
@@ -1,10 +1,12 @@
 // Tests of the datagrams on stream events and on extensions of authority.
 
+#include "coordination/replica/replica_type.h"
 #include "protocol/activity_codec.h"
 #include "protocol/extension_codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
 #include <random>
 
 using namespace auburnhaven;
@@ -17,6 +19,7 @@
   CPPUNIT_TEST(messagesPass);
   CPPUNIT_TEST(messagesAreToldApart);
   CPPUNIT_TEST(malformedMessagesAreRefused);
+  CPPUNIT_TEST(handoverOfTooManyEpochsIsRefused);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -63,6 +66,16 @@
     }
   }
 
+  // The next epoch of the heir would have run into an assertion.
+  void handoverOfTooManyEpochsIsRefused()
+  {
+    HandoverMessage handover = handover_;
+    handover.epochs_ = coordination::kEpochsPerTerm;
+    CPPUNIT_ASSERT(!decodeHandover(encodeHandover(handover)));
+    handover.epochs_ = std::numeric_limits<std::uint64_t>::max();
+    CPPUNIT_ASSERT(!decodeHandover(encodeHandover(handover)));
+  }
+
 private:
   const ActivityQuestion question_{ 3, { state::VmId("a"), state::VmId("b") } };
   const ActivityNotice notice_{ 3,
--- a/tests/protocol/zone_digest_test.cpp
+++ b/tests/protocol/zone_digest_test.cpp
@@ -10,6 +10,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
 #include <random>
 
 using namespace auburnhaven;
@@ -74,6 +75,7 @@
   CPPUNIT_TEST(digestOfEarlierVersionNamesNoEra);
   CPPUNIT_TEST(largeDigestFitsIntoDatagram);
   CPPUNIT_TEST(garbageIsNoDigest);
+  CPPUNIT_TEST(digestWithAnAgeOutOfRangeIsRefused);
   CPPUNIT_TEST(cutOffDaemonLearnsFromPeer);
   CPPUNIT_TEST(calmDaemonLearnsNewsFromItsCoordinator);
   CPPUNIT_TEST(sameNewsAreNotToldTwiceAtOnce);
@@ -88,6 +90,22 @@
                      protocol::encodeZoneDigest(sent, now), now) == sent);
   }
 
+  // The time of the measurement overflowed.
+  void digestWithAnAgeOutOfRangeIsRefused()
+  {
+    const state::TimePoint now{ 1h };
+    const auto message = nlohmann::json::from_cbor(
+      protocol::encodeZoneDigest(digest(1, now), now));
+    for (const std::int64_t age :
+         { std::numeric_limits<std::int64_t>::min(),
+           std::numeric_limits<std::int64_t>::max() }) {
+      auto changed = message;
+      changed.at(5).at(0).at(8) = age;
+      CPPUNIT_ASSERT(
+        !protocol::decodeZoneDigest(protocol::encodeDatagram(changed), now));
+    }
+  }
+
   void digestOfEarlierVersionNamesNoEra()
   {
     const state::TimePoint now{ 1h };
