Let digests tell up to when their sender knows the store

Cause, two parts. A digest counted as proof that nothing had changed in the store, although it only shows that its sender lives: daemons read nothing for as long as digests came (1.1 s of authority and its extension) plus 1 s of silence. And what they then read did not hold: the pool dropped a leaving head, and the next digest of the same coordinator entered it again as one that takes requests.

Fix: a digest names the age of its sender's latest complete read of the store. A daemon reads the store itself 1.4 s after the latest moment that its coordinators or its own reads prove, whichever is later. Coordinators wait at most 0.3 s in a watch, so that a quiet store is proved often enough. Between a digest and a registration, the one that was read later decides. Peers that are heard but did not know the store all the time no longer shorten the grace of entries that expired in an outage.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -398,6 +398,7 @@
   follower_.setUrgency(urgent ? coordination::FollowerUrgency::kHigh : pace);
   follower_.updatePeerStatus(
     !coordinates && hearing_.allZonesFresh(clock_.now()), sharedRevision_);
+  follower_.noteConfirmed(hearing_.knownAsOf());
   checkLack();
   const bool mayRegister = !stopping_ && !follower_.hasOutage();
   registration_.tick(mayRegister
@@ -508,7 +509,7 @@
 {
   targets_.setDigest(aDigest);
   sharedRevision_ = std::max(sharedRevision_, aDigest.sharedRevision_);
-  hearing_.noteDigest(aDigest.zone_, clock_.now());
+  hearing_.noteDigest(aDigest.zone_, clock_.now(), aDigest.knownAsOf_);
   extender_.noteAuthority(aDigest.zone_, aDigest.authority_);
   const auto duty = duties_.find(aDigest.zone_);
   if (aDigest.released_ && duty != duties_.end()) {
@@ -526,6 +527,7 @@
   }
   digest->count_ = ++digestCount_;
   digest->sharedRevision_ = follower_.sharedRevision();
+  digest->knownAsOf_ = follower_.readAsOf();
   targets_.setDigest(*digest);
   targets_.setDispatcher(digest->zone_, settings_.listeners_.digests_);
   sendToDaemons(*digest);
@@ -597,6 +599,7 @@
       coordination::ZoneDigest digest = *last;
       digest.count_ = ++digestCount_;
       digest.sharedRevision_ = follower_.sharedRevision();
+      digest.knownAsOf_ = follower_.readAsOf();
       digest.released_ = true;
       sendToDaemons(digest);
     }
@@ -674,7 +677,8 @@
 RelayDaemon::updateView()
 {
   if (follower_.config()) {
-    targets_.setView(follower_.config(), follower_.instances());
+    targets_.setView(
+      follower_.config(), follower_.instances(), follower_.readAsOf());
   }
 }
 
--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -31,9 +31,13 @@
 StoreFollower::tick()
 {
   eraseExpiredMissing();
-  if (!callInFlight_ && clock_.now() >= nextCall_ &&
-      (mustList_ || isCallDue())) {
+  const state::TimePoint now = clock_.now();
+  if (now - confirmedAsOf_ >= settings_.confirmationLimit_) {
+    peersFollowed_ = false;
+  }
+  if (!callInFlight_ && now >= nextCall_ && (mustList_ || isCallDue())) {
     callInFlight_ = true;
+    callSentAt_ = now;
     if (awaitsConfig_) {
       watchFirstConfig();
     } else if (mustList_) {
@@ -47,16 +51,25 @@
 }
 
 bool
-StoreFollower::isCallDue() const
+StoreFollower::isConfirmed() const
+{
+  return clock_.now() - std::max(confirmedAsOf_, readAsOf_) <
+         settings_.confirmationLimit_;
+}
+
+bool
+StoreFollower::isServedByPeers() const
 {
-  if (staleList_) {
-    return true;
-  }
-  const state::TimePoint now = clock_.now();
   const bool waitsForPeers =
     !isBehind() || behindFor() < settings_.peerFetchTimeout_;
-  const bool servedByPeers = peersHeard_ && !inOutage_ && waitsForPeers;
-  return !servedByPeers || now - lastReplyAt_ >= settings_.refreshPeriod_;
+  return peersHeard_ && !inOutage_ && waitsForPeers && isConfirmed();
+}
+
+bool
+StoreFollower::isCallDue() const
+{
+  return staleList_ || !isServedByPeers() ||
+         clock_.now() - lastReplyAt_ >= settings_.refreshPeriod_;
 }
 
 void
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -68,6 +68,9 @@
   std::string daemonPrefix_;   ///< Key prefix of the registered daemons.
   state::Duration watchTimeout_ =
     std::chrono::milliseconds(1500); ///< Longest wait of one watch call.
+  state::Duration coordinatorWatchTimeout_ =
+    std::chrono::milliseconds(300); ///< The same of a coordinator, which tells
+                                    ///< others up to when it knows the store.
   state::Duration firstWatchTimeout_ =
     std::chrono::milliseconds(5000); ///< Longest wait of a watch for the first
                                      ///< configuration.
@@ -89,6 +92,10 @@
   state::Duration refreshPeriod_ =
     std::chrono::seconds(14); ///< Interval between reads of all changes while
                               ///< peers are heard.
+  state::Duration confirmationLimit_ =
+    std::chrono::milliseconds(1400); ///< Longest time without a read after the
+                                     ///< latest moment up to which peers, or
+                                     ///< this follower, know all changes.
   std::size_t largeConfigBytes_ =
     std::size_t{ 64 } * 1024; ///< Configurations of this size or larger are
                               ///< read separately from other changes while
@@ -176,6 +183,19 @@
    * @param aAnnounced Newest change of a shared entry that they announce.
    */
   void updatePeerStatus(bool aHeard, state::Revision aAnnounced);
+  /**
+   * Notes up to when the peers that are heard know all changes in the store.
+   * They may live, and be heard, while the store serves this daemon but not
+   * them.
+   * @param aAsOf That time; an earlier one than noted before is ignored.
+   */
+  void noteConfirmed(state::TimePoint aAsOf)
+  {
+    confirmedAsOf_ = std::max(confirmedAsOf_, aAsOf);
+  }
+  /** @return Time up to which this follower has read all changes in the store.
+   */
+  state::TimePoint readAsOf() const { return readAsOf_; }
   /** @return Newest change of a shared entry that peers have announced. */
   state::Revision announcedRevision() const { return announcedRevision_; }
   /** @return Whether peers have announced a change that this follower has not
@@ -269,7 +289,10 @@
   bool applyPrefixReply(const WatchReply& aReply);
   void noteReply();
   void noteFailure(std::string_view aCall);
+  void noteReadTo(state::Revision aAt);
   bool isCallDue() const;
+  bool isConfirmed() const;
+  bool isServedByPeers() const;
   bool isSharedEntry(const std::string& aKey,
                      const std::optional<std::string>& aValue) const;
   void apply(const std::string& aKey,
@@ -319,10 +342,15 @@
                 ///< the next watch.
   bool callInFlight_ = false; ///< Whether a call is in flight.
   FollowerUrgency urgency_ = FollowerUrgency::kNormal; ///< Current urgency.
-  bool inOutage_ = false;             ///< Whether the newest call failed.
-  state::TimePoint outageSince_{};    ///< When the first call failed.
-  bool peersHeard_ = false;           ///< Whether all required peers are heard.
-  state::Revision announcedRevision_; ///< Newest change that peers announced.
+  bool inOutage_ = false;          ///< Whether the newest call failed.
+  state::TimePoint outageSince_{}; ///< When the first call failed.
+  bool peersHeard_ = false;        ///< Whether all required peers are heard.
+  bool peersFollowed_ = false; ///< Whether peers have known the store all the
+                               ///< time since outageSince_.
+  state::TimePoint confirmedAsOf_{}; ///< Up to when peers know all changes.
+  state::TimePoint readAsOf_{}; ///< Up to when this follower knows them itself.
+  state::TimePoint callSentAt_{};      ///< When the call in flight began.
+  state::Revision announcedRevision_;  ///< Newest change that peers announced.
   std::deque<Announcement> announced_; ///< Announced changes not yet read, the
                                        ///< oldest first.
   state::Revision
--- a/src/coordination/routing/store_follower_read.cpp
+++ b/src/coordination/routing/store_follower_read.cpp
@@ -102,8 +102,11 @@
   if (staleList_) {
     return kCatchUpTimeout;
   }
-  return inOutage_ || peersHeard_ ? settings_.outageWatchTimeout_
-                                  : settings_.watchTimeout_;
+  if (inOutage_ || peersHeard_) {
+    return settings_.outageWatchTimeout_;
+  }
+  return urgency_ == FollowerUrgency::kLow ? settings_.watchTimeout_
+                                           : settings_.coordinatorWatchTimeout_;
 }
 
 void
@@ -112,11 +115,12 @@
   const state::TimePoint now = clock_.now();
   if (inOutage_) {
     inOutage_ = false;
-    // Peers that are still heard could reach the store during a long outage of
+    // Peers that knew the store all the time show that a long outage was one of
     // this daemon alone. Live entries were then renewed, so missing ones need
     // no grace period.
     const bool wasLocalOutage =
-      peersHeard_ && now - outageSince_ >= settings_.localOutageThreshold_;
+      peersHeard_ && peersFollowed_ &&
+      now - outageSince_ >= settings_.localOutageThreshold_;
     graceEndsAt_ = wasLocalOutage ? now : now + settings_.missingEntryGrace_;
     log_.write(state::LogWeight::kChange,
                kPart,
@@ -129,6 +133,14 @@
   lastReplyAt_ = now;
 }
 
+void
+StoreFollower::noteReadTo(state::Revision aAt)
+{
+  readRevision_ = std::max(readRevision_, aAt);
+  // The store may have answered at any time since the call began.
+  readAsOf_ = callSentAt_;
+}
+
 void
 StoreFollower::noteFailure(std::string_view aCall)
 {
@@ -138,6 +150,7 @@
   if (!inOutage_) {
     inOutage_ = true;
     outageSince_ = clock_.now();
+    peersFollowed_ = true;
     log_.write(state::LogWeight::kChange,
                kPart,
                "store does not respond",
@@ -211,7 +224,7 @@
   }
   removeMissing(seen);
   watchRevision_ = aReply.at_;
-  readRevision_ = watchRevision_;
+  noteReadTo(watchRevision_);
   if (listed_) {
     // Keys removed since the last read are unknown, so peers must read the
     // shared entries again too.
@@ -277,7 +290,7 @@
   }
   const bool advances = aReply.at_ > watchRevision_;
   watchRevision_ = std::max(watchRevision_, aReply.at_);
-  readRevision_ = watchRevision_;
+  noteReadTo(watchRevision_);
   if (announcesExpiry_ && advances) {
     // Peers that know an earlier revision take the instances from here again.
     announcesExpiry_ = false;
@@ -300,7 +313,7 @@
   // A watch of all keys continues at watchRevision_ and would miss
   // configuration versions that were skipped before it.
   const bool configBehind = knownRevision() < watchRevision_;
-  return configBehind || (isLarge && peersHeard_);
+  return configBehind || (isLarge && peersHeard_ && isConfirmed());
 }
 
 void
@@ -335,7 +348,7 @@
 StoreFollower::readConfig(state::Revision aAt)
 {
   watchRevision_ = std::max(watchRevision_, aAt);
-  if (peersHeard_ && !isBehind()) {
+  if (peersHeard_ && isConfirmed() && !isBehind()) {
     callInFlight_ = false;
     noteReply();
     publish();
@@ -355,18 +368,20 @@
 StoreFollower::onConfigReply(const StoreReply& aReply, state::Revision aAt)
 {
   callInFlight_ = false;
-  publish();
   if (aReply.status_ != StoreStatus::kOk) {
+    publish();
     noteFailure("read of the configuration");
     return;
   }
   noteReply();
   if (isOfLaterEra(aReply.revision_)) {
+    publish();
     listConsistently();
     return;
   }
   sharedRevision_ = std::max(sharedRevision_, aReply.revision_);
-  readRevision_ = std::max(readRevision_, aAt);
+  noteReadTo(aAt);
+  publish();
   adoptConfig(aReply.value_, "store");
 }
 
--- a/src/coordination/routing/target_pool.cpp
+++ b/src/coordination/routing/target_pool.cpp
@@ -81,19 +81,22 @@
 
 void
 TargetPool::setView(state::RoutingConfigPtr aConfig,
-                    const state::InstanceMapPtr& aInstances)
+                    state::InstanceMapPtr aInstances,
+                    state::TimePoint aAsOf)
 {
   const std::lock_guard lock(mutex_);
   config_ = std::move(aConfig);
+  instances_ = std::move(aInstances);
+  instancesAsOf_ = aAsOf;
   for (auto& [vm, target] : targets_) {
     target.registered_ = false;
-    target.leaving_ = false;
+    noteRegistration(vm, target);
   }
-  for (const auto& [vm, instance] : *aInstances) {
+  for (const auto& [vm, instance] : *instances_) {
     notices_.noteIncarnation(vm, instance.bornAtMs_);
     limits_.noteIncarnation(vm, instance.bornAtMs_);
     const bool takes =
-      takesRequests(instance) && !losesMember(instance, *aInstances);
+      takesRequests(instance) && !losesMember(instance, *instances_);
     const auto known = targets_.find(vm);
     if (!takes && known == targets_.end()) {
       continue;
@@ -105,7 +108,7 @@
     target.bornAtMs_ = instance.bornAtMs_;
     target.slots_ = std::max(1U, instance.slots_);
     target.registered_ = takes;
-    target.leaving_ = instance.leaving_;
+    noteRegistration(vm, target);
     if (takes && instance.engine_) {
       target.model_ = instance.engine_->model_;
     }
@@ -116,6 +119,14 @@
   });
 }
 
+void
+TargetPool::noteRegistration(const state::VmId& aVm, Target& aTarget) const
+{
+  const auto found = instances_->find(aVm);
+  aTarget.present_ = found != instances_->end();
+  aTarget.leaving_ = aTarget.present_ && found->second.leaving_;
+}
+
 void
 TargetPool::setDigest(const ZoneDigest& aDigest)
 {
@@ -131,12 +142,14 @@
   ++state.number_;
   state.takenAt_ = clock_.now();
   state.complete_ = aDigest.complete_;
+  state.knownAsOf_ = aDigest.knownAsOf_;
   const state::ServiceSpec* service =
     state::findService(*config_, aDigest.service_);
   const std::uint32_t slots =
     service != nullptr && service->engine_ ? service->engine_->batchSlots_ : 1;
   for (const CopyLoad& copy : aDigest.copies_) {
     Target& target = targets_[copy.head_];
+    noteRegistration(copy.head_, target);
     target.service_ = aDigest.service_;
     target.zone_ = aDigest.zone_;
     target.model_ = copy.model_;
@@ -351,11 +364,15 @@
 bool
 TargetPool::isUsable(const Target& aTarget, state::TimePoint aNow) const
 {
-  if (aTarget.leaving_) {
-    return false;
-  }
   const std::optional<bool> listed = isListed(aTarget, aNow);
-  return listed ? *listed && !aTarget.draining_ : aTarget.registered_;
+  if (!listed) {
+    return aTarget.registered_;
+  }
+  // Of the coordinator and this daemon, the one that has read the store later
+  // knows whether the target leaves or is gone.
+  const bool gone = (aTarget.leaving_ || !aTarget.present_) &&
+                    digests_.at(aTarget.zone_).knownAsOf_ < instancesAsOf_;
+  return *listed && !aTarget.draining_ && !gone;
 }
 
 bool
--- a/src/coordination/routing/target_pool.h
+++ b/src/coordination/routing/target_pool.h
@@ -158,13 +158,16 @@
    * Updates the known services and instances.
    * @param aConfig Current configuration; not null.
    * @param aInstances Registered instances; not null.
+   * @param aAsOf Time up to which they include all changes in the store.
    */
   void setView(state::RoutingConfigPtr aConfig,
-               const state::InstanceMapPtr& aInstances);
+               state::InstanceMapPtr aInstances,
+               state::TimePoint aAsOf = {});
   /**
    * Applies the open replicas of a zone as sent by its coordinator. Until the
    * digest exceeds its maximum age, it takes precedence over the registrations
-   * of instances in the zone. A digest that is not newer than the last one of
+   * of instances in the zone, unless these were read later than the coordinator
+   * has read the store. A digest that is not newer than the last one of
    * the zone is ignored, as is any before the first setView().
    * @param aDigest The replicas.
    */
@@ -297,6 +300,7 @@
     std::uint32_t slots_ = 1;    ///< Requests it can run concurrently.
     bool registered_ = false;    ///< Whether its registration takes requests.
     bool leaving_ = false;       ///< Whether it is registered as shutting down.
+    bool present_ = false;       ///< Whether it is registered at all.
     std::uint64_t digestNumber_ =
       0; ///< Number of the newest digest of its zone that lists it.
     bool draining_ = false; ///< Whether that digest lists it as draining.
@@ -314,11 +318,12 @@
   /** Newest digest of a zone. */
   struct DigestState
   {
-    std::uint64_t authority_ = 0; ///< Number of the coordinator's lease.
-    std::uint64_t count_ = 0;     ///< Sequence number under that lease.
-    std::uint64_t number_ = 0;    ///< Digests of the zone applied so far.
-    state::TimePoint takenAt_{};  ///< When it was applied.
-    bool complete_ = true;        ///< Whether it lists all open replicas.
+    std::uint64_t authority_ = 0;  ///< Number of the coordinator's lease.
+    std::uint64_t count_ = 0;      ///< Sequence number under that lease.
+    std::uint64_t number_ = 0;     ///< Digests of the zone applied so far.
+    state::TimePoint takenAt_{};   ///< When it was applied.
+    state::TimePoint knownAsOf_{}; ///< Up to when its sender knows the store.
+    bool complete_ = true;         ///< Whether it lists all open replicas.
     std::optional<state::Endpoint>
       dispatcher_; ///< Dispatcher for the zone's replicas.
   };
@@ -356,6 +361,7 @@
     double weight_ = 0;          ///< Weight in the random choice.
   };
 
+  void noteRegistration(const state::VmId& aVm, Target& aTarget) const;
   std::optional<bool> isListed(const Target& aTarget,
                                state::TimePoint aNow) const;
   std::optional<ModelTiming> timingOf(const state::ServiceId& aService,
@@ -438,11 +444,14 @@
   TargetDecision placePlain(const std::vector<Candidate>& aCandidates,
                             state::TimePoint aNow);
 
-  const state::Clock& clock_;             ///< Clock.
-  const TargetPoolSettings settings_;     ///< Thresholds and timing.
-  RandomSource random_;                   ///< Random numbers.
-  mutable std::mutex mutex_;              ///< Guards the following members.
-  state::RoutingConfigPtr config_;        ///< Current configuration.
+  const state::Clock& clock_;         ///< Clock.
+  const TargetPoolSettings settings_; ///< Thresholds and timing.
+  RandomSource random_;               ///< Random numbers.
+  mutable std::mutex mutex_;          ///< Guards the following members.
+  state::RoutingConfigPtr config_;    ///< Current configuration.
+  state::InstanceMapPtr instances_ =
+    std::make_shared<state::InstanceMap>(); ///< Registered instances.
+  state::TimePoint instancesAsOf_{}; ///< Up to when they include all changes.
   std::map<state::VmId, Target> targets_; ///< Targets.
   TargetNotices notices_;                 ///< Notices sent by targets.
   TargetLimits limits_;                   ///< Limits named by targets.
--- a/src/coordination/routing/zone_digest_type.h
+++ b/src/coordination/routing/zone_digest_type.h
@@ -39,6 +39,9 @@
   bool complete_ = true;  ///< Whether it has all open replicas of the zone.
   bool released_ = false; ///< Whether the coordinator has released its lease,
                           ///< so that another may take over at once.
+  state::TimePoint knownAsOf_{}; ///< Time up to which the coordinator knows all
+                                 ///< changes in the store, by this daemon's
+                                 ///< clock; it may know later ones.
   bool operator==(const ZoneDigest&) const = default;
 };
 
--- a/src/protocol/zone_digest_codec.cpp
+++ b/src/protocol/zone_digest_codec.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kHeadBytes = 160; ///< Bound of all but the copies.
 constexpr std::size_t kCopyFields = 9;  ///< Fields of an encoded copy.
 constexpr std::size_t kEraField = 8;    ///< Field with the revision's era.
+constexpr std::size_t kKnownField =
+  9; ///< Field with the age of what the coordinator knows of the store.
 
 coordination::CopyLoad
 decodeCopy(const Json& aCopy, state::TimePoint aNow)
@@ -61,7 +63,8 @@
                         std::move(copies),
                         whole,
                         aDigest.released_,
-                        aDigest.sharedRevision_.era().value() };
+                        aDigest.sharedRevision_.era().value(),
+                        state::countMs(aNow - aDigest.knownAsOf_) };
   return encodeDatagram(digest);
 }
 
@@ -80,6 +83,10 @@
     }
     result.complete_ = aMessage.at(6).get<bool>();
     result.released_ = aMessage.at(7).get<bool>();
+    // Daemons of an earlier version do not tell the age.
+    result.knownAsOf_ = aMessage.size() > kKnownField
+                          ? aNow - decodeMs(aMessage.at(kKnownField))
+                          : aNow;
     return result;
   });
 }
--- a/tests/coordination/restored_store_test.cpp
+++ b/tests/coordination/restored_store_test.cpp
@@ -181,6 +181,7 @@
     const bool heard = told_.follower_.hasListed();
     told_.follower_.updatePeerStatus(heard,
                                      watching_.follower_.sharedRevision());
+    told_.follower_.noteConfirmed(watching_.follower_.readAsOf());
     auto snapshot = watching_.follower_.snapshot();
     if (told_.follower_.isBehind() && snapshot) {
       snapshot->config_ = watching_.follower_.configText();
--- a/tests/coordination/routing_follower_test.cpp
+++ b/tests/coordination/routing_follower_test.cpp
@@ -21,6 +21,10 @@
   CPPUNIT_TEST(entriesMissingAfterOutageStayForGracePeriod);
   CPPUNIT_TEST(targetMissingFromPeerSnapshotHasNoGracePeriod);
   CPPUNIT_TEST(outageOfThisDaemonAloneHasNoGracePeriod);
+  CPPUNIT_TEST(outageThatPeersShareHasAGracePeriod);
+  CPPUNIT_TEST(changesAreReadWhenPeersDoNotHearTheStore);
+  CPPUNIT_TEST(changesAreReadSeldomWhenPeersDoNotHearTheStore);
+  CPPUNIT_TEST(coordinatorReadsAQuietStoreOften);
   CPPUNIT_TEST(removedEntryIsDroppedAtOnce);
   CPPUNIT_TEST(configurationIsTakenFromPeer);
   CPPUNIT_TEST(peerAnnouncementsReplaceWatches);
@@ -229,6 +233,77 @@
     CPPUNIT_ASSERT(follower_->instances()->empty());
   }
 
+  // Peers that are heard but do not hear the store either prove nothing of its
+  // entries: they expired for all.
+  void outageThatPeersShareHasAGracePeriod()
+  {
+    run(1s);
+    store_->faults().down_ = true;
+    follower_->updatePeerStatus(true, {});
+    peersFollow_ = false;
+    run(5s);
+    CPPUNIT_ASSERT(follower_->hasOutage());
+    data_->remove("vm/a");
+    store_->faults().down_ = false;
+    peersFollow_ = true;
+    run(2s);
+    CPPUNIT_ASSERT(!follower_->hasOutage());
+    CPPUNIT_ASSERT(follower_->instances()->contains(state::VmId("a")));
+    run(3s);
+    CPPUNIT_ASSERT(follower_->instances()->empty());
+  }
+
+  // Coordinators that the store had turned away went on sending digests, and
+  // nobody read a withdrawn key or a leaving target for over two seconds.
+  void changesAreReadWhenPeersDoNotHearTheStore()
+  {
+    run(1s);
+    follower_->updatePeerStatus(true, follower_->sharedRevision());
+    run(3s);
+    peersFollow_ = false;
+    for (int version = 11; version < 15; ++version) {
+      data_->put("config", std::to_string(version));
+      data_->put("vm/e" + std::to_string(version), "engine");
+      run(1600ms);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(version), this->version());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(version - 9),
+                           follower_->instances()->size());
+    }
+  }
+
+  // At a thousand daemons, each read counts.
+  void changesAreReadSeldomWhenPeersDoNotHearTheStore()
+  {
+    run(1s);
+    follower_->updatePeerStatus(true, follower_->sharedRevision());
+    peersFollow_ = false;
+    run(2s);
+    const std::uint64_t reads = data_->reads_;
+    run(14s);
+    CPPUNIT_ASSERT(data_->reads_ >= reads + 9);
+    CPPUNIT_ASSERT(data_->reads_ <= reads + 11);
+  }
+
+  // Others know the store only as well as their coordinator reads it.
+  void coordinatorReadsAQuietStoreOften()
+  {
+    run(1s);
+    follower_->updatePeerStatus(false, {});
+    for (const auto urgency :
+         { FollowerUrgency::kNormal, FollowerUrgency::kHigh }) {
+      follower_->setUrgency(urgency);
+      run(2s);
+      for (int step = 0; step < 100; ++step) {
+        run(20ms);
+        CPPUNIT_ASSERT(clock_.now() - follower_->readAsOf() < 800ms);
+      }
+    }
+    store_->faults().down_ = true;
+    const state::TimePoint last = follower_->readAsOf();
+    run(3s);
+    CPPUNIT_ASSERT(follower_->readAsOf() - last < 400ms);
+  }
+
   void removedEntryIsDroppedAtOnce()
   {
     run(1s);
--- a/tests/coordination/routing_pool_test.cpp
+++ b/tests/coordination/routing_pool_test.cpp
@@ -97,6 +97,9 @@
   CPPUNIT_TEST(unreportedLoadHasNoAge);
   CPPUNIT_TEST(replicaWithSilentStreamsIsAvoided);
   CPPUNIT_TEST(digestOverridesRegistration);
+  CPPUNIT_TEST(leavingHeadStaysUnusedBesideAnOlderDigest);
+  CPPUNIT_TEST(removedHeadStaysUnusedBesideAnOlderDigest);
+  CPPUNIT_TEST(digestThatKnowsTheStoreLaterDecides);
   CPPUNIT_TEST(outdatedDigestIsIgnored);
   CPPUNIT_TEST(replicaMissingFromPartialDigestIsNotGone);
   CPPUNIT_TEST(drainingReplicaGetsNoRequestsButKeepsItsOwn);
@@ -169,6 +172,53 @@
     CPPUNIT_ASSERT(!pool.pool_.isGone(state::VmId("new")));
   }
 
+  // A head that the daemon had read to be leaving got requests again with the
+  // next digest of a coordinator that did not hear the store.
+  void leavingHeadStaysUnusedBesideAnOlderDigest()
+  {
+    Pool pool(clock_);
+    state::Instance leaving = head("a", state::MemberState::kOpen);
+    leaving.leaving_ = true;
+    setViewOf(pool, { { leaving.id_, leaving } }, clock_.now());
+    for (std::uint64_t count = 1; count < 4; ++count) {
+      clock_.advance(300ms);
+      pool.pool_.setDigest(digest(count, { { "a", 0 } }, clock_.now()));
+      CPPUNIT_ASSERT(pool.pool_.choose(need()).reason_ ==
+                     RefusalReason::kNoTarget);
+    }
+  }
+
+  // The same of a head whose registration is gone.
+  void removedHeadStaysUnusedBesideAnOlderDigest()
+  {
+    Pool pool(clock_);
+    const state::Instance open = head("a", state::MemberState::kOpen);
+    setViewOf(pool, { { open.id_, open } }, clock_.now() - 1s);
+    pool.pool_.setDigest(digest(1, { { "a", 0 } }, clock_.now()));
+    CPPUNIT_ASSERT_EQUAL(open.id_, pool.pool_.choose(need()).vm_);
+    setViewOf(pool, {}, clock_.now());
+    CPPUNIT_ASSERT(pool.pool_.choose(need()).reason_ ==
+                   RefusalReason::kNoTarget);
+    pool.pool_.setDigest(digest(2, { { "a", 0 } }, clock_.now()));
+    CPPUNIT_ASSERT(pool.pool_.choose(need()).reason_ ==
+                   RefusalReason::kNoTarget);
+  }
+
+  // A VM that left and came back is in use again before this daemon, which
+  // reads seldom, has read its new registration.
+  void digestThatKnowsTheStoreLaterDecides()
+  {
+    Pool pool(clock_);
+    state::Instance leaving = head("a", state::MemberState::kOpen);
+    leaving.leaving_ = true;
+    setViewOf(pool, { { leaving.id_, leaving } }, clock_.now());
+    clock_.advance(5s);
+    ZoneDigest newer = digest(1, { { "a", 0 }, { "b", 20 } }, clock_.now());
+    newer.knownAsOf_ = clock_.now() - 1s;
+    pool.pool_.setDigest(newer);
+    CPPUNIT_ASSERT_EQUAL(leaving.id_, pool.pool_.choose(need()).vm_);
+  }
+
   void replicaMissingFromPartialDigestIsNotGone()
   {
     Pool pool(clock_);
@@ -405,6 +455,14 @@
   }
 
 private:
+  /** Sets instances that were read at a time. */
+  static void setViewOf(Pool& aPool,
+                        const state::InstanceMap& aInstances,
+                        state::TimePoint aAsOf)
+  {
+    aPool.pool_.setView(
+      config(), std::make_shared<state::InstanceMap>(aInstances), aAsOf);
+  }
   /** @return How many of several requests go to a target. */
   static int countOf(Pool& aPool, const std::string& aTarget)
   {
--- a/tests/fakes/follower_world.h
+++ b/tests/fakes/follower_world.h
@@ -68,13 +68,17 @@
       clock_, *store_, codec_, log_, aSettings);
   }
 
-  /** Advances the clock, the store and the follower in steps of 20 ms. */
+  /** Advances the clock, the store and the follower in steps of 20 ms. Peers
+   * that are heard know the store unless peersFollow_ is unset. */
   void run(state::Duration aTime)
   {
     constexpr std::chrono::milliseconds kStep{ 20 };
     for (state::Duration elapsed{}; elapsed < aTime; elapsed += kStep) {
       clock_.advance(kStep);
       store_->step();
+      if (peersFollow_) {
+        follower_->noteConfirmed(clock_.now());
+      }
       follower_->tick();
     }
   }
@@ -85,6 +89,7 @@
     return follower_->config()->version_.value();
   }
 
+  bool peersFollow_ = true;             ///< Whether the peers know the store.
   FakeClock clock_;                     ///< Clock.
   FakeRoutingCodec codec_;              ///< Decodes values.
   FakeEventLog log_;                    ///< Log.
--- a/tests/protocol/config_spread_test.cpp
+++ b/tests/protocol/config_spread_test.cpp
@@ -272,6 +272,7 @@
   {
     aDaemon.follower_.updatePeerStatus(aDaemon.follower_.hasListed(),
                                        announced_);
+    aDaemon.follower_.noteConfirmed(clock_.now());
     aDaemon.exchange_.noteCoordinator(leader_->at_, announced_, true);
     aDaemon.follower_.tick();
     aDaemon.exchange_.tick();
--- a/tests/protocol/zone_digest_test.cpp
+++ b/tests/protocol/zone_digest_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the digests and of the exchange of the configuration.
 
+#include "coordination/routing/zone_digest_monitor.h"
 #include "protocol/config_exchange.h"
 #include "protocol/datagram_func.h"
 #include "protocol/zone_digest_codec.h"
@@ -79,6 +80,7 @@
   CPPUNIT_TEST(cutOffDaemonLearnsFromPeer);
   CPPUNIT_TEST(calmDaemonLearnsNewsFromItsCoordinator);
   CPPUNIT_TEST(sameNewsAreNotToldTwiceAtOnce);
+  CPPUNIT_TEST(changeIsReadWhileTheCoordinatorIsTurnedAway);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,9 +113,14 @@
     const state::TimePoint now{ 1h };
     auto message = nlohmann::json::from_cbor(
       protocol::encodeZoneDigest(digest(1, now), now));
+    // The version before named the era, but not the age of what is known.
     message.erase(message.size() - 1);
-    const auto taken =
+    auto taken =
       protocol::decodeZoneDigest(protocol::encodeDatagram(message), now);
+    CPPUNIT_ASSERT(taken->sharedRevision_ == digest(1, now).sharedRevision_);
+    CPPUNIT_ASSERT(taken->knownAsOf_ == now);
+    message.erase(message.size() - 1);
+    taken = protocol::decodeZoneDigest(protocol::encodeDatagram(message), now);
     CPPUNIT_ASSERT(taken->sharedRevision_ == state::Revision(33));
   }
 
@@ -229,6 +236,16 @@
     CPPUNIT_ASSERT_EQUAL(2, answers);
   }
 
+  // The store turned the coordinator away; its digests went on, and no daemon
+  // read a change for up to two and a half seconds.
+  void changeIsReadWhileTheCoordinatorIsTurnedAway()
+  {
+    constexpr auto kBound = 1800ms; // below the 2 s that callers are promised
+    for (auto phase = 0ms; phase < 600ms; phase += 100ms) {
+      CPPUNIT_ASSERT(timeToRead(phase) <= kBound);
+    }
+  }
+
   // Reading news in the store, hundreds of daemons were told all changes of all
   // engines since their last reading, which took seconds.
   void calmDaemonLearnsNewsFromItsCoordinator()
@@ -265,6 +282,7 @@
         calmStore.step();
         leader.tick();
         calm.updatePeerStatus(heard, leader.sharedRevision());
+        calm.noteConfirmed(leader.readAsOf());
         asker.noteCoordinator(
           leaderAt, told ? leader.sharedRevision() : state::Revision(), true);
         calm.tick();
@@ -296,6 +314,68 @@
     run(2s);
     CPPUNIT_ASSERT_EQUAL(std::string("the newest"), calm.configText());
   }
+
+private:
+  /** @return How long after a change a daemon has read it, if the store turns
+   * its coordinator away just before, some time into a quiet phase. */
+  static state::Duration timeToRead(std::chrono::milliseconds aPhase)
+  {
+    constexpr auto kDigestPeriod = 300ms;
+    constexpr auto kAuthority = 1500ms; // with an extension
+    fakes::FakeClock clock;
+    fakes::FakeEventLog log;
+    const AnyCodec codec;
+    auto data = std::make_shared<fakes::FakeStoreData>();
+    data->put("config", "old");
+    fakes::FakeStore leaderStore(clock, data);
+    fakes::FakeStore calmStore(clock, data);
+    coordination::FollowerSettings settings;
+    settings.configKey_ = "config";
+    settings.instancePrefix_ = "vm/";
+    settings.peerFetchTimeout_ = 800ms;
+    coordination::StoreFollower leader(
+      clock, leaderStore, codec, log, settings);
+    coordination::StoreFollower calm(clock, calmStore, codec, log, settings);
+    const state::ZoneId zone("z");
+    coordination::ZoneDigestMonitor hearing(zone, 1s);
+    state::TimePoint digestAt{};
+    state::TimePoint turnedAwayAt = state::TimePoint::max();
+    const auto step = [&] {
+      clock.advance(20ms);
+      leaderStore.step();
+      calmStore.step();
+      leader.tick();
+      const bool leads =
+        clock.now() < turnedAwayAt || clock.now() - turnedAwayAt < kAuthority;
+      if (leads && clock.now() >= digestAt) {
+        digestAt = clock.now() + kDigestPeriod;
+        coordination::ZoneDigest digest;
+        digest.zone_ = zone;
+        digest.sharedRevision_ = leader.sharedRevision();
+        digest.knownAsOf_ = leader.readAsOf();
+        const auto arrived = protocol::decodeZoneDigest(
+          protocol::encodeZoneDigest(digest, clock.now()), clock.now());
+        hearing.noteDigest(zone, clock.now(), arrived->knownAsOf_);
+      }
+      calm.updatePeerStatus(hearing.allZonesFresh(clock.now()),
+                            leader.sharedRevision());
+      calm.noteConfirmed(hearing.knownAsOf());
+      calm.tick();
+    };
+    const auto run = [&](std::chrono::milliseconds aTime) {
+      for (std::chrono::milliseconds past{}; past < aTime; past += 20ms) {
+        step();
+      }
+    };
+    run(5s + aPhase);
+    leaderStore.faults().down_ = true;
+    turnedAwayAt = clock.now();
+    data->put("config", "newer");
+    while (calm.configText() != "newer") {
+      step();
+    }
+    return clock.now() - turnedAwayAt;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ZoneDigestTest);
