Promise an extension of authority only after the store had time to answer

Ruled out: the holder's own clock (authority ends 1.1 s after its last renewal, in the test to one tick).

Fix: a daemon asks the store and gives no reply until 150 ms after the first request of a series; then it promises if the store has answered it nothing since. Holders ask each 150 ms, so that two rounds fit into what is left of their authority. A daemon that holds a lease itself no longer counts as answered for as long as its authority lasts, but by the time of the latest answer.

Evidence: LeaseExtensionTest holderThatStoreTurnsAwayIsNotExtended and promiseWaitsForAnAnswerOfTheStore fail with a wait of 0, which is the code before. handoverNeedsPromiseToThisHolder asked once and now asks twice: a first request binds nobody any more; it also checks this.

--- a/src/app/lease_extender.cpp
+++ b/src/app/lease_extender.cpp
@@ -50,11 +50,13 @@
       return true;
     }
     noteAuthority(request->zone_, request->authority_);
-    const coordination::ExtensionReply reply =
+    const std::optional<coordination::ExtensionReply> reply =
       promises_.answer(request->zone_, request->authority_, storeAnsweredAt());
-    socket_.send(aFrom,
-                 protocol::encodeExtensionReply(
-                   { request->number_, request->zone_, reply }));
+    if (reply) {
+      socket_.send(aFrom,
+                   protocol::encodeExtensionReply(
+                     { request->number_, request->zone_, *reply }));
+    }
     return true;
   }
   const auto reply = protocol::decodeExtensionReply(aDatagram);
@@ -139,15 +141,12 @@
 state::TimePoint
 LeaseExtender::storeAnsweredAt()
 {
-  const bool renews =
-    std::any_of(leaderships_.begin(),
-                leaderships_.end(),
-                [](const auto& aEntry) { return aEntry.second->isRenewed(); });
-  if (renews) {
-    return clock_.now();
-  }
   registration_.probe();
-  return registration_.lastReplyTime();
+  state::TimePoint latest = registration_.lastReplyTime();
+  for (const auto& [zone, leadership] : leaderships_) {
+    latest = std::max(latest, leadership->storeAnsweredAt());
+  }
+  return latest;
 }
 
 } // namespace auburnhaven::app
--- a/src/app/lease_extender.h
+++ b/src/app/lease_extender.h
@@ -78,6 +78,8 @@
   }
 
 private:
+  /** Asks the store whether it answers this daemon.
+   * @return When it last did. */
   state::TimePoint storeAnsweredAt();
   void takeOver(const protocol::HandoverMessage& aHandover);
   void logEndedExtensions();
--- a/src/coordination/lease_extension.cpp
+++ b/src/coordination/lease_extension.cpp
@@ -74,7 +74,7 @@
 {
 }
 
-ExtensionReply
+std::optional<ExtensionReply>
 ExtensionPromises::answer(const state::ZoneId& aZone,
                           std::uint64_t aAuthority,
                           state::TimePoint aStoreAnsweredAt)
@@ -89,6 +89,9 @@
   if (storeAnswers || aAuthority < zone.authority_) {
     return ExtensionReply::kRefused;
   }
+  if (now - zone.firstRequestAt_ < timing_.storeWait_) {
+    return std::nullopt;
+  }
   zone.authority_ = aAuthority;
   zone.until_ = now + timing_.promise_;
   return ExtensionReply::kPromised;
--- a/src/coordination/lease_extension.h
+++ b/src/coordination/lease_extension.h
@@ -22,7 +22,10 @@
     std::chrono::milliseconds(300); ///< How long before the promises the
                                     ///< authority of the holder ends.
   state::Duration interval_ =
-    std::chrono::milliseconds(250); ///< Between two requests of the holder.
+    std::chrono::milliseconds(150); ///< Between two requests of the holder.
+  state::Duration storeWait_ =
+    std::chrono::milliseconds(150); ///< How long a daemon that is asked waits
+                                    ///< for the store before it promises.
   bool operator==(const ExtensionTiming&) const = default;
 };
 
@@ -100,15 +103,15 @@
    * Answers a holder's request.
    * @param aZone Zone of the lease.
    * @param aAuthority Number of the holder's lease.
-   * @param aStoreAnsweredAt When the store last answered this daemon. A daemon
-   * that the store has answered since the holder's first request refuses: it
-   * can be the coordinator and hear of changes. Until then it promises, and the
-   * caller should ask the store.
-   * @return The reply; a promise binds this daemon from now on.
+   * @param aStoreAnsweredAt When the store last answered this daemon, which
+   * should ask it now. A daemon that the store has answered since the holder's
+   * first request refuses: it can be the coordinator and hear of changes.
+   * @return The reply; a promise binds this daemon from now on. Nothing while
+   * the store may still answer.
    */
-  ExtensionReply answer(const state::ZoneId& aZone,
-                        std::uint64_t aAuthority,
-                        state::TimePoint aStoreAnsweredAt);
+  std::optional<ExtensionReply> answer(const state::ZoneId& aZone,
+                                       std::uint64_t aAuthority,
+                                       state::TimePoint aStoreAnsweredAt);
   /**
    * Decides whether this daemon takes over the authority of a holder that
    * stops.
--- a/src/coordination/replica/zone_leadership.h
+++ b/src/coordination/replica/zone_leadership.h
@@ -78,6 +78,8 @@
   std::uint64_t authority() const { return lease_.number(); }
   /** @return Whether this daemon holds the lease and the store answers it. */
   bool isRenewed() const { return lease_.holds() && lease_.isAnswered(); }
+  /** @return When the store last answered a request for the lease. */
+  state::TimePoint storeAnsweredAt() const { return lease_.lastReplyTime(); }
   /** Ends the authority of this daemon when another one holds the lease under
    * a newer number. @param aAuthority Number of a lease of the zone. */
   void noteAuthority(std::uint64_t aAuthority);
--- a/tests/coordination/lease_extension_test.cpp
+++ b/tests/coordination/lease_extension_test.cpp
@@ -161,11 +161,12 @@
         const state::TimePoint answeredAt = other->store_.faults().down_
                                               ? state::TimePoint{}
                                               : clock_.now() - kTick;
-        aDaemon.leadership_.extension().noteReply(
-          *number,
-          other->endpoint_,
-          other->promises_.answer(kZone, authority, answeredAt),
-          daemons_.size());
+        const auto reply =
+          other->promises_.answer(kZone, authority, answeredAt);
+        if (reply) {
+          aDaemon.leadership_.extension().noteReply(
+            *number, other->endpoint_, *reply, daemons_.size());
+        }
       }
     }
   }
@@ -188,6 +189,8 @@
   CPPUNIT_TEST(replicasStayKnownWhenStoreReturns);
   CPPUNIT_TEST(minorityGetsNoExtension);
   CPPUNIT_TEST(holderThatStoreTurnsAwayIsSucceeded);
+  CPPUNIT_TEST(holderThatStoreTurnsAwayIsNotExtended);
+  CPPUNIT_TEST(promiseWaitsForAnAnswerOfTheStore);
   CPPUNIT_TEST(pausedHolderDoesNotRegainAuthority);
   CPPUNIT_TEST(refusalEndsExtension);
   CPPUNIT_TEST(stoppingHolderHandsOver);
@@ -266,6 +269,43 @@
     checkInvariants(world);
   }
 
+  // Daemons that the store served promised as well, since its answer to them
+  // was older than the request; the holder went on for 0.4 s without the store.
+  void holderThatStoreTurnsAwayIsNotExtended()
+  {
+    ExtensionWorld world(4);
+    world.run(80s);
+    const ExtendingDaemon* old = world.holder();
+    world.holder()->store_.faults().down_ = true;
+    const auto limits = fakes::ReplicaDaemon::leaseLimits();
+    world.run(limits.timeToLive_ - limits.margin_ + ExtensionWorld::kTick);
+    CPPUNIT_ASSERT(!old->leadership_.isHeld());
+    checkInvariants(world);
+  }
+
+  void promiseWaitsForAnAnswerOfTheStore()
+  {
+    fakes::FakeClock clock;
+    clock.advance(10s);
+    ExtensionPromises promises(clock);
+    const state::TimePoint before = clock.now() - 20ms;
+    CPPUNIT_ASSERT(!promises.answer(kZone, 7, before));
+    CPPUNIT_ASSERT(!promises.isPromised(kZone));
+    // The store answers: others can coordinate.
+    clock.advance(20ms);
+    CPPUNIT_ASSERT(promises.answer(kZone, 7, clock.now()) ==
+                   ExtensionReply::kRefused);
+    CPPUNIT_ASSERT(!promises.isPromised(kZone));
+    // It falls silent for all: a new series of requests is promised in time.
+    clock.advance(5s);
+    const state::TimePoint last = clock.now() - 600ms;
+    CPPUNIT_ASSERT(!promises.answer(kZone, 7, last));
+    clock.advance(160ms);
+    CPPUNIT_ASSERT(promises.answer(kZone, 7, last) ==
+                   ExtensionReply::kPromised);
+    CPPUNIT_ASSERT(promises.isPromised(kZone));
+  }
+
   void pausedHolderDoesNotRegainAuthority()
   {
     ExtensionWorld world(3);
@@ -324,6 +364,10 @@
     fakes::FakeClock clock;
     ExtensionPromises promises(clock);
     CPPUNIT_ASSERT(!promises.takeOver(kZone, 7));
+    clock.advance(10s);
+    CPPUNIT_ASSERT(!promises.answer(kZone, 7, {}));
+    CPPUNIT_ASSERT(!promises.takeOver(kZone, 7));
+    clock.advance(160ms);
     CPPUNIT_ASSERT(promises.answer(kZone, 7, {}) == ExtensionReply::kPromised);
     CPPUNIT_ASSERT(promises.takeOver(kZone, 7).has_value());
     CPPUNIT_ASSERT(!promises.takeOver(kZone, 6));
