Bound the sum of the responses that arrive at the same time

Cause: each response was bounded (8 MB), their sum was not; the body of an error was kept a second time while the request was sent again; a body was taken up to its limit without a turn for other requests.

Ruled out: heads, interim heads, framing, trailers and events (bounded before).

Fix: ResponseMemory (24 MB for all): beyond it the largest response that is not whole is given up, since sound ones beside a flood are smaller. An error's body may have 64 KB. Other requests have their turn after 64 KB of a body.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -58,6 +58,9 @@
 constexpr double kSavedBudget =
   0.6; ///< Part of its extra sends of a window that a daemon may save up; the
        ///< rest comes with time.
+constexpr std::size_t kMaxResponsesBytes =
+  std::size_t{ 24 } * 1024 * 1024; ///< Responses that arrive at the same time,
+                                   ///< a fifth of a small machine's memory.
 constexpr std::uint32_t kPermille = 1000;     ///< Thousandths.
 constexpr double kBytesPerMegabit = 125'000;  ///< Bytes in a megabit.
 constexpr char kOwnPrefix[] = "auburnhaven/"; ///< Of the daemons' keys.
@@ -250,6 +253,7 @@
                 })
   , extender_(clock_, digests_, duties_, registration_, log_)
   , budget_(budgetSettings(settings_.retries_))
+  , responses_(kMaxResponsesBytes)
   , relay_({ clock_,
              targets_,
              budget_,
@@ -261,7 +265,8 @@
              &placements_,
              &activity_,
              &quarantine_.quarantine(),
-             &quarantine_.observer() },
+             &quarantine_.observer(),
+             &responses_ },
            {})
   , status_(settings_.readyPath_, metrics_)
   , traffic_(1)
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -6,6 +6,7 @@
 #include "app/stop_timer.h"
 #include "coordination/leader_lease.h"
 #include "coordination/replica/zone_leadership.h"
+#include "coordination/request/response_memory.h"
 #include "coordination/request/retry_budget.h"
 #include "coordination/routing/daemon_registry.h"
 #include "coordination/routing/store_follower.h"
@@ -126,8 +127,9 @@
   transport::QuarantineService
     quarantine_;           ///< Keeps requests that end targets away from them.
   LeaseExtender extender_; ///< Extends the authority of coordinators.
-  coordination::RetryBudget budget_; ///< Budget of repeated sends.
-  platform::RequestDialect dialect_; ///< Request headers.
+  coordination::RetryBudget budget_;       ///< Budget of repeated sends.
+  coordination::ResponseMemory responses_; ///< Responses that arrive.
+  platform::RequestDialect dialect_;       ///< Request headers.
   transport::SnapshotHolder<coordination::RouteTable> routes_; ///< Routes.
   transport::RelayHandler relay_;   ///< Answers callers.
   transport::StatusHandler status_; ///< Answers the balancer.
--- a/src/transport/relay/relay_attempt.cpp
+++ b/src/transport/relay/relay_attempt.cpp
@@ -4,6 +4,7 @@
 
 #include "transport/connect_probe.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/string.hpp>
 
 #include <utility>
@@ -17,6 +18,13 @@
 
 constexpr std::size_t kMaxResponseBytes =
   std::size_t{ 8 } * 1024 * 1024; ///< Largest response that is not a stream.
+constexpr std::size_t kMaxErrorBytes =
+  std::size_t{ 64 } * 1024; ///< Largest response with an error status.
+constexpr std::size_t kTurnBytes =
+  std::size_t{ 64 } * 1024; ///< Bytes of a body that are taken before other
+                            ///< requests have their turn.
+constexpr std::string_view kGivenUp =
+  "response is given up, too many bytes are held"; ///< Why an attempt ends.
 constexpr std::size_t kMaxEventBytes =
   std::size_t{ 256 } * 1024; ///< Largest event of a stream.
 constexpr std::size_t kMaxRejectionBytes =
@@ -60,6 +68,7 @@
   , target_(std::move(aTarget))
   , stream_(aStream)
   , call_(HttpFailure{ HttpFailureKind::kAborted, false, "not sent" })
+  , memory_(aDependencies.responses_)
   , events_(aPosition)
   , lastNewsAt_(aDependencies.clock_.now())
 {
@@ -275,24 +284,50 @@
 AttemptProgress
 RelayAttempt::pollBody(const boost::asio::yield_context& aYield)
 {
-  for (;;) {
-    const HttpPiece piece = call_.poll();
-    if (piece.status_ == HttpReadStatus::kPending) {
-      return AttemptProgress::kNone;
-    }
-    if (piece.status_ == HttpReadStatus::kData) {
-      response_.body_.append(piece.data_);
-    }
-    const bool tooLong = response_.body_.size() > kMaxResponseBytes;
-    if (piece.status_ == HttpReadStatus::kData && !tooLong) {
-      continue;
+  std::size_t turnBytes = 0;
+  HttpPiece piece = call_.poll();
+  for (; piece.status_ == HttpReadStatus::kData; piece = call_.poll()) {
+    if (const std::string_view fault = addToBody(piece.data_); !fault.empty()) {
+      return endBody(std::string(fault));
     }
-    if (tooLong || !isWhole(piece.status_, aYield)) {
-      call_.abort();
-      return end(SendOutcome::kUnknown, "response is incomplete");
+    turnBytes += piece.data_.size();
+    if (turnBytes >= kTurnBytes) {
+      turnBytes = 0;
+      boost::asio::post(aYield);
     }
-    return isSuccess(response_.status_) ? complete() : endWithError();
   }
+  if (memory_.isGivenUp()) {
+    return endBody(std::string(kGivenUp));
+  }
+  if (piece.status_ == HttpReadStatus::kPending) {
+    return AttemptProgress::kNone;
+  }
+  if (!isWhole(piece.status_, aYield)) {
+    return endBody("response is incomplete");
+  }
+  memory_.complete();
+  return isSuccess(response_.status_) ? complete() : endWithError();
+}
+
+std::string_view
+RelayAttempt::addToBody(std::string_view aData)
+{
+  const std::size_t limit =
+    isSuccess(response_.status_) ? kMaxResponseBytes : kMaxErrorBytes;
+  if (response_.body_.size() + aData.size() > limit) {
+    return "response exceeds the size limit";
+  }
+  response_.body_.append(aData);
+  return memory_.hold(response_.body_.capacity()) ? std::string_view()
+                                                  : kGivenUp;
+}
+
+AttemptProgress
+RelayAttempt::endBody(std::string aDetail)
+{
+  call_.abort();
+  response_.body_ = std::string();
+  return end(SendOutcome::kUnknown, std::move(aDetail));
 }
 
 AttemptProgress
--- a/src/transport/relay/relay_attempt.h
+++ b/src/transport/relay/relay_attempt.h
@@ -55,8 +55,9 @@
             HttpAborter& aAborter);
   /**
    * Takes what has arrived. Do not call after kComplete or kFailed.
-   * @param aYield The coroutine; waits only for the body of a rejection, and
-   * after a body that ended with its connection for a new connection.
+   * @param aYield The coroutine; waits only for the body of a rejection, after
+   * a body that ended with its connection for a new connection, and while other
+   * requests have their turn.
    * @return What is new.
    */
   AttemptProgress poll(const boost::asio::yield_context& aYield);
@@ -123,6 +124,9 @@
   AttemptProgress takeHead(const boost::asio::yield_context& aYield);
   AttemptProgress pollStream(const boost::asio::yield_context& aYield);
   AttemptProgress pollBody(const boost::asio::yield_context& aYield);
+  /** @return Why the body must end; empty if it may go on. */
+  std::string_view addToBody(std::string_view aData);
+  AttemptProgress endBody(std::string aDetail);
   bool isWhole(HttpReadStatus aStatus,
                const boost::asio::yield_context& aYield);
   AttemptProgress takeEvents(std::string_view aData);
@@ -137,11 +141,12 @@
   const RelayRequestInfo& info_;              ///< Contents of the headers.
   const RequestIdentity& identity_;           ///< The request's identity.
   const coordination::TargetDecision target_; ///< The target.
-  const bool stream_;           ///< Whether a success is a stream.
-  HttpCall call_;               ///< The call.
-  HttpResponse response_;       ///< Response for the caller.
-  EventSplitter events_;        ///< Splits a stream.
-  state::TimePoint lastNewsAt_; ///< Newest event, or the send.
+  const bool stream_;     ///< Whether a success is a stream.
+  HttpCall call_;         ///< The call.
+  HttpResponse response_; ///< Response for the caller.
+  coordination::ResponseMemory::Share memory_;  ///< Bytes of its body.
+  EventSplitter events_;                        ///< Splits a stream.
+  state::TimePoint lastNewsAt_;                 ///< Newest event, or the send.
   SendOutcome outcome_ = SendOutcome::kUnknown; ///< Outcome after kFailed.
   std::string detail_;                          ///< Reason for the outcome.
   bool recorded_ = false; ///< Whether the stream counts as open in the record
--- a/src/transport/relay/relay_handler.h
+++ b/src/transport/relay/relay_handler.h
@@ -3,6 +3,7 @@
 
 #include "coordination/quarantine/crash_observer.h"
 #include "coordination/quarantine/prompt_quarantine.h"
+#include "coordination/request/response_memory.h"
 #include "coordination/request/retry_budget.h"
 #include "coordination/routing/route_table.h"
 #include "coordination/routing/stream_activity.h"
@@ -84,6 +85,8 @@
     nullptr; ///< Prompt parts that are not sent; null for none.
   coordination::CrashObserver* crashes_ =
     nullptr; ///< Takes lost and answered requests; null to take none.
+  coordination::ResponseMemory* responses_ =
+    nullptr; ///< Bounds the responses that arrive; null for no bound.
 };
 
 class RelayExchange;
--- a/tests/platform/relay_world.h
+++ b/tests/platform/relay_world.h
@@ -99,6 +99,9 @@
 class RelayWorld
 {
 public:
+  static constexpr std::size_t kMaxResponsesBytes =
+    std::size_t{ 24 } * 1024 * 1024; ///< Bound of the responses that arrive.
+
   explicit RelayWorld(transport::RelaySettings aSettings = {},
                       RelayGuards aGuards = {})
     : pool_(1)
@@ -117,7 +120,8 @@
                nullptr,
                nullptr,
                aGuards.quarantine_,
-               aGuards.crashes_ },
+               aGuards.crashes_,
+               &responses_ },
              aSettings)
     , server_(pool_, { "127.0.0.1", 0 }, {}, relay_)
   {
@@ -230,6 +234,7 @@
   transport::Metrics metrics_;       ///< Metrics.
   coordination::TargetPool targets_; ///< Chooses targets.
   coordination::RetryBudget budget_; ///< Limits retries.
+  coordination::ResponseMemory responses_{ kMaxResponsesBytes }; ///< Responses.
   platform::RequestDialect dialect_; ///< Reads and writes headers.
   transport::SnapshotHolder<coordination::RouteTable>
     routes_; ///< Routes in force.
