--- a/tests/platform/relay_flood_test.cpp
+++ b/tests/platform/relay_flood_test.cpp
@@ -23,6 +23,7 @@
 
 constexpr std::size_t kCallers = 60; ///< Callers whose answers do not end.
 constexpr std::size_t kMiB = std::size_t{ 1024 } * 1024; ///< Bytes.
+constexpr Milliseconds kFloodTime{ 2000 }; ///< How long others ask beside it.
 constexpr Milliseconds kWorstWait{ 1000 }; ///< For another request: the
                                            ///< latency target of the routes.
 
@@ -163,7 +164,7 @@
     }
     std::size_t growth = 0;
     auto worst = std::chrono::steady_clock::duration::zero();
-    const auto until = std::chrono::steady_clock::now() + 2s;
+    const auto until = std::chrono::steady_clock::now() + kFloodTime;
     while (std::chrono::steady_clock::now() < until) {
       const auto from = std::chrono::steady_clock::now();
       CPPUNIT_ASSERT_EQUAL(
--- a/tests/protocol/zone_digest_test.cpp
+++ b/tests/protocol/zone_digest_test.cpp
@@ -241,8 +241,8 @@
   void changeIsReadWhileTheCoordinatorIsTurnedAway()
   {
     constexpr auto kBound = 1800ms; // below the 2 s that callers are promised
-    for (auto phase = 0ms; phase < 600ms; phase += 100ms) {
-      CPPUNIT_ASSERT(timeToRead(phase) <= kBound);
+    for (int phase = 0; phase < 600; phase += 100) {
+      CPPUNIT_ASSERT(timeToRead(std::chrono::milliseconds(phase)) <= kBound);
     }
   }
 
@@ -320,6 +320,7 @@
    * its coordinator away just before, some time into a quiet phase. */
   static state::Duration timeToRead(std::chrono::milliseconds aPhase)
   {
+    constexpr std::chrono::milliseconds kQuietTime{ 5000 };
     constexpr auto kDigestPeriod = 300ms;
     constexpr auto kAuthority = 1500ms; // with an extension
     fakes::FakeClock clock;
@@ -367,7 +368,7 @@
         step();
       }
     };
-    run(5s + aPhase);
+    run(kQuietTime + aPhase);
     leaderStore.faults().down_ = true;
     turnedAwayAt = clock.now();
     data->put("config", "newer");
