--- a/src/app/lease_extender.cpp
+++ b/src/app/lease_extender.cpp
@@ -11,8 +11,7 @@
                              Leaderships& aLeaderships,
                              coordination::LeaderLease& aRegistration,
                              state::EventLog& aLog)
-  : clock_(aClock)
-  , socket_(aSocket)
+  : socket_(aSocket)
   , leaderships_(aLeaderships)
   , promises_(aClock)
   , registration_(aRegistration)
--- a/src/app/lease_extender.h
+++ b/src/app/lease_extender.h
@@ -87,7 +87,6 @@
            const state::ZoneId& aZone,
            std::uint64_t aAuthority);
 
-  const state::Clock& clock_;                ///< Clock.
   transport::DatagramSocket& socket_;        ///< Sends datagrams.
   Leaderships& leaderships_;                 ///< Candidacies of this daemon.
   coordination::ExtensionPromises promises_; ///< Promises of this daemon.
--- a/tests/protocol/zone_digest_test.cpp
+++ b/tests/protocol/zone_digest_test.cpp
@@ -240,7 +240,9 @@
   // read a change for up to two and a half seconds.
   void changeIsReadWhileTheCoordinatorIsTurnedAway()
   {
-    constexpr auto kBound = 1800ms; // below the 2 s that callers are promised
+    constexpr std::chrono::milliseconds kBound{
+      1800
+    }; // below the 2 s that callers are promised
     for (int phase = 0; phase < 600; phase += 100) {
       CPPUNIT_ASSERT(timeToRead(std::chrono::milliseconds(phase)) <= kBound);
     }
@@ -321,8 +323,8 @@
   static state::Duration timeToRead(std::chrono::milliseconds aPhase)
   {
     constexpr std::chrono::milliseconds kQuietTime{ 5000 };
-    constexpr auto kDigestPeriod = 300ms;
-    constexpr auto kAuthority = 1500ms; // with an extension
+    constexpr std::chrono::milliseconds kDigestPeriod{ 300 };
+    constexpr std::chrono::milliseconds kAuthority{ 1500 }; // with an extension
     fakes::FakeClock clock;
     fakes::FakeEventLog log;
     const AnyCodec codec;
