--- a/review/7/case.py
+++ b/review/7/case.py
@@ -69,7 +69,7 @@
 
 def wait_for_groups(workers):
     """Waits until all but one worker are open; one may be kept in reserve."""
-    end = time.monotonic() + 30
+    end = time.monotonic() + 20
     while time.monotonic() < end:
         if sum(1 for w in workers if w.group and w.group["state"] == "open") >= len(workers) - 1:
             time.sleep(2)
@@ -157,4 +157,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    platform.run(main)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -138,4 +138,4 @@
     if sys.argv[1:2] == ["worker"]:
         run_worker(sys.argv[2] == "1")
     else:
-        sys.exit(main())
+        platform.run(main)
--- a/review/platform2.py
+++ b/review/platform2.py
@@ -8,8 +8,10 @@
 import socket
 import struct
 import subprocess
+import sys
 import threading
 import time
+import traceback
 import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
@@ -18,6 +20,23 @@
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
+def run(main):
+    """Runs a case and ends with its status; with 2 if it could not run: an error of its own, a signal, or 115 s. What
+    the case started is ended by its own `finally`."""
+    def stop(number, frame):
+        raise SystemExit(2)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, stop)
+    signal.alarm(115)
+    try:
+        status = main()
+    except Exception:
+        traceback.print_exc()
+        status = 2
+    sys.exit(status)
+
+
 def reset(sock):
     """Closes a connection with a reset."""
     try:
--- a/review/trace_with_body.py
+++ b/review/trace_with_body.py
@@ -40,4 +40,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    platform.run(main)
