A status that HTTP does not define makes an answer unreadable

Callers got `HTTP/1.1 000 <unknown-status>` with the worker's signature and body when a worker's answer had the status 000; an idempotent request was not repeated elsewhere. The answer of a store with the status 000 also set its era.

Cause: HttpConnection took each head that the library could parse for one that can be interpreted. The library checks that a status has three digits, not that HTTP defines it, and everything behind it compares numbers.

Fix: HttpConnection, where all answers over HTTP/1.1 are read, checks each head once; interim and final codes are named in state/http_status_func.h. A code outside of 100 to 599, a 101 that nobody asked for and endless interim heads make the answer malformed: the target may have run the request, its health suffers, nothing is repeated that must not be, and no caller sees the head. Waiting and polling reads now share one parser of heads, and the connection of a call without a response is closed: after a 000 without a body it was kept, and what came next on it would have been the answer to the next request.

Held before: a 000 does not continue a stream, is no reply of the store, no outcome of an order and no report. Ruled out: a check where answers are written; it would decide a second time.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -150,6 +150,8 @@
   if (aFailure.kind_ != HttpFailureKind::kNone) {
     failure_ = std::move(aFailure);
     failure_.keptConnection_ = kept_;
+    // What may still arrive on it belongs to no request.
+    connection_->abort();
     release();
   }
 }
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/http_connection.h"
 
+#include "state/http_status_func.h"
 #include "transport/http_parse_func.h"
 #include "transport/system_clock.h"
 
@@ -26,6 +27,8 @@
 
 constexpr unsigned int kHttpVersion = 11; ///< HTTP/1.1.
 constexpr int kMaxInterims = 8; ///< Interim headers before the final one.
+constexpr std::uint32_t kSwitchingProtocols =
+  101; ///< What follows is another protocol, which no request asks for.
 
 /** Turns a request into the library's type. */
 http::request<http::string_body>
@@ -54,13 +57,6 @@
   return request;
 }
 
-/** @return Whether a status announces another response header. */
-bool
-isInterim(std::uint32_t aStatus)
-{
-  return aStatus / 100 == 1;
-}
-
 } // namespace
 
 HttpConnection::HttpConnection(asio::io_context& aContext,
@@ -163,25 +159,40 @@
 }
 
 bool
-HttpConnection::skipsInterim()
+HttpConnection::parseHead(error_code& aError)
 {
-  if (!isInterim(status()) || ++interims_ > kMaxInterims) {
-    return false;
+  while (buffer_.size() > 0) {
+    // The rest of a head may be shorter than a chunk, so each byte is tried.
+    bool lacksBytes = false;
+    if (!parseBuffered(*parser_, buffer_, lacksBytes, aError)) {
+      return false;
+    }
+    if (aError || !announcesNextHead(aError)) {
+      return true;
+    }
+    startParser();
   }
-  startParser();
-  return true;
+  return false;
+}
+
+bool
+HttpConnection::announcesNextHead(error_code& aError)
+{
+  const bool isInterim =
+    state::isInterimStatus(status()) && status() != kSwitchingProtocols;
+  const bool isDefined = isInterim || state::isFinalStatus(status());
+  if (!isDefined || (isInterim && ++interims_ > kMaxInterims)) {
+    aError = http::error::bad_status;
+  }
+  return isInterim && !aError;
 }
 
 HttpFailure
 HttpConnection::readHead(const asio::yield_context& aYield)
 {
   error_code error;
-  stream_.expires_at(headUntil_);
-  do {
-    http::async_read_header(stream_, buffer_, *parser_, aYield[error]);
-  } while (!error && skipsInterim());
-  if (!error && isInterim(status())) {
-    error = http::error::bad_status;
+  while (!error && !parseHead(error)) {
+    readBytes(headUntil_, error, aYield);
   }
   return error ? failure(error, true) : HttpFailure{};
 }
@@ -190,21 +201,54 @@
 HttpConnection::pollHead()
 {
   error_code error;
-  stream_.socket().non_blocking(true, error);
-  do {
-    while (!error && !parser_->is_header_done()) {
-      http::read_some(stream_.socket(), buffer_, *parser_, error);
-    }
-  } while (!error && skipsInterim());
+  while (!error && !parseHead(error)) {
+    takeBytes(error);
+  }
   if (error == asio::error::would_block) {
     return std::nullopt;
   }
-  if (!error && isInterim(status())) {
-    error = http::error::bad_status;
-  }
   return error ? failure(error, true) : HttpFailure{};
 }
 
+std::size_t
+HttpConnection::roomForBytes(error_code& aError)
+{
+  const std::size_t room = beast::read_size(buffer_, kReadAheadBytes);
+  if (room == 0) {
+    aError = http::error::buffer_overflow;
+  }
+  return room;
+}
+
+void
+HttpConnection::readBytes(Time aUntil,
+                          error_code& aError,
+                          const asio::yield_context& aYield)
+{
+  const std::size_t room = roomForBytes(aError);
+  if (aError) {
+    return;
+  }
+  stream_.expires_at(aUntil);
+  buffer_.commit(
+    stream_.async_read_some(buffer_.prepare(room), aYield[aError]));
+  parseEnd(*parser_, aError);
+}
+
+void
+HttpConnection::takeBytes(error_code& aError)
+{
+  const std::size_t room = roomForBytes(aError);
+  if (!aError) {
+    stream_.socket().non_blocking(true, aError);
+  }
+  if (aError) {
+    return;
+  }
+  buffer_.commit(stream_.socket().read_some(buffer_.prepare(room), aError));
+  parseEnd(*parser_, aError);
+}
+
 HttpFailure
 HttpConnection::failure(const error_code& aError,
                         bool aBytesMayHaveArrived) const
@@ -288,18 +332,7 @@
     provideBodyBuffer();
     error_code error;
     if (!parseBuffered(*parser_, buffer_, lacksBytes_, error)) {
-      const std::size_t room = beast::read_size(buffer_, kReadAheadBytes);
-      if (room == 0) {
-        return finish(http::error::buffer_overflow);
-      }
-      stream_.expires_at(aUntil);
-      const std::size_t size =
-        stream_.async_read_some(buffer_.prepare(room), aYield[error]);
-      buffer_.commit(size);
-      if (!error) {
-        continue;
-      }
-      parseEnd(*parser_, error);
+      readBytes(aUntil, error, aYield);
     }
     if (const auto piece = pieceAfter(error)) {
       return *piece;
@@ -318,21 +351,10 @@
     provideBodyBuffer();
     error_code error;
     if (!parseBuffered(*parser_, buffer_, lacksBytes_, error)) {
-      const std::size_t room = beast::read_size(buffer_, kReadAheadBytes);
-      if (room == 0) {
-        return finish(http::error::buffer_overflow);
-      }
-      stream_.socket().non_blocking(true, error);
-      const std::size_t size =
-        error ? 0 : stream_.socket().read_some(buffer_.prepare(room), error);
-      if (error == asio::error::would_block) {
-        return { HttpReadStatus::kPending, {} };
-      }
-      buffer_.commit(size);
-      if (!error) {
-        continue;
-      }
-      parseEnd(*parser_, error);
+      takeBytes(error);
+    }
+    if (error == asio::error::would_block) {
+      return { HttpReadStatus::kPending, {} };
     }
     if (const auto piece = pieceAfter(error)) {
       return *piece;
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -115,7 +115,18 @@
 
   void probeSilence();
   void startParser();
-  bool skipsInterim();
+  /** Parses what was read of the heads. @param aError Why nobody can
+   * interpret them. @return Whether the final one is whole, or an error. */
+  bool parseHead(boost::system::error_code& aError);
+  /** Checks a head that was parsed. @return Whether another one follows. */
+  bool announcesNextHead(boost::system::error_code& aError);
+  std::size_t roomForBytes(boost::system::error_code& aError);
+  /** Waits for bytes and reads them. */
+  void readBytes(Time aUntil,
+                 boost::system::error_code& aError,
+                 const boost::asio::yield_context& aYield);
+  /** Reads what has arrived; would_block when nothing has. */
+  void takeBytes(boost::system::error_code& aError);
   void provideBodyBuffer();
   std::optional<HttpPiece> pieceAfter(const boost::system::error_code& aError);
   Time limitOf(std::chrono::milliseconds aTimeout) const;
--- a/tests/fakes/fake_event_log.h
+++ b/tests/fakes/fake_event_log.h
@@ -3,6 +3,7 @@
 
 #include "state/event_log.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,13 @@
     events_.push_back(std::string(aPart) + ": " + std::string(aEvent));
   }
 
+  /** @return Number of events that read "part: event". */
+  std::size_t count(const std::string& aEvent) const
+  {
+    return static_cast<std::size_t>(
+      std::count(events_.begin(), events_.end(), aEvent));
+  }
+
   std::vector<std::string> events_; ///< "part: event" in order.
 };
 
--- a/tests/platform/relay_cut_head_test.cpp
+++ b/tests/platform/relay_cut_head_test.cpp
@@ -2,19 +2,19 @@
 
 #include "platform/kv_store.h"
 #include "platform/relay_world.h"
+#include "platform/scripted_target.h"
 
 #include <array>
-#include <atomic>
-#include <mutex>
 
 using namespace auburnhaven;
 using namespace std::chrono_literals;
 using coordination::StoreStatus;
 using fakes::chunk;
-using fakes::contains;
+using fakes::Ending;
 using fakes::kLivePath;
 using fakes::RawServer;
 using fakes::RelayWorld;
+using fakes::ScriptedTarget;
 using fakes::statusOf;
 using Socket = boost::asio::ip::tcp::socket;
 
@@ -27,13 +27,6 @@
                                 "/stream/",
                                 kLivePath }; ///< All routes.
 
-/** How a target ends a connection. */
-enum class Ending : std::uint8_t
-{
-  kClose, ///< Closes it.
-  kReset, ///< Resets it.
-};
-
 /** @return Whole responses to a cut request whose heads differ in order and
  * framing. */
 std::vector<std::string>
@@ -55,64 +48,6 @@
              "\r\n" + body };
 }
 
-/** A target that cuts its responses to some requests. */
-class CuttingTarget
-{
-public:
-  /** @param aEnding How it ends a connection after a cut response. */
-  explicit CuttingTarget(Ending aEnding)
-    : ending_(aEnding)
-    , server_([this](Socket& aSocket, int) { serve(aSocket); })
-  {
-  }
-  /** @param aStart What the next cut requests get. */
-  void setStart(std::string aStart)
-  {
-    const std::lock_guard lock(mutex_);
-    start_ = std::move(aStart);
-  }
-  /** @return Endpoint of the target. */
-  state::Endpoint endpoint() const { return server_.endpoint(); }
-  /** @return Cut requests that arrived. */
-  int requests() const { return requests_; }
-  /** @return Those that arrived on a connection that had been used. */
-  int onKeptConnection() const { return onKeptConnection_; }
-
-private:
-  void serve(Socket& aSocket)
-  {
-    for (bool kept = false;; kept = true) {
-      const std::string request = RawServer::readRequest(aSocket);
-      if (request.empty()) {
-        return;
-      }
-      if (contains(request, kCut)) {
-        ++requests_;
-        onKeptConnection_ += kept ? 1 : 0;
-        RawServer::write(aSocket, start());
-        if (ending_ == Ending::kReset) {
-          RawServer::reset(aSocket);
-        }
-        return;
-      }
-      RawServer::write(aSocket, RelayWorld::response("200 OK", "warm"));
-    }
-  }
-
-  std::string start()
-  {
-    const std::lock_guard lock(mutex_);
-    return start_;
-  }
-
-  const Ending ending_;                    ///< How a cut response ends.
-  std::mutex mutex_;                       ///< Guards the following member.
-  std::string start_;                      ///< What cut requests get.
-  std::atomic<int> requests_{ 0 };         ///< Cut requests.
-  std::atomic<int> onKeptConnection_{ 0 }; ///< Those on a used connection.
-  RawServer server_;                       ///< Listener.
-};
-
 } // namespace
 
 class RelayCutHeadTest : public CppUnit::TestFixture
@@ -149,10 +84,10 @@
   {
     for (const char* path : kPaths) {
       for (const std::string& whole : wholeResponses()) {
-        CuttingTarget target(Ending::kClose);
+        ScriptedTarget target(kCut, Ending::kClose);
         RelayWorld world;
         world.startWith({ target.endpoint() });
-        target.setStart(whole);
+        target.setResponse(whole);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(
           path + whole, std::string("200"), statusOf(askCut(world, path)));
         CPPUNIT_ASSERT_EQUAL(1, target.requests());
@@ -188,13 +123,13 @@
   {
     for (const char* path : kPaths) {
       for (const std::string& whole : wholeResponses()) {
-        CuttingTarget target(aEnding);
+        ScriptedTarget target(kCut, aEnding);
         RelayWorld world;
         world.startWith({ target.endpoint() });
         // No event is complete, so no stream waits for another target.
         const std::size_t end = std::min(whole.find("data:"), whole.size());
         for (std::size_t size = 0; size < end; ++size) {
-          target.setStart(whole.substr(0, size));
+          target.setResponse(whole.substr(0, size));
           if (aKept) {
             world.ask(RelayWorld::request("POST", "/safe/", "x"));
           }
@@ -208,7 +143,7 @@
   }
 
   static void expectError(RelayWorld& aWorld,
-                          const CuttingTarget& aTarget,
+                          const ScriptedTarget& aTarget,
                           const char* aPath,
                           const std::string& aStart)
   {
--- a/tests/transport/http_cut_head_test.cpp
+++ b/tests/transport/http_cut_head_test.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/http_client.h"
 #include "transport/loopback.h"
+#include "transport/response_reading.h"
 #include "transport/server_world.h"
 #include "transport/service_caller.h"
 
@@ -9,6 +10,9 @@
 #include <mutex>
 
 using namespace auburnhaven;
+using fakes::bodyEnd;
+using fakes::Reading;
+using fakes::respond;
 using transport::HttpFailureKind;
 using transport::HttpReadStatus;
 
@@ -30,13 +34,6 @@
   kReset, ///< Resets it.
 };
 
-/** How a client reads the head of a response. */
-enum class Reading : std::uint8_t
-{
-  kWaiting, ///< HttpClient::open().
-  kPolling, ///< HttpClient::send(), HttpCall::pollHead() and poll().
-};
-
 /** @return Whole responses whose heads differ in order and framing. */
 std::vector<std::string>
 wholeResponses()
@@ -117,55 +114,6 @@
   Server server_;       ///< Listener.
 };
 
-/** Waits until a call may have news. */
-void
-awaitNews(transport::HttpCall& aCall, const Yield& aYield)
-{
-  boost::asio::steady_timer timer(aYield.get_executor(), fakes::kLoopbackLimit);
-  aCall.onReadable([&timer] { timer.cancel(); });
-  boost::system::error_code ignored;
-  timer.async_wait(aYield[ignored]);
-  aCall.cancelWait();
-}
-
-/** @return A call with its response or failure. */
-transport::HttpCall
-respond(transport::HttpClient& aClient,
-        const state::Endpoint& aEndpoint,
-        Reading aReading,
-        const Yield& aYield)
-{
-  const transport::HttpClientRequest request{ "GET", "/cut", {}, {} };
-  if (aReading == Reading::kWaiting) {
-    return aClient.open(aEndpoint, request, {}, aYield);
-  }
-  transport::HttpCall call = aClient.send(aEndpoint, request, {}, aYield);
-  while (call.awaitsHead()) {
-    call.pollHead();
-    if (call.awaitsHead()) {
-      awaitNews(call, aYield);
-    }
-  }
-  return call;
-}
-
-/** @return How the body of a response ended. */
-HttpReadStatus
-bodyEnd(transport::HttpCall& aCall, Reading aReading, const Yield& aYield)
-{
-  if (aReading == Reading::kWaiting) {
-    return aCall.readAll(1000, aYield).status_;
-  }
-  for (;;) {
-    const transport::HttpPiece piece = aCall.poll();
-    if (piece.status_ == HttpReadStatus::kPending) {
-      awaitNews(aCall, aYield);
-    } else if (piece.status_ != HttpReadStatus::kData) {
-      return piece.status_;
-    }
-  }
-}
-
 } // namespace
 
 class HttpCutHeadTest : public CppUnit::TestFixture
