A peer's answer without a status that HTTP defines is not whole

A caller of the own interface would have got each status that a peer names (0, 99, 600), and the entry daemon would have ended when a peer said that a service's answer is whole without any: runService() takes the answer for granted.

Cause: decodeEnd() took every number of 16 bits for a status, and a whole end of a service was believed without its answer.

Fix: such an end counts as cut short: the call may have run.

Placements, activity notices and the handshake of peers carry no status but a fixed 200.

--- a/src/state/http_status_func.h
+++ b/src/state/http_status_func.h
@@ -8,7 +8,7 @@
 /** @return Whether a status code announces another response head. Thread-safe.
  */
 constexpr bool
-isInterimStatus(std::uint32_t aStatus)
+isInterimStatus(std::int64_t aStatus)
 {
   return aStatus >= 100 && aStatus < 200;
 }
@@ -16,7 +16,7 @@
 /** @return Whether a status code is that of an answer; codes beyond 599 are
  * written in three digits too, but have no meaning. Thread-safe. */
 constexpr bool
-isFinalStatus(std::uint32_t aStatus)
+isFinalStatus(std::int64_t aStatus)
 {
   return aStatus >= 200 && aStatus < 600;
 }
--- a/src/transport/forward_client.cpp
+++ b/src/transport/forward_client.cpp
@@ -98,7 +98,7 @@
   std::optional<TargetEvent> takeEvent()
   {
     const std::size_t before = exchange_->body_.size();
-    if (!request_.call_.info_.service_.empty()) {
+    if (isServiceCall()) {
       session_->consume(*exchange_, before - exchange_->consumed_);
       exchange_->consumed_ = before;
       if (before > kMaxForwardPayload) {
@@ -113,7 +113,7 @@
       }
     }
     if (exchange_->ended_ && !exchange_->trailers_.empty()) {
-      return decodeEnd(exchange_->trailers_, std::move(exchange_->body_));
+      return takeEnd();
     }
     if (exchange_->closed_) {
       TargetEvent event;
@@ -124,6 +124,19 @@
     return std::nullopt;
   }
 
+  /** @return Whether the answer comes as one piece with the end. */
+  bool isServiceCall() const { return !request_.call_.info_.service_.empty(); }
+
+  /** @return The last event; a service's end is whole only with an answer. */
+  TargetEvent takeEnd()
+  {
+    TargetEvent end =
+      decodeEnd(exchange_->trailers_, std::move(exchange_->body_));
+    const bool lacksAnswer = isServiceCall() && !end.answer_;
+    return end.kind_ == TargetEventKind::kWhole && lacksAnswer ? TargetEvent()
+                                                               : end;
+  }
+
   std::shared_ptr<ForwardSession> session_;   ///< Session with the daemon.
   std::shared_ptr<ForwardExchange> exchange_; ///< What came of the attempt.
   ForwardedRequest request_;                  ///< The request.
--- a/src/transport/forward_codec.cpp
+++ b/src/transport/forward_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/forward_codec.h"
 
+#include "state/http_status_func.h"
 #include "transport/peer_session.h"
 #include "transport/service_caller.h"
 
@@ -227,7 +228,9 @@
     event.answer_ =
       std::make_shared<const coordination::StoredAnswer>(std::move(answer));
   }
-  if (!reader.good()) {
+  const bool isReadable =
+    !event.answer_ || state::isFinalStatus(event.answer_->status_);
+  if (!reader.good() || !isReadable) {
     return {};
   }
   return event;
--- a/tests/transport/forward_test.cpp
+++ b/tests/transport/forward_test.cpp
@@ -1,6 +1,7 @@
 // Tests of forwarded requests over loopback sockets.
 
 #include "transport/forward_client.h"
+#include "transport/forward_codec.h"
 #include "transport/forward_server.h"
 #include "transport/loopback.h"
 
@@ -122,6 +123,8 @@
   CPPUNIT_TEST(cutAnswerIsNotWhole);
   CPPUNIT_TEST(largeAnswersPassWithinWindows);
   CPPUNIT_TEST(serviceAnswerPasses);
+  CPPUNIT_TEST(undefinedStatusOfAPeerIsNotWhole);
+  CPPUNIT_TEST(serviceEndWithoutAnAnswerIsNotWhole);
   CPPUNIT_TEST(cancelReachesTarget);
   CPPUNIT_TEST(lostDaemonCutsShort);
   CPPUNIT_TEST(slowTargetTimesOut);
@@ -238,6 +241,52 @@
     });
   }
 
+  void undefinedStatusOfAPeerIsNotWhole()
+  {
+    for (const char* status : { "0",
+                                "000",
+                                "99",
+                                "100",
+                                "199",
+                                "600",
+                                "999",
+                                "70000",
+                                "65736",
+                                "4294967496",
+                                "-200",
+                                "2OO",
+                                "" }) {
+      const TargetEvent event = transport::decodeEnd(
+        { { "x-end", "whole" }, { "x-offset", "0" }, { "x-status", status } },
+        "body");
+      const bool isWhole =
+        event.kind_ == TargetEventKind::kWhole && event.answer_;
+      CPPUNIT_ASSERT_MESSAGE(status, !isWhole);
+      CPPUNIT_ASSERT_MESSAGE(status, !event.answer_);
+    }
+    for (const char* status : { "200", "404", "599" }) {
+      const TargetEvent event = transport::decodeEnd(
+        { { "x-end", "whole" }, { "x-offset", "0" }, { "x-status", status } },
+        "body");
+      CPPUNIT_ASSERT(event.kind_ == TargetEventKind::kWhole);
+      CPPUNIT_ASSERT_EQUAL(std::string(status),
+                           std::to_string(event.answer_->status_));
+    }
+  }
+
+  // The caller would have no answer to pass on.
+  void serviceEndWithoutAnAnswerIsNotWhole()
+  {
+    handler_->tokens_ = 0;
+    handler_->last_ = { TargetEventKind::kWhole, 0, {}, nullptr };
+    transport::ForwardedRequest call = request();
+    call.call_.info_.service_ = state::ServiceId("orders");
+    run([&](transport::ForwardClient& aClient, const Yield& aYield) {
+      const TargetEvent event = aClient.open(endpoint_, call)->next(aYield);
+      CPPUNIT_ASSERT(event.kind_ == TargetEventKind::kCutShort);
+    });
+  }
+
   void silentDaemonIsNotReached()
   {
     const fakes::RawServer silent(
