A kept answer without a status that HTTP defines is not replayed

With an idempotency key, an answer with the status 000 of a service was kept in the store and given to each later request with that key; a number beyond 16 bits in the store or in a peer's message became another status (65736 a 200).

Cause: the readers of claims took each number for a status.

Fix: one reader of stored answers, which both of them had written out. In a slot such an answer leaves the claim as one whose call may have run: the key stays claimed, nothing runs again. In a message of a peer it makes the message unreadable, as other odd values do.

Ruled out: refusing the whole slot; one odd answer of an earlier version would keep all keys of the slot from being claimed.

--- a/src/coordination/request/claim_codec.cpp
+++ b/src/coordination/request/claim_codec.cpp
@@ -2,6 +2,8 @@
 
 #include "coordination/request/claim_codec.h"
 
+#include "coordination/request/stored_answer_func.h"
+
 #include <nlohmann/json.hpp>
 
 namespace auburnhaven::coordination {
@@ -21,17 +23,21 @@
     { aAnswer->status_, aAnswer->contentType_, aAnswer->body_ });
 }
 
-/** @return Answer decoded from a JSON array, or nullptr for JSON null. */
+/**
+ * @return Answer decoded from a JSON array, or nullptr for JSON null.
+ * @throws std::out_of_range if nobody can interpret the answer.
+ */
 std::shared_ptr<const StoredAnswer>
 decodeAnswer(const Json& aJson)
 {
   if (aJson.is_null()) {
     return nullptr;
   }
-  return std::make_shared<const StoredAnswer>(
-    StoredAnswer{ aJson.at(0).get<std::uint16_t>(),
-                  aJson.at(1).get<std::string>(),
-                  aJson.at(2).get<std::string>() });
+  auto answer = readStoredAnswer(aJson, 0);
+  if (!answer) {
+    throw std::out_of_range("status code");
+  }
+  return answer;
 }
 
 /** @return JSON text in which invalid UTF-8 bytes are replaced. */
--- a/src/coordination/request/claim_journal.cpp
+++ b/src/coordination/request/claim_journal.cpp
@@ -2,6 +2,8 @@
 
 #include "coordination/request/claim_journal.h"
 
+#include "coordination/request/stored_answer_func.h"
+
 #include <nlohmann/json.hpp>
 
 namespace auburnhaven::coordination {
@@ -17,7 +19,7 @@
 
 constexpr std::size_t kEndFields = 3; ///< Minimum number of fields in a line.
 constexpr std::size_t kAnswerFields =
-  6; ///< Number of fields in a line with answer.
+  6; ///< Number of fields in a line with answer, which comes last.
 
 /** @return One line of JSON in which invalid UTF-8 bytes are replaced. */
 std::string
@@ -67,19 +69,6 @@
   }
 }
 
-/** @return Answer in a line, or nullptr if it contains none. */
-std::shared_ptr<const StoredAnswer>
-parseAnswer(const Json& aFields)
-{
-  if (aFields.size() < kAnswerFields) {
-    return nullptr;
-  }
-  return std::make_shared<const StoredAnswer>(
-    StoredAnswer{ aFields[3].get<std::uint16_t>(),
-                  aFields[4].get<std::string>(),
-                  aFields[5].get<std::string>() });
-}
-
 /** Applies an end to the index unless another token holds the key. */
 void
 applyEnd(std::map<std::string, ClaimEntry>& aEntries,
@@ -240,7 +229,16 @@
     if (kind == kNotRunLine) {
       abandonedTokens_.insert(token);
     }
-    applyEnd(entries_, key, token, kind, parseAnswer(fields));
+    const bool hasAnswer = fields.size() >= kAnswerFields;
+    auto answer = hasAnswer ? readStoredAnswer(fields, kEndFields) : nullptr;
+    // An answer that nobody can interpret tells only that the call may have
+    // run.
+    const bool isReadable = !hasAnswer || answer;
+    applyEnd(entries_,
+             key,
+             token,
+             isReadable ? kind : kUnknownLine,
+             std::move(answer));
     return kind == kNotRunLine || kind == kUnknownLine || kind == kFinishedLine;
   } catch (const std::exception&) {
     return false;
--- a/tests/coordination/request_claim_test.cpp
+++ b/tests/coordination/request_claim_test.cpp
@@ -1,6 +1,7 @@
 // Tests of claims under failures of daemons, writes and the store.
 
 #include "coordination/request/claim_codec.h"
+#include "coordination/request/claim_journal.h"
 #include "coordination/request/claim_service.h"
 #include "fakes/fake_store.h"
 
@@ -31,6 +32,8 @@
   CPPUNIT_TEST(unresponsiveWriterIsBypassed);
   CPPUNIT_TEST(writerDoesNotFreeKeysOfOthers);
   CPPUNIT_TEST(operationsRoundTripThroughCodec);
+  CPPUNIT_TEST(undefinedStatusInAMessageIsRefused);
+  CPPUNIT_TEST(undefinedStatusInASlotIsNotReplayed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -279,7 +282,49 @@
     CPPUNIT_ASSERT(!decodeClaimOperation("[]"));
   }
 
+  void undefinedStatusInAMessageIsRefused()
+  {
+    for (const std::string& status : kUndefinedStatuses) {
+      CPPUNIT_ASSERT_MESSAGE(
+        status, !decodeClaimResult("[2,1,0,[" + status + R"(,"t","b"]])"));
+      CPPUNIT_ASSERT_MESSAGE(status,
+                             !decodeClaimOperation(R"(["s",7,"k",2,"d",[)" +
+                                                   status + R"(,"t","b"]])"));
+    }
+    CPPUNIT_ASSERT(decodeClaimResult(R"([2,1,0,[200,"t","b"]])"));
+    CPPUNIT_ASSERT(decodeClaimOperation(R"(["s",7,"k",2,"d",[200,"t","b"]])"));
+  }
+
+  // An earlier version kept such answers. The call may have run, so the key
+  // stays claimed.
+  void undefinedStatusInASlotIsNotReplayed()
+  {
+    for (const std::string& status : kUndefinedStatuses) {
+      const ClaimEntry entry = entryWithAnswerOf(status);
+      CPPUNIT_ASSERT_MESSAGE(status, entry.state_ == ClaimState::kUnknown);
+      CPPUNIT_ASSERT_MESSAGE(status, !entry.answer_);
+    }
+    const ClaimEntry entry = entryWithAnswerOf("201");
+    CPPUNIT_ASSERT(entry.state_ == ClaimState::kFinished);
+    CPPUNIT_ASSERT(*entry.answer_ == (StoredAnswer{ 201, "t", "b" }));
+  }
+
 private:
+  /** Numbers that are no status codes of HTTP, some of them beyond what a
+   * status code is held in. */
+  const std::vector<std::string> kUndefinedStatuses = {
+    "0", "99", "100", "600", "999", "65736", "70000", "4294967496", "-200"
+  };
+
+  /** @return The entry of a slot that holds an answer with a status code. */
+  static ClaimEntry entryWithAnswerOf(const std::string& aStatus)
+  {
+    ClaimJournal journal;
+    CPPUNIT_ASSERT(journal.load("[\"c\",\"k\",\"d\",0,7]\n[\"f\",\"k\",7," +
+                                aStatus + ",\"t\",\"b\"]\n"));
+    return journal.claim("k", {});
+  }
+
   /** Forwards operations to one other daemon, or drops them if it has none. */
   class SinglePeer : public ClaimPeers
   {
