Tests: odd heads of services and engines of the own interface

A plain service's answer with the status 000 was whole, went to the caller and was kept under the idempotency key; a spoiled 409 or 503 of an engine told that nothing had run.

--- a/tests/platform/relay_odd_head_test.cpp
+++ b/tests/platform/relay_odd_head_test.cpp
@@ -45,17 +45,6 @@
   return aPath == "/safe/" || aPath == "/stream/";
 }
 
-/** @return Odd responses of each kind with the lines of a target. */
-std::vector<std::string>
-oddResponses()
-{
-  std::vector<std::string> responses = fakes::undefinedStatuses(kHead);
-  for (const std::string& response : fakes::spoiledNames(kHead)) {
-    responses.push_back(response);
-  }
-  return responses;
-}
-
 /** @return Responses with a body in whose heads the status, the start of a line
  * or a name is odd. */
 std::vector<std::string>
@@ -146,18 +135,18 @@
 
   void oddHeadInSingleBytesReachesNoCaller()
   {
-    expectErrors(someOf(oddResponses()), true, false);
+    expectErrors(someOf(fakes::oddResponses(kHead)), true, false);
   }
 
   void oddHeadOnKeptConnectionReachesNoCaller()
   {
-    expectErrors(someOf(oddResponses()), false, true);
+    expectErrors(someOf(fakes::oddResponses(kHead)), false, true);
   }
 
   void soundTargetAnswersWhatMayBeRepeated()
   {
     for (const char* path : kPaths) {
-      for (const std::string& response : someOf(oddResponses())) {
+      for (const std::string& response : someOf(fakes::oddResponses(kHead))) {
         ScriptedTarget odd(kOdd, Ending::kClose);
         ScriptedTarget sound(kOdd, Ending::kClose);
         odd.setResponse(response);
--- a/tests/transport/http_odd_head_test.cpp
+++ b/tests/transport/http_odd_head_test.cpp
@@ -117,7 +117,7 @@
 
   void oddHeadIsNoAnswerOfAService()
   {
-    for (const std::string& response : oddResponses()) {
+    for (const std::string& response : fakes::oddResponses(kNote)) {
       server_.setResponse(response);
       run([&](transport::HttpClient& aClient, const Yield& aYield) {
         transport::ServiceCaller caller(context_, aClient);
@@ -139,7 +139,7 @@
   {
     ScriptedServer sound;
     sound.setResponse("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-    for (const std::string& response : oddResponses()) {
+    for (const std::string& response : fakes::oddResponses(kNote)) {
       server_.setResponse(response);
       for (const bool repeatable : { false, true }) {
         run([&](transport::HttpClient& aClient, const Yield& aYield) {
@@ -158,16 +158,6 @@
   }
 
 private:
-  /** @return Odd responses of each kind. */
-  static std::vector<std::string> oddResponses()
-  {
-    std::vector<std::string> responses = fakes::undefinedStatuses(kNote);
-    for (const std::string& response : fakes::spoiledNames(kNote)) {
-      responses.push_back(response);
-    }
-    return responses;
-  }
-
   /** Checks that a response is none, however it is sent and read, and that
    * nothing further is read of its connection. */
   void expectNoResponse(const std::string& aResponse)
--- a/tests/transport/odd_heads.h
+++ b/tests/transport/odd_heads.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace auburnhaven::fakes {
@@ -105,4 +106,15 @@
   return responses;
 }
 
+/** @return The responses of undefinedStatuses() and of spoiledNames(). */
+inline std::vector<std::string>
+oddResponses(const std::string& aFields)
+{
+  std::vector<std::string> responses = undefinedStatuses(aFields);
+  for (std::string& response : spoiledNames(aFields)) {
+    responses.push_back(std::move(response));
+  }
+  return responses;
+}
+
 } // namespace auburnhaven::fakes
--- a/tests/transport/target_stream_test.cpp
+++ b/tests/transport/target_stream_test.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/gateway/target_stream.h"
 #include "transport/loopback.h"
+#include "transport/odd_heads.h"
 
 using namespace auburnhaven;
 using Socket = boost::asio::ip::tcp::socket;
@@ -18,6 +19,8 @@
   CPPUNIT_TEST(truncatedAnswerIsNotComplete);
   CPPUNIT_TEST(errorOfAnEngineIsNoToken);
   CPPUNIT_TEST(headInTheMiddleOfAStreamIsNoToken);
+  CPPUNIT_TEST(oddHeadIsNoAnswer);
+  CPPUNIT_TEST(oddHeadOfAnEngineIsNoToken);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -105,6 +108,40 @@
     }
   }
 
+  // A whole answer would be kept under the idempotency key and given again.
+  void oddHeadIsNoAnswer()
+  {
+    for (const std::string& response :
+         fakes::oddResponses("Content-Type: a\r\n")) {
+      const Server server([&](Socket& aSocket, int) {
+        Server::readRequest(aSocket);
+        Server::write(aSocket, response);
+      });
+      const TargetEvent event = call(server);
+      CPPUNIT_ASSERT_MESSAGE(response,
+                             event.kind_ == TargetEventKind::kCutShort);
+      CPPUNIT_ASSERT_MESSAGE(response, !event.answer_);
+    }
+  }
+
+  // A spoiled refusal does not tell that nothing ran.
+  void oddHeadOfAnEngineIsNoToken()
+  {
+    const std::string line = "{\"done\":true,\"tokens\":0}\n";
+    const std::string rest =
+      "X-A: a\r\n X-B: b\r\nContent-Length: " + std::to_string(line.size()) +
+      "\r\n\r\n" + line;
+    std::vector<std::string> responses = fakes::oddResponses("X-A: a\r\n");
+    for (const char* status : { "200 OK", "409 Conflict", "503 Full" }) {
+      responses.push_back("HTTP/1.1 " + std::string(status) + "\r\n" + rest);
+    }
+    for (const std::string& response : responses) {
+      CPPUNIT_ASSERT_MESSAGE(response,
+                             generate(response).front().kind_ ==
+                               TargetEventKind::kCutShort);
+    }
+  }
+
 private:
   /** Checks that an engine's response counts as one token and no more. */
   void expectOneToken(const std::string& aResponse)
