Commands read answers as the daemon does

A command took an answer of a daemon with the status 999 or a spoiled name at the start of a line for one, and printed the body of a 000 as the reason why there was none.

Cause: the commands read answers by a loop of their own around the library's parser, so what HttpConnection refuses was accepted there.

Fix: they use HttpClient; the second reader is gone. An answer that ends with its connection and without a length is not whole; daemons send lengths.

Evidence: CommandClientTest.oddHeadIsNoAnswer fails with the old reader, 2 of 3 pass; now 3 of 3.

--- a/src/app/command_client.cpp
+++ b/src/app/command_client.cpp
@@ -5,57 +5,52 @@
 #include "app/file_func.h"
 #include "app/toml_reader.h"
 
+#include "transport/http_client.h"
+
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 
 namespace auburnhaven::app {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 
 namespace {
 
+using transport::HttpClientRequest;
+
 constexpr std::chrono::seconds kCallTimeout{ 15 }; ///< Limit for one call.
+constexpr transport::HttpTimeouts kTimeouts{
+  kCallTimeout,
+  kCallTimeout,
+  kCallTimeout,
+  kCallTimeout
+}; ///< Limits for its parts.
 constexpr std::size_t kMaxReplyBytes = 64UL * 1024 * 1024; ///< Largest answer.
 
-using Request = http::request<http::string_body>;
-
 /** Sends a request and reads its answer. */
 OperatorReply
 exchange(asio::io_context& aContext,
          const state::Endpoint& aEndpoint,
-         const Request& aRequest,
+         const HttpClientRequest& aRequest,
          const asio::yield_context& aYield)
 {
-  boost::system::error_code error;
-  beast::tcp_stream stream(aContext);
-  stream.expires_after(kCallTimeout);
-  const auto address = asio::ip::make_address(aEndpoint.address_, error);
-  if (!error) {
-    stream.async_connect({ address, aEndpoint.port_ }, aYield[error]);
-  }
-  if (!error) {
-    http::async_write(stream, aRequest, aYield[error]);
-  }
-  beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxReplyBytes);
-  if (!error) {
-    http::async_read(stream, buffer, parser, aYield[error]);
+  transport::HttpClient client(aContext);
+  transport::HttpCall call =
+    client.open(aEndpoint, aRequest, kTimeouts, aYield);
+  if (!call.hasResponse()) {
+    return { 0, call.failure().message_ };
   }
-  if (error) {
-    return { 0, error.message() };
+  transport::HttpBody body = call.readAll(kMaxReplyBytes, aYield);
+  if (body.status_ != transport::HttpReadStatus::kEnd) {
+    return { 0, "its answer is not whole" };
   }
-  return { parser.get().result_int(), parser.get().body() };
+  return { call.status(), std::move(body.data_) };
 }
 
 /** Runs one request to its end. */
 OperatorReply
-call(const state::Endpoint& aEndpoint, const Request& aRequest)
+call(const state::Endpoint& aEndpoint, const HttpClientRequest& aRequest)
 {
   asio::io_context context(1);
   OperatorReply reply;
@@ -70,21 +65,21 @@
 }
 
 /** @return A request with its headers set. */
-Request
-makeRequest(http::verb aMethod,
+HttpClientRequest
+makeRequest(const std::string& aMethod,
             const std::string& aPath,
             const std::string& aKey,
             const std::string& aBody)
 {
-  Request request(aMethod, aPath, 11);
-  request.set(http::field::host, "operator");
-  request.set(http::field::connection, "close");
-  request.set(http::field::authorization, "Bearer " + aKey);
+  HttpClientRequest request{ aMethod,
+                             aPath,
+                             { { "Host", "operator" },
+                               { "Connection", "close" },
+                               { "Authorization", "Bearer " + aKey } },
+                             aBody };
   if (!aBody.empty()) {
-    request.set(http::field::content_type, "application/json");
-    request.body() = aBody;
+    request.headers_.push_back({ "Content-Type", "application/json" });
   }
-  request.prepare_payload();
   return request;
 }
 
@@ -99,13 +94,13 @@
 OperatorReply
 OperatorClient::get(const std::string& aPath) const
 {
-  return call(endpoint_, makeRequest(http::verb::get, aPath, key_, ""));
+  return call(endpoint_, makeRequest("GET", aPath, key_, ""));
 }
 
 OperatorReply
 OperatorClient::post(const std::string& aPath, const std::string& aBody) const
 {
-  return call(endpoint_, makeRequest(http::verb::post, aPath, key_, aBody));
+  return call(endpoint_, makeRequest("POST", aPath, key_, aBody));
 }
 
 state::leaf::result<OperatorClient>
