A transfer coding that nobody knows makes an answer unreadable

The library takes a coding that it does not know for none, so that the body is what comes until the connection ends.

Fix: the check of heads in HttpConnection takes no coding but `chunked` alone; requests of the daemon allow no other.

--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -57,6 +57,16 @@
   return request;
 }
 
+/** @return Whether the body of a response comes in no transfer coding but that
+ * of chunks; a request allows no other. */
+bool
+hasKnownCoding(const http::fields& aHead)
+{
+  const auto [first, last] = aHead.equal_range(http::field::transfer_encoding);
+  return first == last || (std::next(first) == last &&
+                           beast::iequals(first->value(), "chunked"));
+}
+
 } // namespace
 
 HttpConnection::HttpConnection(asio::io_context& aContext,
@@ -188,6 +198,8 @@
   const bool isDefined = isInterim || state::isFinalStatus(status());
   if (!isDefined || (isInterim && ++interims_ > kMaxInterims)) {
     aError = http::error::bad_status;
+  } else if (!hasKnownCoding(parser_->get())) {
+    aError = http::error::bad_transfer_encoding;
   }
   return isInterim && !aError;
 }
--- a/tests/platform/relay_odd_head_test.cpp
+++ b/tests/platform/relay_odd_head_test.cpp
@@ -111,6 +111,7 @@
   CPPUNIT_TEST_SUITE(RelayOddHeadTest);
   CPPUNIT_TEST(undefinedStatusReachesNoCaller);
   CPPUNIT_TEST(spoiledNameReachesNoCaller);
+  CPPUNIT_TEST(unknownCodingReachesNoCaller);
   CPPUNIT_TEST(oddHeadInSingleBytesReachesNoCaller);
   CPPUNIT_TEST(oddHeadOnKeptConnectionReachesNoCaller);
   CPPUNIT_TEST(soundTargetAnswersWhatMayBeRepeated);
@@ -133,6 +134,11 @@
     expectErrors(fakes::spoiledNames(kHead), false, false);
   }
 
+  void unknownCodingReachesNoCaller()
+  {
+    expectErrors(fakes::unknownCodings(kHead), false, false);
+  }
+
   void oddHeadInSingleBytesReachesNoCaller()
   {
     expectErrors(someOf(fakes::oddResponses(kHead)), true, false);
--- a/tests/transport/http_odd_head_test.cpp
+++ b/tests/transport/http_odd_head_test.cpp
@@ -65,8 +65,10 @@
   CPPUNIT_TEST_SUITE(HttpOddHeadTest);
   CPPUNIT_TEST(undefinedStatusIsNoResponse);
   CPPUNIT_TEST(spoiledNameIsNoResponse);
+  CPPUNIT_TEST(unknownCodingIsNoResponse);
   CPPUNIT_TEST(endlessInterimHeadsAreNoResponse);
   CPPUNIT_TEST(definedStatusIsAResponse);
+  CPPUNIT_TEST(codingOfChunksIsAResponse);
   CPPUNIT_TEST(unusualNameIsAResponse);
   CPPUNIT_TEST(oddHeadIsNoAnswerOfAService);
   CPPUNIT_TEST(oddHeadOfAServiceIsNotRepeated);
@@ -87,6 +89,13 @@
     }
   }
 
+  void unknownCodingIsNoResponse()
+  {
+    for (const std::string& response : fakes::unknownCodings(kNote)) {
+      expectNoResponse(response);
+    }
+  }
+
   void endlessInterimHeadsAreNoResponse()
   {
     std::string response;
@@ -106,6 +115,15 @@
     }
   }
 
+  void codingOfChunksIsAResponse()
+  {
+    for (const char* line :
+         { "Transfer-Encoding: chunked", "transfer-encoding:  Chunked\t" }) {
+      expectResponse("HTTP/1.1 200 OK\r\n" + std::string(kNote) + line +
+                     "\r\n\r\n" + fakes::kOddChunks);
+    }
+  }
+
   void unusualNameIsAResponse()
   {
     for (const char* line :
--- a/tests/transport/odd_heads.h
+++ b/tests/transport/odd_heads.h
@@ -4,7 +4,6 @@
 #include <array>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace auburnhaven::fakes {
@@ -106,13 +105,43 @@
   return responses;
 }
 
-/** @return The responses of undefinedStatuses() and of spoiledNames(). */
+/**
+ * @param aFields Further lines of the heads.
+ * @return Responses with transfer codings that nobody knows, or that no request
+ * allows.
+ */
+inline std::vector<std::string>
+unknownCodings(const std::string& aFields)
+{
+  std::vector<std::string> responses;
+  for (const std::string_view coding :
+       { "chunkec",
+         "xhunked",
+         "chunkedd",
+         "chun ked",
+         "chunked chunked",
+         "gzip",
+         "gzip, chunked",
+         "chunked, gzip",
+         "identity",
+         "",
+         "gzip\r\nTransfer-Encoding: chunked" }) {
+    responses.push_back("HTTP/1.1 200 OK\r\n" + aFields +
+                        "Transfer-Encoding: " + std::string(coding) +
+                        "\r\n\r\n" + kOddChunks);
+  }
+  return responses;
+}
+
+/** @return The responses of the functions above. */
 inline std::vector<std::string>
 oddResponses(const std::string& aFields)
 {
-  std::vector<std::string> responses = undefinedStatuses(aFields);
-  for (std::string& response : spoiledNames(aFields)) {
-    responses.push_back(std::move(response));
+  std::vector<std::string> responses;
+  for (const auto& part : { undefinedStatuses(aFields),
+                            spoiledNames(aFields),
+                            unknownCodings(aFields) }) {
+    responses.insert(responses.end(), part.begin(), part.end());
   }
   return responses;
 }
