--- a/standins/http_host.cpp
+++ b/standins/http_host.cpp
@@ -21,6 +21,27 @@
 
 constexpr std::size_t kMaxBodyBytes = 16UL * 1024 * 1024; ///< Largest body.
 
+/** A head that nobody can interpret. */
+struct OddHead
+{
+  std::string_view status_;     ///< Status code and reason.
+  std::string_view line_;       ///< A further line with its end, or nothing.
+  std::string_view lengthName_; ///< Name of the field with the body's length;
+                                ///< empty for none.
+};
+
+constexpr std::array<OddHead, 9> kOddHeads{ {
+  { "000 Odd", "", "Content-Length" },
+  { "200 OK", " X-Note: a\r\n", "Content-Length" },
+  { "200 OK", "X Note: a\r\n", "Content-Length" },
+  { "200 OK", "X-Note\x01: a\r\n", "Content-Length" },
+  { "200 OK", "", " Content-Length" },
+  { "200 OK", "", "Content-Length\x7f" },
+  { "200 OK", "\tTransfer-Encoding: chunked\r\n", "" },
+  { "200 OK", "Transfer\x01Encoding: chunked\r\n", "" },
+  { "200 OK", "Transfer-Encoding: chunkec\r\n", "" },
+} };
+
 } // namespace
 
 Exchange::Exchange(tcp::socket& aSocket,
@@ -111,6 +132,25 @@
   drop();
 }
 
+void
+Exchange::sendOddHead(std::uint32_t aForm,
+                      const std::string& aBody,
+                      const HeaderList& aHeaders)
+{
+  const OddHead& form = kOddHeads[aForm % kOddHeads.size()];
+  std::string head = "HTTP/1.1 " + std::string(form.status_) + "\r\n";
+  for (const auto& [name, value] : aHeaders) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  }
+  head.append(form.line_);
+  if (!form.lengthName_.empty()) {
+    head.append(form.lengthName_).append(": ");
+    head.append(std::to_string(aBody.size())).append("\r\n");
+  }
+  send(head + "\r\n" + aBody);
+  drop();
+}
+
 void
 Exchange::flood()
 {
--- a/standins/http_host.h
+++ b/standins/http_host.h
@@ -75,6 +75,15 @@
                  const HeaderList& aHeaders);
   /** Answers with bytes that are no answer and closes the connection. */
   void sendGarbage();
+  /**
+   * Answers with a head that nobody can interpret and closes the connection.
+   * @param aForm Index of the form of the head; any number.
+   * @param aBody Body.
+   * @param aHeaders Names and values of further headers.
+   */
+  void sendOddHead(std::uint32_t aForm,
+                   const std::string& aBody,
+                   const HeaderList& aHeaders);
   /** Sends bytes that are no answer until the caller closes the connection. */
   void flood();
   /** Closes the connection without an answer. */
--- a/standins/platform/plain_worker.cpp
+++ b/standins/platform/plain_worker.cpp
@@ -48,6 +48,7 @@
     const json wish = json::parse(aExchange.body());
     setFaults(wish, faults_);
     garble_ = wish.value("garble", garble_);
+    oddHeads_ = wish.value("odd_heads", oddHeads_);
     floods_ = wish.value("floods", floods_);
     leaving_ = wish.value("leaving", leaving_);
     restSeconds_ = wish.value("rest_s", restSeconds_);
@@ -90,7 +91,7 @@
     runs > 1 && aExchange.path().starts_with(kOncePath) ? 1 : 0;
   aExchange.wait(kWork);
   const bool isWhole =
-    faults_.loseAnswers_ == 0 && garble_ == 0 && floods_ == 0;
+    faults_.loseAnswers_ == 0 && garble_ == 0 && oddHeads_ == 0 && floods_ == 0;
   book_.end(attempt, isWhole ? RunEnding::kServed : RunEnding::kBrokeOff);
   if (takeLostAnswer(faults_)) {
     aExchange.drop();
@@ -101,10 +102,22 @@
     --floods_;
     aExchange.flood();
   } else {
-    aExchange.replyWith(
-      200,
-      json{ { "done", attempt }, { "body", aExchange.body() } }.dump(),
-      answerHeaders(aExchange, { place_.id_, running_, slots_, leaving_ }));
+    answer(aExchange, attempt);
+  }
+}
+
+void
+PlainWorker::answer(Exchange& aExchange, const std::string& aAttempt)
+{
+  const std::string body =
+    json{ { "done", aAttempt }, { "body", aExchange.body() } }.dump();
+  const HeaderList headers =
+    answerHeaders(aExchange, { place_.id_, running_, slots_, leaving_ });
+  if (oddHeads_ > 0) {
+    --oddHeads_;
+    aExchange.sendOddHead(oddHeads_, body, headers);
+  } else {
+    aExchange.replyWith(200, body, headers);
   }
 }
 
--- a/standins/platform/plain_worker.h
+++ b/standins/platform/plain_worker.h
@@ -27,12 +27,14 @@
 
 private:
   void serve(Exchange& aExchange);
+  void answer(Exchange& aExchange, const std::string& aAttempt);
 
   const WorkerPlace place_;                ///< Where it is.
   const std::uint32_t slots_;              ///< Requests at once.
   RunBook& book_;                          ///< Runs and breaches.
   FaultControls faults_;                   ///< Faults.
   std::uint32_t garble_ = 0;               ///< Next answers that are none.
+  std::uint32_t oddHeads_ = 0;             ///< Next answers with odd heads.
   std::uint32_t floods_ = 0;               ///< Next answers without end.
   bool leaving_ = false;                   ///< Whether its answers say so.
   std::uint32_t restSeconds_ = 0;          ///< Rest that it wants with each
