--- a/tests/coordination/request_claim_test.cpp
+++ b/tests/coordination/request_claim_test.cpp
@@ -7,10 +7,22 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+
 using namespace auburnhaven;
 using namespace auburnhaven::coordination;
 using namespace std::chrono_literals;
 
+namespace {
+
+/** Numbers that are not status codes of an answer, some of them beyond what a
+ * status code is held in. */
+constexpr std::array<const char*, 9> kUndefinedStatuses = {
+  "0", "99", "100", "600", "999", "65736", "70000", "4294967496", "-200"
+};
+
+} // namespace
+
 class RequestClaimTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(RequestClaimTest);
@@ -284,12 +296,14 @@
 
   void undefinedStatusInAMessageIsRefused()
   {
-    for (const std::string& status : kUndefinedStatuses) {
+    for (const char* status : kUndefinedStatuses) {
+      CPPUNIT_ASSERT_MESSAGE(
+        status,
+        !decodeClaimResult(std::string("[2,1,0,[") + status + R"(,"t","b"]])"));
       CPPUNIT_ASSERT_MESSAGE(
-        status, !decodeClaimResult("[2,1,0,[" + status + R"(,"t","b"]])"));
-      CPPUNIT_ASSERT_MESSAGE(status,
-                             !decodeClaimOperation(R"(["s",7,"k",2,"d",[)" +
-                                                   status + R"(,"t","b"]])"));
+        status,
+        !decodeClaimOperation(std::string(R"(["s",7,"k",2,"d",[)") + status +
+                              R"(,"t","b"]])"));
     }
     CPPUNIT_ASSERT(decodeClaimResult(R"([2,1,0,[200,"t","b"]])"));
     CPPUNIT_ASSERT(decodeClaimOperation(R"(["s",7,"k",2,"d",[200,"t","b"]])"));
@@ -299,7 +313,7 @@
   // stays claimed.
   void undefinedStatusInASlotIsNotReplayed()
   {
-    for (const std::string& status : kUndefinedStatuses) {
+    for (const char* status : kUndefinedStatuses) {
       const ClaimEntry entry = entryWithAnswerOf(status);
       CPPUNIT_ASSERT_MESSAGE(status, entry.state_ == ClaimState::kUnknown);
       CPPUNIT_ASSERT_MESSAGE(status, !entry.answer_);
@@ -310,12 +324,6 @@
   }
 
 private:
-  /** Numbers that are no status codes of HTTP, some of them beyond what a
-   * status code is held in. */
-  const std::vector<std::string> kUndefinedStatuses = {
-    "0", "99", "100", "600", "999", "65736", "70000", "4294967496", "-200"
-  };
-
   /** @return The entry of a slot that holds an answer with a status code. */
   static ClaimEntry entryWithAnswerOf(const std::string& aStatus)
   {
--- a/tests/transport/odd_heads.h
+++ b/tests/transport/odd_heads.h
@@ -2,18 +2,44 @@
 #pragma once
 
 #include <array>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace auburnhaven::fakes {
 
+inline constexpr char kOk[] = "HTTP/1.1 200 OK\r\n"; ///< Sound first line.
 inline constexpr char kOddBody[] = "odd"; ///< Body of these responses.
 inline constexpr char kOddLength[] =
   "Content-Length: 3\r\n"; ///< Its length as a line of a head.
 inline constexpr char kOddChunks[] =
   "3\r\nodd\r\n0\r\n\r\n"; ///< It in chunks, with the end.
 
+/** @return Texts as one. */
+inline std::string
+joined(std::initializer_list<std::string_view> aTexts)
+{
+  std::string text;
+  for (const std::string_view part : aTexts) {
+    text += part;
+  }
+  return text;
+}
+
+/** @return A response with a status, a reason and a sound rest. */
+inline std::string
+responseWith(std::string_view aStatusAndReason, std::string_view aFields)
+{
+  return joined({ "HTTP/1.1 ",
+                  aStatusAndReason,
+                  "\r\n",
+                  aFields,
+                  kOddLength,
+                  "\r\n",
+                  kOddBody });
+}
+
 /**
  * @param aFields Further lines of the heads.
  * @return Responses with status codes that HTTP does not define, or that no
@@ -22,27 +48,28 @@
 inline std::vector<std::string>
 undefinedStatuses(const std::string& aFields)
 {
-  const std::string sound =
-    "HTTP/1.1 200 OK\r\n" + aFields + kOddLength + "\r\n" + kOddBody;
+  const std::string sound = responseWith("200 OK", aFields);
   std::vector<std::string> responses;
   for (const std::string_view status : { "000", "001", "099", "600", "999" }) {
-    const std::string start = "HTTP/1.1 " + std::string(status) + " ";
-    const std::string head = start + "Odd\r\n" + aFields;
+    const std::string odd = joined({ status, " Odd" });
+    const std::string start = joined({ "HTTP/1.1 ", odd, "\r\n" });
+    const std::string head = start + aFields;
     for (const std::string& response :
-         { head + kOddLength + "\r\n" + kOddBody,
-           head + "Content-Length: 0\r\n\r\n",
-           head + "Transfer-Encoding: chunked\r\n\r\n" + kOddChunks,
-           head + "\r\n" + kOddBody,
-           start + "\r\n" + aFields + kOddLength + "\r\n" + kOddBody,
-           start + "Odd\r\nContent-Length: 0\r\n\r\n" + sound,
-           "HTTP/1.1 103 Hints\r\n\r\n" + head + kOddLength + "\r\n" +
-             kOddBody }) {
+         { responseWith(odd, aFields),
+           responseWith(joined({ status, " " }), aFields),
+           joined({ head, "Content-Length: 0\r\n\r\n" }),
+           joined({ head, "Transfer-Encoding: chunked\r\n\r\n", kOddChunks }),
+           joined({ head, "\r\n", kOddBody }),
+           joined({ start, "Content-Length: 0\r\n\r\n", sound }),
+           joined(
+             { "HTTP/1.1 103 Hints\r\n\r\n", responseWith(odd, aFields) }) }) {
       responses.push_back(response);
     }
   }
-  responses.push_back("HTTP/1.1 101 Switching Protocols\r\nUpgrade: odd\r\n"
-                      "Connection: upgrade\r\n\r\n" +
-                      sound);
+  responses.push_back(
+    joined({ "HTTP/1.1 101 Switching Protocols\r\nUpgrade: odd\r\n"
+             "Connection: upgrade\r\n\r\n",
+             sound }));
   return responses;
 }
 
@@ -86,19 +113,16 @@
     NamedLine{ "Content-Length", "3", kOddBody },
     NamedLine{ "Transfer-Encoding", "chunked", kOddChunks }
   };
-  const std::string ok = "HTTP/1.1 200 OK\r\n";
   std::vector<std::string> responses;
   for (const NamedLine& line : kLines) {
     const bool frames = !line.body_.empty();
-    const std::string rest = aFields + (frames ? "" : kOddLength);
-    const std::string end =
-      "\r\n" + std::string(frames ? line.body_ : kOddBody);
+    const std::string rest = joined({ aFields, frames ? "" : kOddLength });
+    const std::string end = joined({ "\r\n", frames ? line.body_ : kOddBody });
     for (const char byte : kBytes) {
       for (const std::string& name : spoiled(line.name_, byte)) {
-        const std::string text =
-          name + ": " + std::string(line.value_) + "\r\n";
-        responses.push_back(ok + text + rest + end);
-        responses.push_back(ok + rest + text + end);
+        const std::string text = joined({ name, ": ", line.value_, "\r\n" });
+        responses.push_back(joined({ kOk, text, rest, end }));
+        responses.push_back(joined({ kOk, rest, text, end }));
       }
     }
   }
@@ -126,9 +150,8 @@
          "identity",
          "",
          "gzip\r\nTransfer-Encoding: chunked" }) {
-    responses.push_back("HTTP/1.1 200 OK\r\n" + aFields +
-                        "Transfer-Encoding: " + std::string(coding) +
-                        "\r\n\r\n" + kOddChunks);
+    responses.push_back(joined(
+      { kOk, aFields, "Transfer-Encoding: ", coding, "\r\n\r\n", kOddChunks }));
   }
   return responses;
 }
