The check of response heads has a module of its own

HttpConnection keeps reading and counting; response_head_func says whether a head can be interpreted.

--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -4,6 +4,7 @@
 
 #include "state/http_status_func.h"
 #include "transport/http_parse_func.h"
+#include "transport/response_head_func.h"
 #include "transport/system_clock.h"
 
 #include <boost/asio.hpp>
@@ -27,8 +28,6 @@
 
 constexpr unsigned int kHttpVersion = 11; ///< HTTP/1.1.
 constexpr int kMaxInterims = 8; ///< Interim headers before the final one.
-constexpr std::uint32_t kSwitchingProtocols =
-  101; ///< What follows is another protocol, which no request asks for.
 
 /** Turns a request into the library's type. */
 http::request<http::string_body>
@@ -57,16 +56,6 @@
   return request;
 }
 
-/** @return Whether the body of a response comes in no transfer coding but that
- * of chunks; a request allows no other. */
-bool
-hasKnownCoding(const http::fields& aHead)
-{
-  const auto [first, last] = aHead.equal_range(http::field::transfer_encoding);
-  return first == last || (std::next(first) == last &&
-                           beast::iequals(first->value(), "chunked"));
-}
-
 } // namespace
 
 HttpConnection::HttpConnection(asio::io_context& aContext,
@@ -193,13 +182,10 @@
 bool
 HttpConnection::announcesNextHead(error_code& aError)
 {
-  const bool isInterim =
-    state::isInterimStatus(status()) && status() != kSwitchingProtocols;
-  const bool isDefined = isInterim || state::isFinalStatus(status());
-  if (!isDefined || (isInterim && ++interims_ > kMaxInterims)) {
+  aError = faultOf(parser_->get());
+  const bool isInterim = state::isInterimStatus(status());
+  if (isInterim && ++interims_ > kMaxInterims) {
     aError = http::error::bad_status;
-  } else if (!hasKnownCoding(parser_->get())) {
-    aError = http::error::bad_transfer_encoding;
   }
   return isInterim && !aError;
 }
--- a/src/transport/http_parse_func.h
+++ b/src/transport/http_parse_func.h
@@ -9,7 +9,6 @@
 #include <boost/beast/http/error.hpp>
 
 #include <cstddef>
-#include <string_view>
 
 namespace auburnhaven::transport {
 
@@ -48,19 +47,6 @@
   return !aLacksBytes;
 }
 
-/**
- * @param aHead Part of the head of a message, from the start of a line.
- * @return Whether one of its lines begins with a blank. Such a line is a field
- * with a spoiled name or the obsolete continuation of the line before it; the
- * library's parser takes each for the latter. Thread-safe.
- */
-inline bool
-hasContinuedLine(std::string_view aHead)
-{
-  return aHead.find("\n ") != std::string_view::npos ||
-         aHead.find("\n\t") != std::string_view::npos;
-}
-
 /**
  * Tells a parser of the end of its connection.
  * @param aParser The parser.
