--- a/src/app/command_client.cpp
+++ b/src/app/command_client.cpp
@@ -4,7 +4,6 @@
 
 #include "app/file_func.h"
 #include "app/toml_reader.h"
-
 #include "transport/http_client.h"
 
 #include <boost/asio/detached.hpp>
@@ -19,13 +18,13 @@
 
 using transport::HttpClientRequest;
 
-constexpr std::chrono::seconds kCallTimeout{ 15 }; ///< Limit for one call.
-constexpr transport::HttpTimeouts kTimeouts{
-  kCallTimeout,
-  kCallTimeout,
-  kCallTimeout,
-  kCallTimeout
-}; ///< Limits for its parts.
+constexpr std::chrono::seconds kTimeout{
+  15
+}; ///< Limit for the connection, and for the request with its answer.
+constexpr transport::HttpTimeouts kTimeouts{ kTimeout,
+                                             kTimeout,
+                                             kTimeout,
+                                             kTimeout };
 constexpr std::size_t kMaxReplyBytes = 64UL * 1024 * 1024; ///< Largest answer.
 
 /** Sends a request and reads its answer. */
--- a/src/coordination/request/request_type.h
+++ b/src/coordination/request/request_type.h
@@ -75,7 +75,7 @@
 /** Answer stored for replay to later requests with the same key. */
 struct StoredAnswer
 {
-  std::uint16_t status_ = 0; ///< HTTP status.
+  std::uint16_t status_ = 0; ///< Final HTTP status.
   std::string contentType_;  ///< Content type of the body.
   std::string body_;         ///< Body.
   bool operator==(const StoredAnswer&) const = default;
--- a/src/transport/http_client_type.h
+++ b/src/transport/http_client_type.h
@@ -76,7 +76,8 @@
   kConnect,   ///< No connection.
   kClosed,    ///< The connection broke before the whole response header.
   kTimeout,   ///< No response header in time.
-  kMalformed, ///< The response is not HTTP or exceeds a limit.
+  kMalformed, ///< The response is not HTTP, cannot be interpreted or exceeds a
+              ///< limit.
   kAborted,   ///< The caller aborted the call.
 };
 
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -85,7 +85,8 @@
   /** @return Whether the response was read whole, nothing has been read after
    * it, and the target keeps the connection. */
   bool reusable() const;
-  /** @return Status code of the response. */
+  /** @return Status code of the response; once readHead() or pollHead() has
+   * succeeded, a final one that HTTP defines. */
   std::uint32_t status() const;
   /** @return Value of a response header, or empty. */
   std::string_view header(std::string_view aName) const;
--- a/src/transport/http_type.h
+++ b/src/transport/http_type.h
@@ -42,7 +42,7 @@
 /** A response that is sent whole. */
 struct HttpResponse
 {
-  std::uint32_t status_ = 200;      ///< Status code.
+  std::uint32_t status_ = 200;      ///< Status code; a final one of HTTP.
   std::vector<HttpHeader> headers_; ///< Further header lines.
   std::string contentType_ =
     "application/json"; ///< Type of the body; empty when a header states it.
--- a/src/transport/service_caller.h
+++ b/src/transport/service_caller.h
@@ -20,7 +20,8 @@
 /** How a short call ended. */
 struct ServiceAnswer
 {
-  std::uint32_t status_ = 0; ///< Status code; 0 without a whole answer.
+  std::uint32_t status_ = 0; ///< Status code; 0, which no answer has, without a
+                             ///< whole answer.
   std::string body_;         ///< Body of the whole answer.
   bool mayHaveRun_ = false;  ///< Whether the service could have got any of it.
   std::size_t received_ = 0; ///< Bytes of the body that came, also when the
