One target's flood no longer stops a traffic thread

While one worker sent the same event of six streams without end, none of 32 requests for another service had an answer 1.3 s after it was sent (timeout 800 ms), and readiness was not answered, until the deadline of the streams (8 s).

Cause: RelayExchange::pollAttempts went on as long as an attempt had news. A piece whose events are all dropped is news without a write to the caller, so nothing in the loop ever waited. pollBody had a bound of its own, 64 KiB, which a body of one-byte chunks reaches only after 65,536 pieces. Each reader decided by itself when others run; bytes alone bound no time.

Why this works: ReadTurn counts pieces and bytes (32, 64 KiB), and every reader uses it: RelayAttempt::poll takes one piece a call, the exchange ends the turn, looks at deadline, stop, quarantine and silence, and lets others run; HttpConnection does it for lines and chunks of the own interface. The attempts of a request are polled in turn, since one that always has news hid the other.

Ruled out: heads (nine of 16 KiB at most), trailers and chunk extensions (the read buffer bounds them), bodies of callers and pipelined requests (each read or write lets others run), PeerLink (one read's messages).

--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -233,6 +233,7 @@
     return;
   }
   stream_.expires_at(aUntil);
+  turn_.restart();
   buffer_.commit(
     stream_.async_read_some(buffer_.prepare(room), aYield[aError]));
   parseEnd(*parser_, aError);
@@ -338,6 +339,8 @@
       readBytes(aUntil, error, aYield);
     }
     if (const auto piece = pieceAfter(error)) {
+      turn_.note(piece->data_.size());
+      turn_.yieldIfOver(aYield);
       return *piece;
     }
   }
@@ -407,6 +410,8 @@
   for (;;) {
     const std::size_t end = lines_.find('\n', searched);
     if (end != std::string::npos) {
+      turn_.note(end - linesTaken_);
+      turn_.yieldIfOver(aYield);
       return takeLine(end);
     }
     if (lines_.size() - linesTaken_ > limits_.maxLineBytes_) {
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -3,6 +3,7 @@
 
 #include "state/endpoint_type.h"
 #include "transport/http_client_type.h"
+#include "transport/read_turn.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
@@ -147,6 +148,7 @@
   std::array<char, kPieceBytes> piece_{}; ///< Body bytes of the latest read.
   bool lacksBytes_ = false;    ///< Whether the parser asked for more bytes than
                                ///< are read.
+  ReadTurn turn_;              ///< What was read of the body without a wait.
   std::string lines_;          ///< Body bytes read and not yet handed out.
   std::size_t linesTaken_ = 0; ///< Bytes of lines_ that were handed out.
   std::optional<HttpReadStatus> ended_; ///< How the body ended.
--- a/src/transport/relay/relay_attempt.cpp
+++ b/src/transport/relay/relay_attempt.cpp
@@ -4,7 +4,6 @@
 
 #include "transport/connect_probe.h"
 
-#include <boost/asio/post.hpp>
 #include <boost/beast/core/string.hpp>
 
 #include <utility>
@@ -20,9 +19,6 @@
   std::size_t{ 8 } * 1024 * 1024; ///< Largest response that is not a stream.
 constexpr std::size_t kMaxErrorBytes =
   std::size_t{ 64 } * 1024; ///< Largest response with an error status.
-constexpr std::size_t kTurnBytes =
-  std::size_t{ 64 } * 1024; ///< Bytes of a body that are taken before other
-                            ///< requests have their turn.
 constexpr std::string_view kGivenUp =
   "response is given up, too many bytes are held"; ///< Why an attempt ends.
 constexpr std::size_t kMaxEventBytes =
@@ -124,7 +120,7 @@
 }
 
 AttemptProgress
-RelayAttempt::poll(const boost::asio::yield_context& aYield)
+RelayAttempt::poll(const boost::asio::yield_context& aYield, ReadTurn& aTurn)
 {
   if (!call_.hasResponse()) {
     if (call_.awaitsHead()) {
@@ -139,8 +135,8 @@
       return progress;
     }
   }
-  return stream_ && isSuccess(response_.status_) ? pollStream(aYield)
-                                                 : pollBody(aYield);
+  return stream_ && isSuccess(response_.status_) ? pollStream(aYield, aTurn)
+                                                 : pollBody(aYield, aTurn);
 }
 
 AttemptProgress
@@ -282,23 +278,19 @@
 }
 
 AttemptProgress
-RelayAttempt::pollBody(const boost::asio::yield_context& aYield)
+RelayAttempt::pollBody(const boost::asio::yield_context& aYield,
+                       ReadTurn& aTurn)
 {
-  std::size_t turnBytes = 0;
-  HttpPiece piece = call_.poll();
-  for (; piece.status_ == HttpReadStatus::kData; piece = call_.poll()) {
-    if (const std::string_view fault = addToBody(piece.data_); !fault.empty()) {
-      return endBody(std::string(fault));
-    }
-    turnBytes += piece.data_.size();
-    if (turnBytes >= kTurnBytes) {
-      turnBytes = 0;
-      boost::asio::post(aYield);
-    }
-  }
   if (memory_.isGivenUp()) {
     return endBody(std::string(kGivenUp));
   }
+  const HttpPiece piece = call_.poll();
+  if (piece.status_ == HttpReadStatus::kData) {
+    aTurn.note(piece.data_.size());
+    const std::string_view fault = addToBody(piece.data_);
+    return fault.empty() ? AttemptProgress::kTaken
+                         : endBody(std::string(fault));
+  }
   if (piece.status_ == HttpReadStatus::kPending) {
     return AttemptProgress::kNone;
   }
@@ -331,7 +323,8 @@
 }
 
 AttemptProgress
-RelayAttempt::pollStream(const boost::asio::yield_context& aYield)
+RelayAttempt::pollStream(const boost::asio::yield_context& aYield,
+                         ReadTurn& aTurn)
 {
   if (!events_.fault().empty()) {
     call_.abort();
@@ -342,6 +335,7 @@
     return AttemptProgress::kNone;
   }
   if (piece.status_ == HttpReadStatus::kData) {
+    aTurn.note(piece.data_.size());
     return takeEvents(piece.data_);
   }
   if (isWhole(piece.status_, aYield) && !events_.hasPartialEvent()) {
--- a/src/transport/relay/relay_attempt.h
+++ b/src/transport/relay/relay_attempt.h
@@ -1,6 +1,7 @@
 // One send of a relayed request to one target.
 #pragma once
 
+#include "transport/read_turn.h"
 #include "transport/relay/event_splitter.h"
 #include "transport/relay/relay_attempt_type.h"
 #include "transport/relay/relay_handler.h"
@@ -54,13 +55,15 @@
             const boost::asio::yield_context& aYield,
             HttpAborter& aAborter);
   /**
-   * Takes what has arrived. Do not call after kComplete or kFailed.
-   * @param aYield The coroutine; waits only for the body of a rejection, after
-   * a body that ended with its connection for a new connection, and while other
-   * requests have their turn.
+   * Takes the next piece of what has arrived. Do not call after kComplete or
+   * kFailed.
+   * @param aYield The coroutine; waits only for the body of a rejection, and
+   * after a body that ended with its connection for a new connection.
+   * @param aTurn Counts the piece.
    * @return What is new.
    */
-  AttemptProgress poll(const boost::asio::yield_context& aYield);
+  AttemptProgress poll(const boost::asio::yield_context& aYield,
+                       ReadTurn& aTurn);
   /** @return The next complete event; empty when there is none. Valid until the
    * next call of poll() or nextEvent(). */
   std::string_view nextEvent() { return events_.next(); }
@@ -122,8 +125,10 @@
   AttemptProgress endWithoutResponse();
   AttemptProgress endWithError();
   AttemptProgress takeHead(const boost::asio::yield_context& aYield);
-  AttemptProgress pollStream(const boost::asio::yield_context& aYield);
-  AttemptProgress pollBody(const boost::asio::yield_context& aYield);
+  AttemptProgress pollStream(const boost::asio::yield_context& aYield,
+                             ReadTurn& aTurn);
+  AttemptProgress pollBody(const boost::asio::yield_context& aYield,
+                           ReadTurn& aTurn);
   /** @return Why the body must end; empty if it may go on. */
   std::string_view addToBody(std::string_view aData);
   AttemptProgress endBody(std::string aDetail);
--- a/src/transport/relay/relay_attempt_type.h
+++ b/src/transport/relay/relay_attempt_type.h
@@ -10,6 +10,7 @@
 enum class AttemptProgress : std::uint8_t
 {
   kNone,     ///< Nothing new.
+  kTaken,    ///< Bytes that are no news for the caller yet.
   kEvents,   ///< Bytes of a stream, which may complete events.
   kComplete, ///< The end of a successful response, which is whole.
   kFailed,   ///< The end, without a successful response.
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include "state/routing_func.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/string.hpp>
 
@@ -24,8 +25,8 @@
 constexpr milliseconds kMinSendTime(
   15); ///< Least time left at which a request is still sent to a target.
 constexpr milliseconds kLateReadTime(
-  50); ///< Longest time after the deadline in which a response that has arrived
-       ///< is read.
+  50); ///< Longest time after the deadline, or after the daemon gave the
+       ///< request up, in which a response that has arrived is read.
 constexpr std::uint32_t kMaxPauseFactor =
   10; ///< Limit of the growth of the pause after rejections.
 
@@ -99,6 +100,7 @@
   const milliseconds limit =
     std::min(info_.callerTimeout_.value_or(route_->timeout_), route_->timeout_);
   deadline_ = startedAt_ + limit;
+  readUntil_ = deadline_ + kLateReadTime;
   need_.service_ = pickService(*route_);
   const state::ServiceSpec* service =
     state::findService(routes_->config(), need_.service_);
@@ -295,7 +297,7 @@
 void
 RelayExchange::followAttempts()
 {
-  pollAttempts();
+  const bool mayHaveMore = pollAttempts();
   if (answered_) {
     return;
   }
@@ -304,7 +306,12 @@
     return;
   }
   const bool late = dependencies_.clock_.now() >= deadline_;
+  // What has arrived by then is still forwarded.
   if (late || stopping_) {
+    if (mayHaveMore && mayStillRead()) {
+      letOthersRun();
+      return;
+    }
     endAttempts(late ? SendEnder::kDeadline : SendEnder::kStop);
     giveUp();
     return;
@@ -313,6 +320,8 @@
     endUnansweredAttempts();
     if (attempts_.empty()) {
       refuseAsQuarantined();
+    } else if (mayHaveMore) {
+      letOthersRun();
     } else {
       waitForNews(nextCheck());
     }
@@ -323,34 +332,54 @@
   }
   if (isBackupDue()) {
     startBackup();
+  } else if (mayHaveMore) {
+    letOthersRun();
   } else if (!attempts_.empty()) {
     waitForNews(nextCheck());
   }
 }
 
-void
+bool
 RelayExchange::pollAttempts()
 {
-  bool hasNews = true;
-  // What has arrived at the deadline is still forwarded.
-  while (hasNews && !answered_ && !responder_.callerGone() &&
-         dependencies_.clock_.now() < deadline_ + kLateReadTime) {
-    hasNews = false;
-    for (const AttemptPtr& attempt : attempts_) {
-      const AttemptProgress progress = attempt->poll(yield_);
-      if (progress != AttemptProgress::kNone) {
-        // May end attempts, so the loop starts anew.
-        takeProgress(*attempt, progress);
-        hasNews = true;
-        break;
-      }
+  ReadTurn turn;
+  std::size_t quiet = 0;
+  // In turn, since one that always has news would hide the others.
+  for (std::size_t next = 0; quiet < attempts_.size(); ++next) {
+    if (answered_ || responder_.callerGone() || !mayStillRead()) {
+      return false;
+    }
+    if (turn.isOver()) {
+      return true;
+    }
+    RelayAttempt& attempt = *attempts_[next % attempts_.size()];
+    const AttemptProgress progress = attempt.poll(yield_, turn);
+    quiet = progress == AttemptProgress::kNone ? quiet + 1 : 0;
+    if (progress != AttemptProgress::kNone) {
+      takeProgress(attempt, progress);
     }
   }
+  return false;
+}
+
+bool
+RelayExchange::mayStillRead() const
+{
+  return dependencies_.clock_.now() < readUntil_;
+}
+
+void
+RelayExchange::letOthersRun()
+{
+  boost::asio::post(yield_);
 }
 
 void
 RelayExchange::takeProgress(RelayAttempt& aAttempt, AttemptProgress aProgress)
 {
+  if (aProgress == AttemptProgress::kTaken) {
+    return;
+  }
   const bool goesOn = position_.isTorn_ || (streaming_ && attempts_.size() > 1);
   if (aProgress == AttemptProgress::kEvents) {
     forwardEvents(aAttempt);
@@ -382,7 +411,7 @@
     }
     ++forwardedEvents_;
     aAttempt.noteForwarded(position_);
-    if (dependencies_.clock_.now() >= deadline_ + kLateReadTime) {
+    if (!mayStillRead()) {
       return;
     }
   }
@@ -525,6 +554,7 @@
 RelayExchange::giveUpAsStopping()
 {
   stopping_ = true;
+  readUntil_ = std::min(readUntil_, dependencies_.clock_.now() + kLateReadTime);
   lastDetail_ = "the daemon stops";
   wake();
 }
--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -72,7 +72,7 @@
   void serve();
   void tryNextTarget();
   void followAttempts();
-  void pollAttempts();
+  bool pollAttempts();
   void takeProgress(RelayAttempt& aAttempt, AttemptProgress aProgress);
   void forwardEvents(RelayAttempt& aAttempt);
   void deliver(RelayAttempt& aAttempt);
@@ -87,6 +87,8 @@
   bool acquireRetry(const coordination::TargetDecision& aTarget);
   HttpClientRequest requestFor(
     const coordination::TargetDecision& aTarget) const;
+  bool mayStillRead() const;
+  void letOthersRun();
   void waitForNews(state::TimePoint aUntil);
   state::TimePoint nextCheck() const;
   bool mayRetry(SendOutcome aSendOutcome) const;
@@ -123,6 +125,8 @@
   coordination::TargetNeed need_;           ///< Requirements for its target.
   state::TimePoint startedAt_;              ///< When relaying began.
   state::TimePoint deadline_{};             ///< Latest time for the response.
+  state::TimePoint readUntil_{};            ///< Latest time at which what has
+                                            ///< arrived of it is read.
   state::TimePoint firstEventAt_{};         ///< When its first event was sent.
   std::vector<AttemptPtr> attempts_;        ///< Sends in flight, oldest first.
   std::vector<state::VmId> rejectedBy_; ///< Targets that rejected the request.
--- a/tests/platform/relay_flood_test.cpp
+++ b/tests/platform/relay_flood_test.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr std::size_t kCallers = 60; ///< Callers whose answers do not end.
+constexpr std::size_t kStreams = 6;  ///< Callers whose streams do not end.
 constexpr std::size_t kMiB = std::size_t{ 1024 } * 1024; ///< Bytes.
 constexpr Milliseconds kFloodTime{ 2000 }; ///< How long others ask beside it.
 constexpr Milliseconds kWorstWait{ 1000 }; ///< For another request: the
@@ -34,11 +35,16 @@
   /**
    * @param aHead Head of the response.
    * @param aPause Before each piece.
+   * @param aPiece What it sends again and again.
    */
-  FloodingTarget(std::string aHead, Milliseconds aPause)
+  FloodingTarget(std::string aHead,
+                 Milliseconds aPause,
+                 std::string aPiece = std::string(std::size_t{ 64 } * 1024,
+                                                  'x'))
     : acceptor_(context_, { boost::asio::ip::address_v4::loopback(), 0 })
     , head_(std::move(aHead))
     , pause_(aPause)
+    , piece_(std::move(aPiece))
   {
     accept();
     thread_ = std::thread([this] { context_.run(); });
@@ -75,13 +81,13 @@
 
   void flood(Socket& aSocket) const
   {
-    const std::string piece(std::size_t{ 64 } * 1024, 'x');
     RawServer::readRequest(aSocket);
     RawServer::write(aSocket, head_);
     boost::system::error_code error;
     while (!error && !ended_) {
       std::this_thread::sleep_for(pause_);
-      boost::asio::write(aSocket, boost::asio::buffer(piece), error);
+      // One call for all, so that there are always bytes to read.
+      aSocket.write_some(boost::asio::buffer(piece_), error);
     }
   }
 
@@ -89,6 +95,7 @@
   boost::asio::ip::tcp::acceptor acceptor_; ///< Listener.
   const std::string head_;                  ///< Head of the response.
   const Milliseconds pause_;                ///< Before each piece.
+  const std::string piece_;                 ///< What it sends again and again.
   std::atomic<bool> ended_{ false };        ///< Whether the test is over.
   std::vector<std::thread> connections_;    ///< One for each connection.
   std::thread thread_;                      ///< Runs the context.
@@ -105,6 +112,29 @@
   return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+/** @return A text many times in a row. */
+std::string
+repeat(const std::string& aText, std::size_t aTimes)
+{
+  std::string text;
+  text.reserve(aText.size() * aTimes);
+  for (std::size_t count = 0; count < aTimes; ++count) {
+    text += aText;
+  }
+  return text;
+}
+
+/** @return A text with each byte in a chunk of its own. */
+std::string
+bytewise(const std::string& aText)
+{
+  std::string chunks;
+  for (const char byte : aText) {
+    chunks += fakes::chunk(std::string(1, byte));
+  }
+  return chunks;
+}
+
 /** @return Head of a response to request a1 that announces a long body. */
 std::string
 longHead(const std::string& aStatus)
@@ -124,6 +154,11 @@
   CPPUNIT_TEST(slowEndlessBodiesDoNotFillMemory);
   CPPUNIT_TEST(endlessErrorsDoNotFillMemory);
   CPPUNIT_TEST(fastEndlessBodiesLetOthersRun);
+  CPPUNIT_TEST(repeatedEventLetsOthersRun);
+  CPPUNIT_TEST(repeatedEventInSingleBytesLetsOthersRun);
+  CPPUNIT_TEST(repeatedEventsInTurnLetOthersRun);
+  CPPUNIT_TEST(commentsInSingleBytesLetOthersRun);
+  CPPUNIT_TEST(bodiesInSingleBytesLetOthersRun);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -142,7 +177,83 @@
   // A body was taken up to its limit before any other request had its turn.
   void fastEndlessBodiesLetOthersRun() { expectBoundedMemory("200 OK", 0ms); }
 
+  // Events that the caller has were dropped until the deadline, and nobody else
+  // had a turn.
+  void repeatedEventLetsOthersRun()
+  {
+    expectOthersRun("/live/", fakes::kStreamHead, fakes::chunk(kEvent));
+  }
+
+  // A piece of one byte costs as much as a long one.
+  void repeatedEventInSingleBytesLetsOthersRun()
+  {
+    expectOthersRun("/live/", fakes::kStreamHead, bytewise(kEvent));
+  }
+
+  void repeatedEventsInTurnLetOthersRun()
+  {
+    expectOthersRun("/live/",
+                    fakes::kStreamHead + fakes::chunk(kEvent + kNextEvent),
+                    fakes::chunk(kEvent) + fakes::chunk(kNextEvent));
+  }
+
+  void commentsInSingleBytesLetOthersRun()
+  {
+    expectOthersRun(
+      "/live/", fakes::kStreamHead, bytewise(": " + std::string(200, 'x')));
+  }
+
+  void bodiesInSingleBytesLetOthersRun()
+  {
+    expectOthersRun("/unsafe/", kChunkedHead, bytewise(kEvent));
+  }
+
 private:
+  static constexpr char kChunkedHead[] =
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Origin-Signature: s1\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n"; ///< Head of a body in chunks.
+  inline static const std::string kEvent =
+    "id: 1\ndata: " + std::string(70, 'x') + "\n\n"; ///< First event.
+  inline static const std::string kNextEvent =
+    "id: 2\ndata: " + std::string(70, 'y') + "\n\n"; ///< Event after it.
+
+  static void expectOthersRun(const std::string& aPath,
+                              const std::string& aHead,
+                              const std::string& aPiece)
+  {
+    constexpr std::size_t kTimes = 20000; ///< Pieces of one write.
+    const FloodingTarget target(aHead, 0ms, repeat(aPiece, kTimes));
+    RelayWorld world;
+    world.startWith({ target.endpoint() });
+    std::vector<std::thread> callers;
+    for (std::size_t index = 0; index < kStreams; ++index) {
+      callers.emplace_back(
+        [&] { world.ask(RelayWorld::request("POST", aPath, "x")); });
+    }
+    const Milliseconds worst = worstOtherWait(world);
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(worst.count()) + " ms",
+                           worst < kWorstWait);
+  }
+
+  /** @return Longest time that another request took. */
+  static Milliseconds worstOtherWait(RelayWorld& aWorld)
+  {
+    auto worst = std::chrono::steady_clock::duration::zero();
+    const auto until = std::chrono::steady_clock::now() + kFloodTime;
+    while (std::chrono::steady_clock::now() < until) {
+      const auto from = std::chrono::steady_clock::now();
+      CPPUNIT_ASSERT_EQUAL(
+        std::string("404"),
+        statusOf(aWorld.ask(RelayWorld::request("POST", "/nothing/", "x"))));
+      worst = std::max(worst, std::chrono::steady_clock::now() - from);
+      std::this_thread::sleep_for(5ms);
+    }
+    return std::chrono::duration_cast<Milliseconds>(worst);
+  }
+
   static void expectBoundedMemory(const std::string& aStatus,
                                   Milliseconds aPause)
   {
--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -5,9 +5,12 @@
 #include "transport/loopback.h"
 #include "transport/system_clock.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <functional>
 #include <future>
+#include <utility>
 
 using namespace auburnhaven;
 using transport::HttpFailureKind;
@@ -21,6 +24,17 @@
 
 constexpr char kSmallAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
                                 "X-Kind: plain\r\n\r\nok";
+/** @return A text many times in a row. */
+std::string
+repeat(const std::string& aText, std::size_t aTimes)
+{
+  std::string text;
+  for (std::size_t count = 0; count < aTimes; ++count) {
+    text += aText;
+  }
+  return text;
+}
+
 constexpr char kChunkedHead[] =
   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -48,9 +62,25 @@
   CPPUNIT_TEST(restOfAnAbandonedRequestNeverArrives);
   CPPUNIT_TEST(bytesBeforeARequestEndTheConnection);
   CPPUNIT_TEST(bytesAfterAResponseEndTheConnection);
+  CPPUNIT_TEST(shortLinesLetOthersRun);
+  CPPUNIT_TEST(shortChunksLetOthersRun);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // A target that sent short lines without end kept its reader's thread for as
+  // long as a read of 64 KiB has lines.
+  void shortLinesLetOthersRun()
+  {
+    expectShortTurns("fffe\r\n" + repeat("x\n", 0x7fff) + "\r\n0\r\n\r\n",
+                     &transport::HttpCall::readLine);
+  }
+
+  void shortChunksLetOthersRun()
+  {
+    expectShortTurns(repeat("1\r\nx\r\n", 0x7fff) + "0\r\n\r\n",
+                     &transport::HttpCall::readChunk);
+  }
+
   // Bytes that the system still holds, as across a cut, came to the target
   // seconds after the caller had left.
   void restOfAnAbandonedRequestNeverArrives()
@@ -366,6 +396,42 @@
   }
 
 private:
+  using ReadPiece = transport::HttpPiece (transport::HttpCall::*)(
+    const Yield&); ///< Reads a piece of a body.
+
+  /** Reads a body, and fails unless others run after few pieces of it. */
+  void expectShortTurns(const std::string& aBody, ReadPiece aRead)
+  {
+    constexpr int kMaxPieces = 64;
+    Server server([&](Socket& aSocket, int) {
+      Server::readUntil(aSocket, "\r\n\r\n");
+      Server::write(aSocket, kChunkedHead + aBody);
+    });
+    run([&](transport::HttpClient& aClient, const Yield& aYield) {
+      transport::HttpCall call =
+        aClient.open(server.endpoint(), { "GET", "/", {}, {} }, {}, aYield);
+      bool othersRan = false;
+      bool isRead = false;
+      std::function<void()> other = [&] {
+        othersRan = true;
+        if (!isRead) {
+          boost::asio::post(aYield.get_executor(), other);
+        }
+      };
+      other();
+      int pieces = 0;
+      int most = 0;
+      while ((call.*aRead)(aYield).status_ == HttpReadStatus::kData) {
+        pieces = std::exchange(othersRan, false) ? 1 : pieces + 1;
+        most = std::max(most, pieces);
+      }
+      isRead = true;
+      // The posted handler refers to variables of this function.
+      boost::asio::post(aYield);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most <= kMaxPieces);
+    });
+  }
+
   /** Sends a body byte by byte until the client closes. */
   static void trickle(Socket& aSocket)
   {
