A target that repeats its events without end has failed

What callers saw: a stream whose target went back to an event that it had sent got nothing more until its deadline, though another target could have gone on; meanwhile the daemon parsed and dropped events.

Cause: EventSplitter skips events that the caller has, without any bound, and a flood of them is not silence in the sense of the loop that read it.

Evidence: targetThatRepeatsAnEventWithoutEndIsReplaced and endlessRepetitionIsAFault fail on the code before.

Why this works: a resumed target may begin with what the caller has, but in rising order. An event that this target has sent before counts as a repetition, and more than 64 of them end the attempt, which is then tried elsewhere if the route allows it, or cut at once. A few repeated events are still dropped (repeatedEventsArePassedOnOnce).

The splitter also no longer moves its buffer for each event nor searches a long event from its start for each piece: one of 256 KiB in one-byte chunks was searched in quadratic time.

--- a/src/transport/relay/event_splitter.cpp
+++ b/src/transport/relay/event_splitter.cpp
@@ -15,6 +15,11 @@
   "id:"; ///< Field with the event identifier.
 constexpr std::string_view kHttpVersion =
   "HTTP/1."; ///< Begins the head of a response, and no field.
+constexpr std::uint32_t kMaxRepeats =
+  64; ///< Events that a target may send once more; one that goes back to an
+      ///< earlier event for good sends no others.
+constexpr std::size_t kMaxEventEnd =
+  3; ///< Bytes of the longest end of an event.
 constexpr std::uint64_t kMinUnitSteps =
   2; ///< Steps by one after which a larger one shows that an event is missing.
 
@@ -117,10 +122,19 @@
 {
 }
 
+void
+EventSplitter::add(std::string_view aData)
+{
+  searchedBytes_ -= std::min(searchedBytes_, takenBytes_);
+  pending_.erase(0, std::exchange(takenBytes_, 0));
+  pending_.append(aData);
+}
+
 std::size_t
-EventSplitter::findEventEnd(std::size_t aFrom) const
+EventSplitter::findEventEnd()
 {
-  std::size_t lineEnd = pending_.find('\n', aFrom);
+  std::size_t lineEnd =
+    pending_.find('\n', std::max(takenBytes_, searchedBytes_));
   while (lineEnd != std::string::npos) {
     std::size_t next = lineEnd + 1;
     if (next < pending_.size() && pending_[next] == '\r') {
@@ -131,6 +145,7 @@
     }
     lineEnd = pending_.find('\n', lineEnd + 1);
   }
+  searchedBytes_ = pending_.size() - std::min(pending_.size(), kMaxEventEnd);
   return std::string::npos;
 }
 
@@ -174,8 +189,7 @@
   }
   const std::optional<std::uint64_t> number = parseNumber(*id);
   if (number && isRepeated(*number)) {
-    skippedNumber_ = std::max(skippedNumber_.value_or(0), *number);
-    return Verdict::kSkip;
+    return skipRepeated(*number);
   }
   if (isResuming() && !number) {
     return fail("resumed stream has an event without a number");
@@ -187,6 +201,18 @@
   return Verdict::kReturn;
 }
 
+EventSplitter::Verdict
+EventSplitter::skipRepeated(std::uint64_t aNumber)
+{
+  // A resumed stream may begin with what the caller has, but only once.
+  const bool isRepeat =
+    newEventCount_ > 0 || (skippedNumber_ && aNumber <= *skippedNumber_);
+  skippedNumber_ = std::max(skippedNumber_.value_or(0), aNumber);
+  repeats_ += isRepeat ? 1 : 0;
+  return repeats_ > kMaxRepeats ? fail("stream repeats its events")
+                                : Verdict::kSkip;
+}
+
 EventSplitter::Verdict
 EventSplitter::judgeWithoutId(std::string_view aEvent)
 {
@@ -227,21 +253,20 @@
 std::string_view
 EventSplitter::next()
 {
-  pending_.erase(0, returnedBytes_);
-  returnedBytes_ = 0;
   while (fault_.empty()) {
-    const std::size_t end = findEventEnd(0);
+    const std::size_t end = findEventEnd();
     if (end == std::string::npos) {
       return {};
     }
     ++eventCount_;
-    const Verdict verdict = judge(std::string_view(pending_).substr(0, end));
-    if (verdict == Verdict::kReturn) {
-      returnedBytes_ = end;
-      return std::string_view(pending_).substr(0, end);
+    const std::string_view event =
+      std::string_view(pending_).substr(takenBytes_, end - takenBytes_);
+    const Verdict verdict = judge(event);
+    if (verdict != Verdict::kFault) {
+      takenBytes_ = end;
     }
-    if (verdict == Verdict::kSkip) {
-      pending_.erase(0, end);
+    if (verdict == Verdict::kReturn) {
+      return event;
     }
   }
   return {};
@@ -250,10 +275,10 @@
 bool
 EventSplitter::goesOn() const
 {
-  const std::string_view rest =
-    std::string_view(pending_).substr(returnedBytes_);
+  const std::string_view rest = std::string_view(pending_).substr(takenBytes_);
   if (!fault_.empty()) {
-    return true;
+    // Events that were there before tell nothing of later ones.
+    return repeats_ <= kMaxRepeats;
   }
   if (rest.find_first_not_of("\r\n") == std::string_view::npos) {
     return false;
--- a/src/transport/relay/event_splitter.h
+++ b/src/transport/relay/event_splitter.h
@@ -33,7 +33,8 @@
  * middle of an event can be resumed from another target. Events whose numeric
  * identifier is not above the last returned one are skipped as duplicates. Text
  * that is no event, and an event that cannot be the next one of a resumed
- * stream, end the stream with a fault. Not thread-safe.
+ * stream, end the stream with a fault; so does a target that sends again and
+ * again what it has sent before. Not thread-safe.
  */
 class EventSplitter
 {
@@ -41,7 +42,7 @@
   /** @param aPosition What the caller has before the first byte. */
   explicit EventSplitter(StreamPosition aPosition = {});
   /** Appends received bytes. @param aData Next bytes of the stream. */
-  void add(std::string_view aData) { pending_.append(aData); }
+  void add(std::string_view aData);
   /**
    * @return The next complete event, with the empty line that ends it; empty
    * when there is none. Valid until the next call of a non-const function.
@@ -52,7 +53,8 @@
   /** @return Whether an incomplete event is buffered. */
   bool hasPartialEvent() const { return partialEventBytes() > 0; }
   /** @return Whether the stream goes on beyond the last returned event: part of
-   * a later one has arrived, or there is a fault in its place. */
+   * a later one has arrived, or there is a fault other than repeated events in
+   * its place. */
   bool goesOn() const;
   /** @return Whether the stream, if it is whole, ends before the last event
    * that the caller had from another target. */
@@ -60,7 +62,7 @@
   /** @return Buffered bytes that have not been returned yet. */
   std::size_t partialEventBytes() const
   {
-    return pending_.size() - returnedBytes_;
+    return pending_.size() - takenBytes_;
   }
   /** @return What the caller has when it has all returned events. */
   const StreamPosition& position() const { return position_; }
@@ -78,18 +80,21 @@
     kFault,  ///< It ends the stream.
   };
 
-  std::size_t findEventEnd(std::size_t aFrom) const;
+  std::size_t findEventEnd();
   Verdict judge(std::string_view aEvent);
   Verdict judgeWithoutId(std::string_view aEvent);
+  Verdict skipRepeated(std::uint64_t aNumber);
   Verdict fail(std::string_view aFault);
   bool isResuming() const;
   bool isGap(std::uint64_t aNumber) const;
   bool isRepeated(std::uint64_t aNumber) const;
   void noteEvent(std::string_view aId, std::optional<std::uint64_t> aNumber);
 
-  std::string pending_; ///< Buffered bytes, starting with the event that
-                        ///< next() returned last.
-  std::size_t returnedBytes_ = 0;   ///< Size of that event.
+  std::string pending_;             ///< Received bytes.
+  std::size_t takenBytes_ = 0;      ///< Of these, the first ones that belong to
+                                    ///< events which were returned or skipped.
+  std::size_t searchedBytes_ = 0;   ///< Of these, the first ones that hold no
+                                    ///< further end of an event.
   std::uint64_t eventCount_ = 0;    ///< Complete events found.
   std::uint64_t newEventCount_ = 0; ///< Events returned, without comments.
   StreamPosition position_;         ///< What the caller has.
@@ -98,8 +103,9 @@
     lastNumber_; ///< Number of the last event that the caller has; nothing
                  ///< when it is not numeric.
   std::optional<std::uint64_t>
-    skippedNumber_;   ///< Largest number of a skipped event.
-  std::string fault_; ///< Why there are no further events.
+    skippedNumber_;           ///< Largest number of a skipped event.
+  std::uint32_t repeats_ = 0; ///< Events that the target had sent before.
+  std::string fault_;         ///< Why there are no further events.
 };
 
 } // namespace auburnhaven::transport
--- a/tests/platform/relay_resume_test.cpp
+++ b/tests/platform/relay_resume_test.cpp
@@ -212,6 +212,7 @@
   CPPUNIT_TEST(successOfAnotherKindDoesNotContinueAStream);
   CPPUNIT_TEST(encodedResponseIsNeverPassedOn);
   CPPUNIT_TEST(textThatIsNoEventEndsAnAttempt);
+  CPPUNIT_TEST(targetThatRepeatsAnEventWithoutEndIsReplaced);
   CPPUNIT_TEST(headInTheMiddleOfAStreamIsNotPassedOn);
   CPPUNIT_TEST(bytesBehindAStreamAreNotPassedOn);
   CPPUNIT_TEST(interimResponsesAreNoPartOfTheStream);
@@ -357,6 +358,30 @@
     }
   }
 
+  // Its caller got nothing more until the deadline, though another target could
+  // have gone on.
+  void targetThatRepeatsAnEventWithoutEndIsReplaced()
+  {
+    expectPair("repeated",
+               events(1, 4) + kEnd,
+               { [&](Socket& aSocket, int) {
+                  constexpr int kTimes = 20000;
+                  std::string repeated;
+                  for (int count = 0; count < kTimes; ++count) {
+                    repeated += events(1, 1);
+                  }
+                  begin(aSocket, events(1, 2));
+                  boost::system::error_code error;
+                  while (!error) {
+                    aSocket.write_some(boost::asio::buffer(repeated), error);
+                  }
+                },
+                 [&](Socket& aSocket, int) {
+                   RawServer::readRequest(aSocket);
+                   RawServer::write(aSocket, stream(events(1, 4)));
+                 } });
+  }
+
   void headInTheMiddleOfAStreamIsNotPassedOn()
   {
     const std::string error = sized("500 Oops", "", "error\r\n\r\n");
--- a/tests/transport/event_splitter_test.cpp
+++ b/tests/transport/event_splitter_test.cpp
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(partOfALaterEventShowsThatTheStreamGoesOn);
   CPPUNIT_TEST(shorterRunEndsEarly);
   CPPUNIT_TEST(resumedRunsMakeOneStream);
+  CPPUNIT_TEST(endlessRepetitionIsAFault);
+  CPPUNIT_TEST(longResumedRunIsNoFault);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,6 +57,47 @@
     CPPUNIT_ASSERT(events.next() == "id: 5\ndata: b\n\n");
   }
 
+  // A target that repeated its first event without end kept its caller, and
+  // the thread, until the deadline.
+  void endlessRepetitionIsAFault()
+  {
+    for (const char* again : { "id: 2\ndata: b\n\n", "id: 1\ndata: a\n\n" }) {
+      EventSplitter events;
+      events.add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+      events.next();
+      events.next();
+      for (int count = 0; count < 1000; ++count) {
+        events.add(again);
+        CPPUNIT_ASSERT(events.next().empty());
+      }
+      CPPUNIT_ASSERT_EQUAL(std::string("stream repeats its events"),
+                           events.fault());
+      // Nothing shows that there are further events.
+      CPPUNIT_ASSERT(!events.goesOn());
+    }
+  }
+
+  void longResumedRunIsNoFault()
+  {
+    constexpr int kEvents = 1000;
+    const auto event = [](int aId) {
+      return "id: " + std::to_string(aId) + "\ndata: x\n\n";
+    };
+    EventSplitter first;
+    for (int id = 1; id <= kEvents; ++id) {
+      first.add(event(id));
+      CPPUNIT_ASSERT(!first.next().empty());
+    }
+    EventSplitter resumed(first.position());
+    for (int id = 1; id <= kEvents; ++id) {
+      resumed.add(event(id));
+      CPPUNIT_ASSERT(resumed.next().empty());
+    }
+    resumed.add(event(kEvents + 1));
+    CPPUNIT_ASSERT(resumed.next() == event(kEvents + 1));
+    CPPUNIT_ASSERT_EQUAL(std::string(), resumed.fault());
+  }
+
   void resumedStreamHasNoPartOfATornEvent()
   {
     EventSplitter torn;
