Requests of callers that left while they waited are not sent

After the flood the daemon sent all 32 requests, the 16 confirmations too, 2.5 to 6.5 s after their callers had closed their connections.

Cause: the end of a caller is noticed by the event loop. A request that waited in a socket, since the thread or the whole VM stood still, is read and sent in the same turn, before the loop can tell that its caller's end has arrived behind it. Nobody asked the connection before the send.

Evidence: requestOfACallerThatLeftWhileItWaitedIsNotSent stops the relay's thread for 200 ms while three callers ask and leave: 3 of 3 requests arrived at the target before, none with the change, on new and on kept connections. callOfACallerThatLeftWhileItWaitedIsNotRun fails likewise for the own interface when RequestRunner doesn't ask.

Why this works: HttpClient asks as the last thing before any byte of a request is written. CallerMonitor::confirm() reads what has arrived; a caller that sends no more may only have closed its sending side, so a probe is sent and 50 ms are waited for the reset that a caller returns which has left. One that still waits is served (halfClosedCallerIsServedAfterAStandstill).

Ruled out: the flood as the only way to it; any standstill does.

--- a/src/transport/caller_monitor.cpp
+++ b/src/transport/caller_monitor.cpp
@@ -27,6 +27,9 @@
 constexpr milliseconds kProbeDelay(
   100); ///< Silence within a stream before a probe, and the first pause
         ///< between two probes.
+constexpr milliseconds kResetTime(
+  50); ///< Within which a caller that has left resets the connection in return
+       ///< for a probe; a round trip.
 constexpr std::size_t kReadBytes = 4096; ///< Bytes read ahead at once.
 constexpr std::size_t kMaxAheadBytes =
   std::size_t{ 16 } * 1024; ///< Most bytes read ahead.
@@ -130,21 +133,77 @@
 void
 CallerMonitor::takeBytes()
 {
+  if (end_ != CallerEnd::kNone) {
+    return;
+  }
   if (ahead_.size() >= kMaxAheadBytes) {
     waitForReset();
-    return;
+  } else if (readAhead(); end_ == CallerEnd::kNone) {
+    waitForBytes();
   }
+}
+
+bool
+CallerMonitor::readAhead()
+{
   error_code error;
   ahead_.commit(socket_.read_some(ahead_.prepare(kReadBytes), error));
-  if (!error || error == asio::error::would_block ||
-      error == asio::error::interrupted) {
-    waitForBytes();
-  } else if (error == asio::error::eof) {
+  if (!error) {
+    return true;
+  }
+  if (error == asio::error::eof) {
     end_ = CallerEnd::kSendingSide;
+    endedAt_ = std::chrono::steady_clock::now();
     pause_ = kProbeDelay;
     waitForReset();
     scheduleProbe(place_ == Place::kHead ? milliseconds(0) : kProbeDelay);
-  } else {
+  } else if (error != asio::error::would_block &&
+             error != asio::error::interrupted) {
+    leave(CallerEnd::kReset);
+  }
+  return false;
+}
+
+bool
+CallerMonitor::confirm(const asio::yield_context& aYield)
+{
+  while (end_ == CallerEnd::kNone && ahead_.size() < kMaxAheadBytes &&
+         readAhead()) {
+  }
+  if (end_ == CallerEnd::kSendingSide) {
+    awaitReset(aYield);
+    takeReset();
+  }
+  return !gone();
+}
+
+void
+CallerMonitor::awaitReset(const asio::yield_context& aYield)
+{
+  const auto until = endedAt_ + kResetTime;
+  if (std::chrono::steady_clock::now() >= until) {
+    return;
+  }
+  if (probes_ == 0) {
+    probe();
+  }
+  if (gone()) {
+    return;
+  }
+  asio::steady_timer timer(socket_.get_executor(), until);
+  confirming_ = &timer;
+  error_code ignored;
+  timer.async_wait(aYield[ignored]);
+  confirming_ = nullptr;
+}
+
+void
+CallerMonitor::takeReset()
+{
+  char byte = 0;
+  error_code error;
+  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  if (error && error != asio::error::eof && error != asio::error::would_block) {
     leave(CallerEnd::kReset);
   }
 }
@@ -199,6 +258,9 @@
   }
   end_ = aEnd;
   timer_.cancel();
+  if (confirming_ != nullptr) {
+    confirming_->cancel();
+  }
   if (const auto handler = std::exchange(handler_, nullptr)) {
     handler();
   }
--- a/src/transport/caller_monitor.h
+++ b/src/transport/caller_monitor.h
@@ -4,6 +4,7 @@
 #include "transport/http_type.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -79,6 +80,14 @@
    * @return Whether the caller is still there.
    */
   bool endWrite(const boost::system::error_code& aError, Place aPlace);
+  /**
+   * Takes what has arrived and was not noticed yet, such as the end of a caller
+   * that left while the process stood still. If the caller sends no more, waits
+   * until a probe has had time to tell whether it has left.
+   * @param aYield Coroutine of the answer; no write is under way.
+   * @return Whether the caller is still there.
+   */
+  bool confirm(const boost::asio::yield_context& aYield);
   /** Makes a stream that ends here look broken, unless a write is under way. */
   void breakOff();
   /** Takes the caller for gone. */
@@ -92,6 +101,9 @@
 private:
   void waitForBytes();
   void takeBytes();
+  bool readAhead();
+  void awaitReset(const boost::asio::yield_context& aYield);
+  void takeReset();
   void waitForReset();
   void scheduleProbe(std::chrono::milliseconds aAfter);
   void probe();
@@ -108,6 +120,10 @@
   bool writing_ = false;                 ///< Whether a write is under way.
   std::size_t probes_ = 0;               ///< Bytes sent at this place.
   std::chrono::milliseconds pause_{ 0 }; ///< Pause before the next of them.
+  std::chrono::steady_clock::time_point
+    endedAt_{}; ///< When the end of the sending side was noticed.
+  boost::asio::steady_timer* confirming_ =
+    nullptr; ///< Wait of confirm(); null when there is none.
 };
 
 } // namespace auburnhaven::transport
--- a/src/transport/gateway/gateway_chat.cpp
+++ b/src/transport/gateway/gateway_chat.cpp
@@ -52,6 +52,11 @@
     responder_.onCallerGone(std::move(aHandler));
   }
 
+  bool confirmCaller(const boost::asio::yield_context& aYield) override
+  {
+    return responder_.confirmCaller(aYield);
+  }
+
   /** Marks the answer as complete and ends the response. */
   void end(const boost::asio::yield_context& aYield)
   {
@@ -116,6 +121,10 @@
   {
     responder_.onCallerGone(std::move(aHandler));
   }
+  bool confirmCaller(const boost::asio::yield_context& aYield) override
+  {
+    return responder_.confirmCaller(aYield);
+  }
   /** @return Text received so far. */
   const std::string& text() const { return text_; }
 
--- a/src/transport/gateway/gateway_service.cpp
+++ b/src/transport/gateway/gateway_service.cpp
@@ -74,6 +74,10 @@
   {
     responder_.onCallerGone(std::move(aHandler));
   }
+  bool confirmCaller(const boost::asio::yield_context& aYield) override
+  {
+    return responder_.confirmCaller(aYield);
+  }
 
 private:
   HttpResponder& responder_; ///< Reports a disconnect of the caller.
--- a/src/transport/gateway/request_runner.cpp
+++ b/src/transport/gateway/request_runner.cpp
@@ -166,6 +166,13 @@
 RequestRunner::attempt(const Action& aAction, const asio::yield_context& aYield)
 {
   const state::AttemptId id = aAction.attempt_;
+  // The request may have waited while the caller left.
+  if (!sink_.confirmCaller(aYield)) {
+    interrupt(machine_.callerGone());
+  }
+  if (finish_) {
+    return *finish_;
+  }
   const auto choice =
     dependencies_.chooser_.choose(call_.info_, now(), machine_.triedTargets());
   if (!choice) {
--- a/src/transport/gateway/request_runner.h
+++ b/src/transport/gateway/request_runner.h
@@ -37,6 +37,13 @@
    * @param aHandler Replaces the earlier handler; empty for none.
    */
   virtual void onCallerGone(std::function<void()> aHandler) = 0;
+  /**
+   * Asks whether the caller is still connected, also if its end has arrived and
+   * was not noticed yet.
+   * @param aYield Coroutine of the request; may be suspended for a moment.
+   * @return Whether it is.
+   */
+  virtual bool confirmCaller(const boost::asio::yield_context& aYield) = 0;
 };
 
 /** Opens attempts at targets, directly or through a daemon of another zone. */
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -297,6 +297,13 @@
   }
 }
 
+bool
+HttpAborter::maySend(const asio::yield_context& aYield)
+{
+  aborted_ = aborted_ || (isWanted_ && !isWanted_(aYield));
+  return !aborted_;
+}
+
 HttpClient::HttpClient(asio::io_context& aContext, HttpClientLimits aLimits)
   : context_(aContext)
   , pool_(std::make_shared<HttpConnectionPool>(aLimits))
@@ -314,14 +321,19 @@
 {
   HttpAborter unused;
   HttpAborter& aborter = aAborter != nullptr ? *aAborter : unused;
+  const HttpFailure aborted{ HttpFailureKind::kAborted, false, "aborted" };
   if (aborter.aborted()) {
-    return HttpCall({ HttpFailureKind::kAborted, false, "aborted" });
+    return HttpCall(aborted);
   }
   if (aRequest.freshConnection_) {
     pool_->closeOldest(aEndpoint);
   }
   while (auto kept =
            aRequest.freshConnection_ ? nullptr : pool_->take(aEndpoint)) {
+    if (!aborter.maySend(aYield)) {
+      pool_->give(std::move(kept));
+      return HttpCall(aborted);
+    }
     aborter.bind(kept);
     kept->setKeptLimit(aRequest.keptConnections_);
     HttpFailure failure = kept->send(aRequest, aTimeouts, aYield);
@@ -341,7 +353,8 @@
   fresh->setKeptLimit(aRequest.keptConnections_);
   HttpFailure failure = fresh->connect(aTimeouts.connect_, aYield);
   if (failure.kind_ == HttpFailureKind::kNone) {
-    failure = fresh->send(aRequest, aTimeouts, aYield);
+    failure = aborter.maySend(aYield) ? fresh->send(aRequest, aTimeouts, aYield)
+                                      : aborted;
   }
   if (failure.kind_ != HttpFailureKind::kNone) {
     return HttpCall(std::move(failure));
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -129,6 +129,21 @@
 class HttpAborter
 {
 public:
+  using WantedCheck = std::function<bool(
+    const boost::asio::yield_context&)>; ///< Returns whether the response is
+                                         ///< still wanted; may wait.
+
+  HttpAborter() = default;
+  /** @param aIsWanted Asked as the last thing before any byte of the request is
+   * written; if it returns false, the call is aborted. */
+  explicit HttpAborter(WantedCheck aIsWanted)
+    : isWanted_(std::move(aIsWanted))
+  {
+  }
+
+  /** @param aYield The call's coroutine. @return Whether the request may be
+   * written. */
+  bool maySend(const boost::asio::yield_context& aYield);
   /** Ends the call that is bound, or the next one that binds. Does nothing to
    * a connection that the call has given back. */
   void abort();
@@ -138,6 +153,7 @@
   void bind(const std::shared_ptr<HttpConnection>& aConnection);
 
 private:
+  WantedCheck isWanted_; ///< Asked before the request is written; may be empty.
   std::weak_ptr<HttpConnection> connection_; ///< Connection of the call.
   std::uint64_t use_ = 0;                    ///< Use of the connection.
   bool aborted_ = false;                     ///< Whether abort() was called.
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -62,6 +62,14 @@
    * none.
    */
   virtual void onCallerGone(std::function<void()> aHandler) = 0;
+  /**
+   * Asks the connection itself whether the caller is still there, since its end
+   * may have arrived and not been noticed yet. Waits for a moment if the caller
+   * sends no more, until it is known whether it has left.
+   * @param aYield The coroutine.
+   * @return Whether the caller is still there.
+   */
+  virtual bool confirmCaller(const boost::asio::yield_context& aYield) = 0;
   /** @return Whether the caller cannot take the response any more. */
   bool callerGone() const { return isGone(callerEnd()); }
   /** @return How the caller's side ended so far. */
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -202,6 +202,11 @@
     monitor_.onGone(std::move(aHandler));
   }
 
+  bool confirmCaller(const asio::yield_context& aYield) override
+  {
+    return monitor_.confirm(aYield);
+  }
+
   CallerEnd callerEnd() const override { return monitor_.end(); }
 
   void shorten() override
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -282,7 +282,9 @@
   staleConnection_ = false;
   auto attempt = std::make_unique<RelayAttempt>(
     dependencies_, info_, aTarget, isStream(), position_, identity_);
-  HttpAborter aborter;
+  HttpAborter aborter([this](const boost::asio::yield_context& aYield) {
+    return responder_.confirmCaller(aYield);
+  });
   aborter_ = &aborter;
   attempt->send(
     client_, request, { connect, write, left, left }, yield_, aborter);
--- a/tests/platform/relay_caller_test.cpp
+++ b/tests/platform/relay_caller_test.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/relay_world.h"
 
+#include <atomic>
+
 using namespace auburnhaven;
 using namespace std::chrono_literals;
 using fakes::chunk;
@@ -16,6 +18,10 @@
 constexpr std::size_t kHugeBytes =
   std::size_t{ 7 } * 1024 * 1024; ///< More than sockets take unread.
 
+constexpr std::chrono::milliseconds kStandstill{
+  200
+}; ///< How long the relay's thread stands still.
+
 /** @return Events with more bytes than sockets take unread. */
 std::string
 hugeEvents()
@@ -38,6 +44,14 @@
     .value();
 }
 
+/** Stops the relay's thread for a while, as a frozen machine does. */
+void
+standStill(RelayWorld& aWorld)
+{
+  boost::asio::post(aWorld.pool_.context(0),
+                    [] { std::this_thread::sleep_for(kStandstill); });
+}
+
 /** Waits until the server is idle. */
 void
 waitForIdle(const RelayWorld& aWorld)
@@ -70,6 +84,8 @@
   CPPUNIT_TEST(streamThatCouldNotBeWrittenIsNotDelivered);
   CPPUNIT_TEST(halfClosedCallerGetsItsStream);
   CPPUNIT_TEST(abandonedRequestsEndBeforeTheRelayDoes);
+  CPPUNIT_TEST(requestOfACallerThatLeftWhileItWaitedIsNotSent);
+  CPPUNIT_TEST(halfClosedCallerIsServedAfterAStandstill);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -134,6 +150,60 @@
                          outcomes(world, "stream delivered"));
   }
 
+  // A process that had stood still sent the requests of callers that had left
+  // meanwhile.
+  void requestOfACallerThatLeftWhileItWaitedIsNotSent()
+  {
+    std::atomic<int> arrived{ 0 };
+    const RawServer target([&arrived](Socket& aSocket, int) {
+      while (!RawServer::readRequest(aSocket).empty()) {
+        ++arrived;
+        RawServer::write(aSocket, RelayWorld::response("200 OK", "late"));
+      }
+    });
+    RelayWorld world;
+    world.startWith({ target.endpoint() });
+    // Twice, since the second request finds a kept connection.
+    for (int round = 1; round <= 2; ++round) {
+      for (const char* path : { "/safe/1", "/unsafe/1", "/stream/1" }) {
+        standStill(world);
+        boost::asio::io_context context;
+        Socket socket(context);
+        socket.connect(
+          { boost::asio::ip::address_v4::loopback(), world.server_.port() });
+        boost::asio::write(
+          socket, boost::asio::buffer(RelayWorld::request("POST", path)));
+        socket.close();
+        std::this_thread::sleep_for(kStandstill + 300ms);
+        waitForIdle(world);
+      }
+      CPPUNIT_ASSERT_EQUAL(round - 1, arrived.load());
+      CPPUNIT_ASSERT(fakes::contains(
+        world.ask(RelayWorld::request("POST", "/safe/1")), "late"));
+    }
+  }
+
+  void halfClosedCallerIsServedAfterAStandstill()
+  {
+    const RawServer target(
+      fakes::respondWith(RelayWorld::response("200 OK", "whole")));
+    RelayWorld world;
+    world.startWith({ target.endpoint() });
+    standStill(world);
+    boost::asio::io_context context;
+    Socket socket(context);
+    socket.connect(
+      { boost::asio::ip::address_v4::loopback(), world.server_.port() });
+    boost::asio::write(
+      socket, boost::asio::buffer(RelayWorld::request("POST", "/unsafe/1")));
+    socket.shutdown(Socket::shutdown_send);
+    std::string answer;
+    boost::system::error_code error;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200 OK\r\n"));
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("whole"));
+  }
+
   // A request that outlived the relay's parts crashed the process at its end.
   void abandonedRequestsEndBeforeTheRelayDoes()
   {
--- a/tests/transport/request_runner_test.cpp
+++ b/tests/transport/request_runner_test.cpp
@@ -192,6 +192,10 @@
   {
     handler_ = std::move(aHandler);
   }
+  bool confirmCaller(const boost::asio::yield_context& /*aYield*/) override
+  {
+    return !left_;
+  }
   /** Simulates that the caller closes its connection. */
   void disconnect()
   {
@@ -203,6 +207,8 @@
 
   std::string text_;              ///< Text received so far.
   bool disconnected_ = false;     ///< Whether the caller has disconnected.
+  bool left_ = false;             ///< Whether it did so before the request was
+                                  ///< sent, and only confirmCaller() tells.
   std::function<void()> handler_; ///< Called on a disconnect.
 };
 
@@ -344,6 +350,7 @@
   CPPUNIT_TEST(frequentFailuresDoNotMixAnswers);
   CPPUNIT_TEST(persistentFailureIsNotReportedAsAnswered);
   CPPUNIT_TEST(callerDisconnectEndsTheRequest);
+  CPPUNIT_TEST(callOfACallerThatLeftWhileItWaitedIsNotRun);
   CPPUNIT_TEST(callWithoutKeyRunsOnceAndIsUnknownAfterConnectionLoss);
   CPPUNIT_TEST(refusedCallIsNotRun);
   CPPUNIT_TEST_SUITE_END();
@@ -390,6 +397,21 @@
     CPPUNIT_ASSERT_EQUAL(tokenOf("p", 0), sink.text_);
   }
 
+  // A daemon that had stood still sent the calls of callers that had left
+  // meanwhile.
+  void callOfACallerThatLeftWhileItWaitedIsNotRun()
+  {
+    TestDaemon daemon;
+    TextSink sink;
+    sink.left_ = true;
+    transport::RequestResult result;
+    daemon.start(daemon.serviceCall(""), sink, result);
+    daemon.run();
+    CPPUNIT_ASSERT(result.outcome_.reason_ ==
+                   coordination::RefusalReason::kCallerGone);
+    CPPUNIT_ASSERT(daemon.targets_.runs_.empty());
+  }
+
   void callWithoutKeyRunsOnceAndIsUnknownAfterConnectionLoss()
   {
     TestDaemon daemon;
