--- a/tests/platform/relay_caller_test.cpp
+++ b/tests/platform/relay_caller_test.cpp
@@ -61,18 +61,40 @@
   }
 }
 
+/** A caller that has sent a request. */
+class Caller
+{
+public:
+  Caller(const RelayWorld& aWorld, const std::string& aPath)
+  {
+    socket_.connect(
+      { boost::asio::ip::address_v4::loopback(), aWorld.server_.port() });
+    boost::asio::write(socket_,
+                       boost::asio::buffer(RelayWorld::request("POST", aPath)));
+  }
+  /** @return Its connection. */
+  Socket& socket() { return socket_; }
+  /** @return What comes until the relay closes the connection. */
+  std::string readAll()
+  {
+    std::string answer;
+    boost::system::error_code error;
+    boost::asio::read(socket_, boost::asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+
+private:
+  boost::asio::io_context context_; ///< Event loop; never run.
+  Socket socket_{ context_ };       ///< Its connection.
+};
+
 /** Sends a request, reads nothing for a while and resets the connection. */
 void
 askAndReset(RelayWorld& aWorld, const std::string& aPath)
 {
-  boost::asio::io_context context;
-  Socket socket(context);
-  socket.connect(
-    { boost::asio::ip::address_v4::loopback(), aWorld.server_.port() });
-  boost::asio::write(socket,
-                     boost::asio::buffer(RelayWorld::request("POST", aPath)));
+  Caller caller(aWorld, aPath);
   std::this_thread::sleep_for(400ms);
-  RawServer::reset(socket);
+  RawServer::reset(caller.socket());
 }
 
 } // namespace
@@ -132,16 +154,9 @@
     });
     RelayWorld world;
     world.startWith({ target.endpoint() });
-    boost::asio::io_context context;
-    Socket socket(context);
-    socket.connect(
-      { boost::asio::ip::address_v4::loopback(), world.server_.port() });
-    boost::asio::write(
-      socket, boost::asio::buffer(RelayWorld::request("POST", "/stream/1")));
-    socket.shutdown(Socket::shutdown_send);
-    std::string answer;
-    boost::system::error_code error;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+    Caller caller(world, "/stream/1");
+    caller.socket().shutdown(Socket::shutdown_send);
+    const std::string answer = caller.readAll();
     CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "HTTP/1.1 200 OK\r\n"));
     CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, "id: 2\ndata: b\n\n\r\n"));
     CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("0\r\n\r\n"));
@@ -167,13 +182,8 @@
     for (int round = 1; round <= 2; ++round) {
       for (const char* path : { "/safe/1", "/unsafe/1", "/stream/1" }) {
         standStill(world);
-        boost::asio::io_context context;
-        Socket socket(context);
-        socket.connect(
-          { boost::asio::ip::address_v4::loopback(), world.server_.port() });
-        boost::asio::write(
-          socket, boost::asio::buffer(RelayWorld::request("POST", path)));
-        socket.close();
+        Caller caller(world, path);
+        caller.socket().close();
         std::this_thread::sleep_for(kStandstill + 300ms);
         waitForIdle(world);
       }
@@ -190,16 +200,9 @@
     RelayWorld world;
     world.startWith({ target.endpoint() });
     standStill(world);
-    boost::asio::io_context context;
-    Socket socket(context);
-    socket.connect(
-      { boost::asio::ip::address_v4::loopback(), world.server_.port() });
-    boost::asio::write(
-      socket, boost::asio::buffer(RelayWorld::request("POST", "/unsafe/1")));
-    socket.shutdown(Socket::shutdown_send);
-    std::string answer;
-    boost::system::error_code error;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+    Caller caller(world, "/unsafe/1");
+    caller.socket().shutdown(Socket::shutdown_send);
+    const std::string answer = caller.readAll();
     CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200 OK\r\n"));
     CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("whole"));
   }
@@ -217,12 +220,7 @@
     for (const char* path : { "/safe/1", "/stream/1" }) {
       RelayWorld world;
       world.startWith({ target.endpoint() });
-      boost::asio::io_context context;
-      Socket socket(context);
-      socket.connect(
-        { boost::asio::ip::address_v4::loopback(), world.server_.port() });
-      boost::asio::write(
-        socket, boost::asio::buffer(RelayWorld::request("POST", path)));
+      Caller caller(world, path);
       std::this_thread::sleep_for(300ms);
       world.server_.drain();
       const auto start = std::chrono::steady_clock::now();
@@ -231,9 +229,7 @@
       CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < 1s);
       CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 },
                            outcomes(world, "caller went away"));
-      std::string answer;
-      boost::system::error_code error;
-      boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+      const std::string answer = caller.readAll();
       CPPUNIT_ASSERT_MESSAGE(answer, !answer.ends_with("0\r\n\r\n"));
     }
   }
--- a/tests/platform/relay_flood_test.cpp
+++ b/tests/platform/relay_flood_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <atomic>
 #include <fstream>
+#include <functional>
 #include <mutex>
 #include <thread>
 #include <unistd.h>
@@ -238,8 +239,11 @@
                            worst < kWorstWait);
   }
 
-  /** @return Longest time that another request took. */
-  static Milliseconds worstOtherWait(RelayWorld& aWorld)
+  /** Sends other requests one after the other. @param aLook Called after each.
+   * @return The longest time that one took. */
+  static Milliseconds worstOtherWait(
+    RelayWorld& aWorld,
+    const std::function<void()>& aLook = [] {})
   {
     auto worst = std::chrono::steady_clock::duration::zero();
     const auto until = std::chrono::steady_clock::now() + kFloodTime;
@@ -249,6 +253,7 @@
         std::string("404"),
         statusOf(aWorld.ask(RelayWorld::request("POST", "/nothing/", "x"))));
       worst = std::max(worst, std::chrono::steady_clock::now() - from);
+      aLook();
       std::this_thread::sleep_for(5ms);
     }
     return std::chrono::duration_cast<Milliseconds>(worst);
@@ -274,25 +279,15 @@
       });
     }
     std::size_t growth = 0;
-    auto worst = std::chrono::steady_clock::duration::zero();
-    const auto until = std::chrono::steady_clock::now() + kFloodTime;
-    while (std::chrono::steady_clock::now() < until) {
-      const auto from = std::chrono::steady_clock::now();
-      CPPUNIT_ASSERT_EQUAL(
-        std::string("404"),
-        statusOf(world.ask(RelayWorld::request("POST", "/nothing/", "x"))));
-      worst = std::max(worst, std::chrono::steady_clock::now() - from);
-      growth =
-        std::max(growth, residentBytes() - std::min(before, residentBytes()));
-      std::this_thread::sleep_for(5ms);
-    }
+    const Milliseconds worst = worstOtherWait(world, [&] {
+      const std::size_t now = residentBytes();
+      growth = std::max(growth, now - std::min(before, now));
+    });
     for (std::thread& caller : callers) {
       caller.join();
     }
-    const std::string seen =
-      std::to_string(growth / kMiB) + " MiB, worst " +
-      std::to_string(std::chrono::duration_cast<Milliseconds>(worst).count()) +
-      " ms";
+    const std::string seen = std::to_string(growth / kMiB) + " MiB, worst " +
+                             std::to_string(worst.count()) + " ms";
     CPPUNIT_ASSERT_MESSAGE(seen, growth <= kMaxGrowth);
     CPPUNIT_ASSERT_MESSAGE(seen, worst < kWorstWait);
     CPPUNIT_ASSERT_EQUAL(kCallers, answered.load());
