Memory of sound parts: names of parts are the callers' choice

A hash table by their numbers could be filled with collisions; a map can't. The comment of SoundPart said when an answer began; it is the latest moment at which a target is known to have borne the part.

--- a/src/coordination/quarantine/crash_report_type.h
+++ b/src/coordination/quarantine/crash_report_type.h
@@ -36,11 +36,13 @@
   bool operator==(const SuspectPart&) const = default;
 };
 
-/** A part of the prompt of a request that a target has answered. */
+/** A part of the prompt of a request that a target has answered, or goes on to
+ * answer. */
 struct SoundPart
 {
   state::PromptPartId part_; ///< The part.
-  state::Duration age_{};    ///< Time since the answer began, or a part of it.
+  state::Duration age_{};    ///< Time since the latest moment at which a target
+                             ///< is known to have borne it.
   bool operator==(const SoundPart&) const = default;
 };
 
--- a/src/coordination/quarantine/sound_part_memory.h
+++ b/src/coordination/quarantine/sound_part_memory.h
@@ -5,8 +5,8 @@
 #include "state/time_type.h"
 
 #include <cstddef>
+#include <map>
 #include <optional>
-#include <unordered_map>
 
 namespace auburnhaven::coordination {
 
@@ -39,17 +39,7 @@
   std::optional<state::TimePoint> lastAt(state::PromptPartId aPart) const;
 
 private:
-  /** Identifiers of parts are digests already. */
-  struct PartHash
-  {
-    std::size_t operator()(state::PromptPartId aPart) const
-    {
-      return static_cast<std::size_t>(aPart.value());
-    }
-  };
-  using Times = std::unordered_map<state::PromptPartId,
-                                   state::TimePoint,
-                                   PartHash>; ///< By part.
+  using Times = std::map<state::PromptPartId, state::TimePoint>; ///< By part.
 
   const state::Duration retention_; ///< Length of a generation.
   const std::size_t maxParts_;      ///< Parts of a generation.
--- a/src/transport/relay/quarantine_service.cpp
+++ b/src/transport/relay/quarantine_service.cpp
@@ -238,9 +238,10 @@
       quarantine(set, "coordinator");
     }
   }
-  if (!peers_.coordinates_) {
-    notice->continues_ ? observer_.addSuspects(notice->suspects_)
-                       : observer_.setSuspects(notice->suspects_);
+  if (!peers_.coordinates_ && notice->continues_) {
+    observer_.addSuspects(notice->suspects_);
+  } else if (!peers_.coordinates_) {
+    observer_.setSuspects(notice->suspects_);
   }
   return true;
 }
