--- a/src/transport/gateway/gateway_chat.cpp
+++ b/src/transport/gateway/gateway_chat.cpp
@@ -3,6 +3,7 @@
 #include "transport/gateway/gateway.h"
 
 #include "protocol/chat_codec.h"
+#include "transport/gateway/responder_sink.h"
 #include "transport/table/refusal_table.h"
 
 #include <algorithm>
@@ -13,7 +14,7 @@
 namespace {
 
 /** Streams tokens to the caller as server-sent events. */
-class EventSink : public AnswerSink
+class EventSink : public ResponderSink
 {
 public:
   /**
@@ -28,7 +29,7 @@
             HttpResponse aHead,
             std::string aRequestId,
             std::string aModel)
-    : responder_(aResponder)
+    : ResponderSink(aResponder)
     , head_(std::move(aHead))
     , requestId_(std::move(aRequestId))
     , model_(std::move(aModel))
@@ -44,26 +45,16 @@
     if (!start(aYield)) {
       return false;
     }
-    return responder_.writeChunk(events_.encode(aText), aYield);
-  }
-
-  void onCallerGone(std::function<void()> aHandler) override
-  {
-    responder_.onCallerGone(std::move(aHandler));
-  }
-
-  bool confirmCaller(const boost::asio::yield_context& aYield) override
-  {
-    return responder_.confirmCaller(aYield);
+    return responder().writeChunk(events_.encode(aText), aYield);
   }
 
   /** Marks the answer as complete and ends the response. */
   void end(const boost::asio::yield_context& aYield)
   {
     if (start(aYield) &&
-        responder_.writeChunk(protocol::encodeChatEnd(requestId_, model_),
-                              aYield)) {
-      responder_.endStream(aYield);
+        responder().writeChunk(protocol::encodeChatEnd(requestId_, model_),
+                               aYield)) {
+      responder().endStream(aYield);
     }
   }
 
@@ -74,8 +65,8 @@
   void abort(const protocol::ErrorBody& aError,
              const boost::asio::yield_context& aYield)
   {
-    responder_.writeChunk(protocol::encodeErrorEvent(aError), aYield);
-    responder_.cut();
+    responder().writeChunk(protocol::encodeErrorEvent(aError), aYield);
+    responder().cut();
   }
 
   /** @return Whether the response was started. */
@@ -90,10 +81,9 @@
       return true;
     }
     started_ = true;
-    return responder_.startStream(head_, aYield);
+    return responder().startStream(head_, aYield);
   }
 
-  HttpResponder& responder_;          ///< Sends the response.
   HttpResponse head_;                 ///< Status and headers.
   std::string requestId_;             ///< Request ID for the events.
   std::string model_;                 ///< Model name for the events.
@@ -102,35 +92,22 @@
 };
 
 /** Collects the tokens of an answer that is sent as one response. */
-class TextSink : public AnswerSink
+class TextSink : public ResponderSink
 {
 public:
-  /** @param aResponder Reports a disconnect of the caller; outlives the sink.
-   */
-  explicit TextSink(HttpResponder& aResponder)
-    : responder_(aResponder)
-  {
-  }
+  using ResponderSink::ResponderSink;
+
   bool passToken(std::string_view aText,
                  const boost::asio::yield_context& /*aYield*/) override
   {
     text_ += aText;
-    return !responder_.callerGone();
-  }
-  void onCallerGone(std::function<void()> aHandler) override
-  {
-    responder_.onCallerGone(std::move(aHandler));
-  }
-  bool confirmCaller(const boost::asio::yield_context& aYield) override
-  {
-    return responder_.confirmCaller(aYield);
+    return !responder().callerGone();
   }
   /** @return Text received so far. */
   const std::string& text() const { return text_; }
 
 private:
-  HttpResponder& responder_; ///< Reports a disconnect of the caller.
-  std::string text_;         ///< Text received so far.
+  std::string text_; ///< Text received so far.
 };
 
 /** @return All validation errors of a body as one message. */
--- a/src/transport/gateway/gateway_service.cpp
+++ b/src/transport/gateway/gateway_service.cpp
@@ -3,6 +3,7 @@
 #include "transport/gateway/gateway.h"
 
 #include "state/digest_func.h"
+#include "transport/gateway/responder_sink.h"
 
 #include <algorithm>
 #include <utility>
@@ -56,31 +57,16 @@
 }
 
 /** Ignores tokens, because plain services return their answer as a whole. */
-class NoTokenSink : public AnswerSink
+class NoTokenSink : public ResponderSink
 {
 public:
-  /** @param aResponder Reports a disconnect of the caller; outlives the sink.
-   */
-  explicit NoTokenSink(HttpResponder& aResponder)
-    : responder_(aResponder)
-  {
-  }
+  using ResponderSink::ResponderSink;
+
   bool passToken(std::string_view /*aText*/,
                  const boost::asio::yield_context& /*aYield*/) override
   {
-    return !responder_.callerGone();
-  }
-  void onCallerGone(std::function<void()> aHandler) override
-  {
-    responder_.onCallerGone(std::move(aHandler));
-  }
-  bool confirmCaller(const boost::asio::yield_context& aYield) override
-  {
-    return responder_.confirmCaller(aYield);
+    return !responder().callerGone();
   }
-
-private:
-  HttpResponder& responder_; ///< Reports a disconnect of the caller.
 };
 
 } // namespace
