relay_exchange: one place decides whether to wait or to read on

No change of behaviour. followAttempts() chose between letting others run and waiting for news in two branches. While there may be more to read there is a send in flight, so one check of the sends is enough.

--- a/src/transport/relay/relay_exchange.h
+++ b/src/transport/relay/relay_exchange.h
@@ -72,6 +72,8 @@
   void serve();
   void tryNextTarget();
   void followAttempts();
+  /** @return Whether its turn ended while there may be more to read; then
+   * there is a send in flight. */
   bool pollAttempts();
   void takeProgress(RelayAttempt& aAttempt, AttemptProgress aProgress);
   void forwardEvents(RelayAttempt& aAttempt);
@@ -88,7 +90,8 @@
   HttpClientRequest requestFor(
     const coordination::TargetDecision& aTarget) const;
   bool mayStillRead() const;
-  void letOthersRun();
+  /** Lets others run, and waits for news unless there may be more to read. */
+  void goOn(bool aMayHaveMore);
   void waitForNews(state::TimePoint aUntil);
   state::TimePoint nextCheck() const;
   bool mayRetry(SendOutcome aSendOutcome) const;
--- a/src/transport/relay/relay_exchange_follow.cpp
+++ b/src/transport/relay/relay_exchange_follow.cpp
@@ -34,7 +34,7 @@
   // What has arrived by then is still forwarded.
   if (late || stopping_) {
     if (mayHaveMore && mayStillRead()) {
-      letOthersRun();
+      goOn(mayHaveMore);
       return;
     }
     endAttempts(late ? SendEnder::kDeadline : SendEnder::kStop);
@@ -45,10 +45,8 @@
     endUnansweredAttempts();
     if (attempts_.empty()) {
       refuseAsQuarantined();
-    } else if (mayHaveMore) {
-      letOthersRun();
     } else {
-      waitForNews(nextCheck());
+      goOn(mayHaveMore);
     }
     return;
   }
@@ -57,10 +55,8 @@
   }
   if (isBackupDue()) {
     startBackup();
-  } else if (mayHaveMore) {
-    letOthersRun();
   } else if (!attempts_.empty()) {
-    waitForNews(nextCheck());
+    goOn(mayHaveMore);
   }
 }
 
@@ -94,9 +90,13 @@
 }
 
 void
-RelayExchange::letOthersRun()
+RelayExchange::goOn(bool aMayHaveMore)
 {
-  boost::asio::post(yield_);
+  if (aMayHaveMore) {
+    boost::asio::post(yield_);
+  } else {
+    waitForNews(nextCheck());
+  }
 }
 
 void
