Replacing the suspects takes the lock once

setSuspects() cleared the list and released the lock before it filled it again. An answer that was noted in between cleared no suspect. Found by reading; the moment is too short for a test without hooks, so there is none.

--- a/src/coordination/quarantine/crash_observer.cpp
+++ b/src/coordination/quarantine/crash_observer.cpp
@@ -159,36 +159,39 @@
 void
 CrashObserver::setSuspects(const std::vector<SuspectPart>& aSuspects)
 {
-  {
-    const std::lock_guard lock(mutex_);
-    suspects_.clear();
-  }
-  addSuspects(aSuspects);
+  const std::lock_guard lock(mutex_);
+  suspects_.clear();
+  takeSuspects(aSuspects);
 }
 
 void
 CrashObserver::addSuspects(const std::vector<SuspectPart>& aSuspects)
 {
-  const state::TimePoint now = clock_.now();
   const std::lock_guard lock(mutex_);
+  takeSuspects(aSuspects);
+}
+
+void
+CrashObserver::takeSuspects(const std::vector<SuspectPart>& aSuspects)
+{
+  const state::TimePoint now = clock_.now();
   std::erase_if(recalledAt_, [&](const auto& aEntry) {
     return now - aEntry.second >= kRecallInterval;
   });
   for (const SuspectPart& suspect : aSuspects) {
     suspects_[suspect.part_] = now - suspect.age_;
-    recall(suspect);
+    recall(suspect, now);
   }
   hasSuspects_ = !suspects_.empty();
 }
 
 void
-CrashObserver::recall(const SuspectPart& aSuspect)
+CrashObserver::recall(const SuspectPart& aSuspect, state::TimePoint aNow)
 {
-  const state::TimePoint now = clock_.now();
   const auto at = memory_.lastAt(aSuspect.part_);
-  const bool counts = at && now - aSuspect.age_ < *at + kSoundTime;
+  const bool counts = at && aNow - aSuspect.age_ < *at + kSoundTime;
   if (counts && sound_.size() < kMaxSound &&
-      recalledAt_.emplace(aSuspect.part_, now).second) {
+      recalledAt_.emplace(aSuspect.part_, aNow).second) {
     sound_.emplace(aSuspect.part_, *at);
   }
 }
--- a/src/coordination/quarantine/crash_observer.h
+++ b/src/coordination/quarantine/crash_observer.h
@@ -111,7 +111,10 @@
     CrashReport report_;        ///< Lost requests that are not reported yet.
   };
 
-  void recall(const SuspectPart& aSuspect);
+  // Both with mutex_ held.
+  void takeSuspects(const std::vector<SuspectPart>& aSuspects);
+  void recall(const SuspectPart& aSuspect, state::TimePoint aNow);
+
   void startCheck(const LostRequest& aRequest);
   void finishCheck(const state::VmId& aVm, bool aRefused);
 
