Quarantine entries and messages: each limit is asked in one place

No change of behaviour for what daemons send. Whether the names of a set fit into a key was derived from the key's end; fitsKey() decides it for key and value. Sound parts of a message are read up to the number that is written, 64, in place of the limit for parts of a request, 65.

--- a/src/coordination/quarantine/quarantine_record.cpp
+++ b/src/coordination/quarantine/quarantine_record.cpp
@@ -40,7 +40,7 @@
 QuarantineRecord::keyOf(const state::PromptParts& aParts) const
 {
   const std::string text = state::textOf(aParts);
-  if (prefix_.size() + text.size() <= kMaxKeyBytes) {
+  if (fitsKey(text)) {
     return prefix_ + text;
   }
   return prefix_ + std::string(kDigestMark) +
@@ -51,8 +51,13 @@
 QuarantineRecord::holderOf(const state::PromptParts& aParts) const
 {
   const std::string text = state::textOf(aParts);
-  const bool isInKey = keyOf(aParts).ends_with(text);
-  return isInKey ? holder_ : holder_ + ' ' + text;
+  return fitsKey(text) ? holder_ : holder_ + ' ' + text;
+}
+
+bool
+QuarantineRecord::fitsKey(const std::string& aText) const
+{
+  return prefix_.size() + aText.size() <= kMaxKeyBytes;
 }
 
 state::PromptParts
--- a/src/coordination/quarantine/quarantine_record.h
+++ b/src/coordination/quarantine/quarantine_record.h
@@ -67,6 +67,7 @@
     bool own_ = false;               ///< Whether this daemon wrote it.
   };
 
+  bool fitsKey(const std::string& aText) const;
   std::string keyOf(const state::PromptParts& aParts) const;
   std::string holderOf(const state::PromptParts& aParts) const;
   state::PromptParts partsOf(const std::string& aKey,
--- a/src/protocol/quarantine_codec.cpp
+++ b/src/protocol/quarantine_codec.cpp
@@ -106,7 +106,7 @@
   // Daemons of earlier versions tell no ages.
   const Json ages = aMessage.size() > 3 ? aMessage.at(3) : Json::array();
   std::vector<coordination::SoundPart> sound;
-  for (std::size_t index = 0; index < std::min(parts.size(), kMaxRequestParts);
+  for (std::size_t index = 0; index < std::min(parts.size(), kSoundPerPiece);
        ++index) {
     const state::Duration age = index < ages.size()
                                   ? decodeTime<milliseconds>(ages.at(index))
