--- a/tests/coordination/crash_ledger_test.cpp
+++ b/tests/coordination/crash_ledger_test.cpp
@@ -509,7 +509,7 @@
     return parts;
   }
 
-  /** @return Common parts, and one more at each place of the order. */
+  /** @return A prompt with a further part behind the common ones. */
   static PromptParts with(PromptParts aCommon, PromptPartId aPart)
   {
     aCommon.push_back(aPart);
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -2,6 +2,7 @@
 
 #include "fakes/fake_event_log.h"
 #include "fakes/fake_store.h"
+#include "fakes/text_func.h"
 #include "platform/instance_codec.h"
 #include "platform/routing_codec.h"
 
@@ -43,17 +44,6 @@
   return entry + "}";
 }
 
-/** @return A text some times in a row. */
-std::string
-repeated(const std::string& aText, std::size_t aCount)
-{
-  std::string result;
-  for (std::size_t index = 0; index < aCount; ++index) {
-    result += aText;
-  }
-  return result;
-}
-
 /** @return Entries that name no worker to use. */
 std::vector<std::string>
 oddEntries()
@@ -67,7 +57,7 @@
     "[]",
     nested,
     std::string(kDepth * 4, '['),
-    repeated("{\"a\":", kDepth) + "1" + std::string(kDepth, '}'),
+    fakes::repeat("{\"a\":", kDepth) + "1" + std::string(kDepth, '}'),
     entryWith("zone", nested),
     entryWith("preloaded", nested),
     entryWith("group", R"({"name":"g","epoch":1e300,"rank":0,"state":"open"})"),
--- a/tests/platform/relay_flood_test.cpp
+++ b/tests/platform/relay_flood_test.cpp
@@ -1,6 +1,7 @@
 // Tests of a relay whose targets send bytes without end to many callers at
 // once.
 
+#include "fakes/text_func.h"
 #include "platform/relay_world.h"
 
 #include <algorithm>
@@ -16,6 +17,7 @@
 using namespace std::chrono_literals;
 using fakes::RawServer;
 using fakes::RelayWorld;
+using fakes::repeat;
 using fakes::statusOf;
 using Socket = boost::asio::ip::tcp::socket;
 using Milliseconds = std::chrono::milliseconds;
@@ -113,18 +115,6 @@
   return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
-/** @return A text many times in a row. */
-std::string
-repeat(const std::string& aText, std::size_t aTimes)
-{
-  std::string text;
-  text.reserve(aText.size() * aTimes);
-  for (std::size_t count = 0; count < aTimes; ++count) {
-    text += aText;
-  }
-  return text;
-}
-
 /** @return A text with each byte in a chunk of its own. */
 std::string
 bytewise(const std::string& aText)
--- a/tests/platform/relay_resume_test.cpp
+++ b/tests/platform/relay_resume_test.cpp
@@ -1,5 +1,6 @@
 // Tests of streams that one target began and another one must continue.
 
+#include "fakes/text_func.h"
 #include "platform/ordered_targets.h"
 
 #include <atomic>
@@ -365,11 +366,9 @@
     expectPair("repeated",
                events(1, 4) + kEnd,
                { [&](Socket& aSocket, int) {
-                  constexpr int kTimes = 20000;
-                  std::string repeated;
-                  for (int count = 0; count < kTimes; ++count) {
-                    repeated += events(1, 1);
-                  }
+                  constexpr std::size_t kTimes = 20000;
+                  const std::string repeated =
+                    fakes::repeat(events(1, 1), kTimes);
                   begin(aSocket, events(1, 2));
                   boost::system::error_code error;
                   while (!error) {
--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -1,6 +1,8 @@
 // Tests of the HTTP client over loopback sockets.
 
 #include "transport/http_client.h"
+
+#include "fakes/text_func.h"
 #include "transport/http_connection.h"
 #include "transport/loopback.h"
 #include "transport/system_clock.h"
@@ -13,6 +15,7 @@
 #include <utility>
 
 using namespace auburnhaven;
+using fakes::repeat;
 using transport::HttpFailureKind;
 using transport::HttpReadStatus;
 
@@ -24,17 +27,6 @@
 
 constexpr char kSmallAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
                                 "X-Kind: plain\r\n\r\nok";
-/** @return A text many times in a row. */
-std::string
-repeat(const std::string& aText, std::size_t aTimes)
-{
-  std::string text;
-  for (std::size_t count = 0; count < aTimes; ++count) {
-    text += aText;
-  }
-  return text;
-}
-
 constexpr char kChunkedHead[] =
   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
--- a/tests/transport/request_runner_test.cpp
+++ b/tests/transport/request_runner_test.cpp
@@ -285,6 +285,15 @@
   /** Runs until all requests have ended. */
   void run() { loop_.run(); }
 
+  /** Runs a single request. @return Its result. */
+  transport::RequestResult run(transport::TargetCall aCall, TextSink& aSink)
+  {
+    transport::RequestResult result;
+    start(std::move(aCall), aSink, result);
+    run();
+    return result;
+  }
+
   /** @return A chat request; the prompt serves as its request ID too. */
   transport::TargetCall chatCall(const std::string& aPrompt) const
   {
@@ -375,9 +384,8 @@
     TestDaemon daemon;
     daemon.targets_.lastEvent_ = TargetEventKind::kCutShort;
     TextSink sink;
-    transport::RequestResult result;
-    daemon.start(daemon.chatCall("p"), sink, result);
-    daemon.run();
+    const transport::RequestResult result =
+      daemon.run(daemon.chatCall("p"), sink);
     CPPUNIT_ASSERT(result.outcome_.kind_ ==
                    coordination::OutcomeKind::kUnknown);
     CPPUNIT_ASSERT(result.outcome_.partiallyDelivered_);
@@ -389,9 +397,8 @@
     TestDaemon daemon;
     TextSink sink;
     sink.disconnected_ = true;
-    transport::RequestResult result;
-    daemon.start(daemon.chatCall("p"), sink, result);
-    daemon.run();
+    const transport::RequestResult result =
+      daemon.run(daemon.chatCall("p"), sink);
     CPPUNIT_ASSERT(result.outcome_.reason_ ==
                    coordination::RefusalReason::kCallerGone);
     CPPUNIT_ASSERT_EQUAL(tokenOf("p", 0), sink.text_);
@@ -404,9 +411,8 @@
     TestDaemon daemon;
     TextSink sink;
     sink.left_ = true;
-    transport::RequestResult result;
-    daemon.start(daemon.serviceCall(""), sink, result);
-    daemon.run();
+    const transport::RequestResult result =
+      daemon.run(daemon.serviceCall(""), sink);
     CPPUNIT_ASSERT(result.outcome_.reason_ ==
                    coordination::RefusalReason::kCallerGone);
     CPPUNIT_ASSERT(daemon.targets_.runs_.empty());
@@ -417,9 +423,8 @@
     TestDaemon daemon;
     daemon.targets_.lastEvent_ = TargetEventKind::kCutShort;
     TextSink sink;
-    transport::RequestResult result;
-    daemon.start(daemon.serviceCall(""), sink, result);
-    daemon.run();
+    const transport::RequestResult result =
+      daemon.run(daemon.serviceCall(""), sink);
     CPPUNIT_ASSERT(result.outcome_.kind_ ==
                    coordination::OutcomeKind::kUnknown);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), daemon.targets_.runs_["order 1"]);
@@ -430,9 +435,8 @@
     TestDaemon daemon;
     daemon.targets_.lastEvent_ = TargetEventKind::kRefused;
     TextSink sink;
-    transport::RequestResult result;
-    daemon.start(daemon.serviceCall(""), sink, result);
-    daemon.run();
+    const transport::RequestResult result =
+      daemon.run(daemon.serviceCall(""), sink);
     CPPUNIT_ASSERT(result.outcome_.kind_ == coordination::OutcomeKind::kNotRun);
     CPPUNIT_ASSERT(daemon.targets_.runs_.empty());
   }
