--- a/review/12/case.py
+++ b/review/12/case.py
@@ -66,6 +66,8 @@
         for offset in MACHINES:
             attempt = "a%d-%d-%d" % (index, number, offset)
             headers = {"X-Attempt-Id": attempt, "Authorization": "Bearer key-of-shop-0", "X-Deadline-Ms": "1500"}
+            platform.record("sent", {"at": platform.now(), "attempt": attempt,
+                                     "machine": (index + offset) % len(ZONES)})
             status, _ = await daemons3.ask(daemons.address((index + offset) % len(ZONES)), "GET", "/lookup/1", headers,
                                            b"", 2)
             if status != 0:
@@ -125,4 +127,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main(os.environ.get("TROUBLE", "1") != "0", sys.argv[1])))
+    sys.exit(daemons3.play(main(os.environ.get("TROUBLE", "1") != "0", sys.argv[1])))
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,4 +4,4 @@
 export PYTHONDONTWRITEBYTECODE=1
 timeout -k 5 115 python3 "$here/case.py" "$here/record.txt"
 code=$?
-case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
+case $code in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
--- a/review/daemons3.py
+++ b/review/daemons3.py
@@ -10,6 +10,7 @@
 import subprocess
 import tempfile
 import tomllib
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 MEMORY_MB = 182
@@ -201,3 +202,17 @@
     finally:
         if writer is not None:
             writer.close()
+
+
+def play(case):
+    """Runs a case. Returns its result, or 2 when it could not run; ends all that it started, also on SIGTERM."""
+
+    async def guarded():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await case
+
+    try:
+        return asyncio.run(guarded())
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        return 2
