Settings: a figure of the platform never keeps a daemon from starting

Cause: the template passed the platform's figures on as they stand, and one that could not be read as the expected type cost the whole process. The type of five fields is one form of it. Others: a whole figure written as a fraction (302.0), an absent one (the line holds no value, so the whole file cannot be parsed), an absent share of the core, a text, a figure out of range, a bandwidth of 0. The stop limit was the seconds with three zeros behind them, so that a change of the type alone would have made 7.5000 of 7.5: a stop limit of 7.5 ms instead of 7,500.

Now: figures stand in quotes of their own in the template, so that nothing in them can spoil the file, and no figure stands in a section, whose meaning for 0 would decide. What is no number from 0 up leaves the default, a number out of range the nearest allowed value, an odd seed is left out, an odd bootstrap is no first start; each with a line in the log. A limit that the daemon promises to keep (grace, news, retries) is rounded down, a time after which it declares a copy broken and the retry window are rounded up. Name, zone, zones, store and listeners still refuse the start: another value in their place would serve as another daemon, elsewhere.

Ruled out: replacing the settings by the ones before (a new process has none); refusing the start with a clear line, which costs a machine until the platform says something else.

--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -118,5 +118,7 @@
   auburnhaven_tests(transport auburnhaven_transport)
   auburnhaven_tests(platform auburnhaven_platform)
   auburnhaven_tests(app auburnhaven_app)
+  # The settings template of the deploy file is tested as it stands.
+  target_compile_definitions(app_tests PRIVATE AUBURNHAVEN_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
   auburnhaven_benchmarks(load auburnhaven_transport)
 endif()
--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -48,8 +48,8 @@
 relay(const std::string& aPath)
 {
   return runCommand([&]() -> state::leaf::result<int> {
-    BOOST_LEAF_AUTO(settings, readRelaySettings(aPath));
-    return RelayDaemon(std::move(settings)).run();
+    BOOST_LEAF_AUTO(file, readRelaySettings(aPath));
+    return RelayDaemon(file).run();
   });
 }
 
--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -199,8 +199,9 @@
 
 } // namespace
 
-RelayDaemon::RelayDaemon(RelayDaemonSettings aSettings)
-  : settings_(std::move(aSettings))
+RelayDaemon::RelayDaemon(const RelaySettingsFile& aFile)
+  : settings_(aFile.settings_)
+  , settingsNotes_(aFile.notes_)
   , seed_(std::random_device{}())
   , log_(clock_, STDOUT_FILENO)
   , client_(control_.context(), clientLimits())
@@ -294,6 +295,7 @@
   const sigset_t signals = awaitedSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  logSettings();
   const std::string fault = startServers();
   if (!fault.empty()) {
     log_.write(state::LogWeight::kChange,
@@ -318,6 +320,31 @@
   return kExitOk;
 }
 
+void
+RelayDaemon::logSettings()
+{
+  for (const state::InputError& note : settingsNotes_) {
+    log_.write(state::LogWeight::kChange,
+               kPart,
+               "setting is not used as it stands",
+               { state::logField("key", std::string_view(note.key_)),
+                 state::logField("line", note.line_),
+                 state::logField("why", std::string_view(note.message_)) });
+  }
+  log_.write(
+    state::LogWeight::kChange,
+    kPart,
+    "settings read",
+    { state::logField("stall_limit_ms", settings_.stallLimit_.count()),
+      state::logField("news_limit_ms", settings_.newsLimit_.count()),
+      state::logField("stop_limit_ms", settings_.stopLimit_.count()),
+      state::logField("retry_ratio", settings_.retries_.ratio_),
+      state::logField("retry_extra", settings_.retries_.extra_),
+      state::logField("retry_window_ms", settings_.retries_.window_.count()),
+      state::logField("processor_share", settings_.processorShare_),
+      state::logField("link_mbps", settings_.linkMbps_) });
+}
+
 std::string
 RelayDaemon::startServers()
 {
--- a/src/app/relay_daemon.h
+++ b/src/app/relay_daemon.h
@@ -45,8 +45,8 @@
 class RelayDaemon
 {
 public:
-  /** @param aSettings Checked settings. */
-  explicit RelayDaemon(RelayDaemonSettings aSettings);
+  /** @param aFile Checked settings; the log tells its notes. */
+  explicit RelayDaemon(const RelaySettingsFile& aFile);
   ~RelayDaemon();
   RelayDaemon(const RelayDaemon&) = delete;
   RelayDaemon& operator=(const RelayDaemon&) = delete;
@@ -58,6 +58,7 @@
   int run();
 
 private:
+  void logSettings();
   std::string startServers();
   void connectParts();
   void tick();
@@ -91,14 +92,16 @@
   void logStopped(const StopTimer& aStop);
 
   const RelayDaemonSettings settings_; ///< Settings.
-  transport::SystemClock clock_;       ///< Clock.
-  const std::uint64_t seed_;           ///< Seed of random numbers.
-  transport::EventLogWriter log_;      ///< Log.
-  transport::Metrics metrics_;         ///< Metrics.
-  transport::ControlLoop control_;     ///< Event loop of the control thread.
-  transport::HttpClient client_;       ///< HTTP of the control thread.
-  transport::ServiceCaller caller_;    ///< Short calls.
-  platform::KvStore store_;            ///< The store.
+  const std::vector<state::InputError>
+    settingsNotes_;                 ///< What their file held instead.
+  transport::SystemClock clock_;    ///< Clock.
+  const std::uint64_t seed_;        ///< Seed of random numbers.
+  transport::EventLogWriter log_;   ///< Log.
+  transport::Metrics metrics_;      ///< Metrics.
+  transport::ControlLoop control_;  ///< Event loop of the control thread.
+  transport::HttpClient client_;    ///< HTTP of the control thread.
+  transport::ServiceCaller caller_; ///< Short calls.
+  platform::KvStore store_;         ///< The store.
   platform::PlatformEngineClient engines_; ///< The engines.
   platform::PlatformRoutingCodec codec_;   ///< Reads values of the store.
   coordination::StoreFollower follower_;   ///< Follows the store.
--- a/src/app/relay_settings_file.cpp
+++ b/src/app/relay_settings_file.cpp
@@ -2,10 +2,12 @@
 
 #include "app/relay_settings_file.h"
 
+#include "app/figure_reader.h"
 #include "app/file_func.h"
 #include "app/settings_reference.h"
 
 #include <array>
+#include <ratio>
 
 namespace auburnhaven::app {
 
@@ -13,7 +15,10 @@
 
 constexpr FieldRange kKeyLength{ 16, 256 };       ///< Length of keys.
 constexpr FieldRange kMilliseconds{ 0, 3600000 }; ///< Up to one hour.
-constexpr FieldRange kSeconds{ 1, 3600 };         ///< Up to one hour.
+constexpr FieldRange kSeconds{ 0, 3600 };         ///< Up to one hour.
+constexpr FieldRange kWindow{ 1, 1000000000 };    ///< Seconds. A window that
+                                                  ///< is cut short would allow
+                                                  ///< more.
 constexpr FieldRange kRatio{ 0, 10 };             ///< Repeated sends a request.
 constexpr FieldRange kProcessor{ 0, 1024 };       ///< Cores.
 constexpr FieldRange kCount{ 0, 1000000 };        ///< Repeated sends.
@@ -22,6 +27,11 @@
 constexpr auto kRequired = FieldNeed::kRequired;
 constexpr auto kOptional = FieldNeed::kOptional;
 
+using PromiseMs = TimeFigure<std::milli, state::Rounding::kDown>;
+using PromiseSeconds = TimeFigure<std::ratio<1>, state::Rounding::kDown>;
+using PatienceMs = TimeFigure<std::milli, state::Rounding::kUp>;
+using PatienceSeconds = TimeFigure<std::ratio<1>, state::Rounding::kUp>;
+
 constexpr std::array kListenerFields = {
   field<&RelayListeners::callers_>("callers",
                                    kRequired,
@@ -43,18 +53,20 @@
 };
 
 constexpr std::array kRetryFields = {
-  field<&RelayRetryLimits::ratio_>("ratio",
-                                   kOptional,
-                                   kRatio,
-                                   "repeated sends for each request"),
-  field<&RelayRetryLimits::extra_>("extra",
-                                   kOptional,
-                                   kCount,
-                                   "repeated sends beyond that in a window"),
-  field<&RelayRetryLimits::window_>("window_s",
-                                    kOptional,
-                                    kSeconds,
-                                    "window of the limit"),
+  field<&RelayRetryLimits::ratio_, RatioFigure>(
+    "ratio",
+    kOptional,
+    kRatio,
+    "repeated sends for each request"),
+  field<&RelayRetryLimits::extra_, CountFigure>(
+    "extra",
+    kOptional,
+    kCount,
+    "repeated sends beyond that in a window"),
+  field<&RelayRetryLimits::window_, PatienceSeconds>("window_s",
+                                                     kOptional,
+                                                     kWindow,
+                                                     "window of the limit"),
 };
 
 } // namespace
@@ -97,11 +109,12 @@
                                           kRequired,
                                           kNonEmpty,
                                           "where the daemon listens"),
-  field<&RelayDaemonSettings::seedPeers_>("seed_peers",
-                                          kOptional,
-                                          kAnyLength,
-                                          "peer listeners of daemons to ask "
-                                          "first"),
+  field<&RelayDaemonSettings::seedPeers_, EndpointHints>(
+    "seed_peers",
+    kOptional,
+    kAnyLength,
+    "peer listeners of daemons to ask "
+    "first"),
   field<&RelayDaemonSettings::peerKey_>("peer_key",
                                         kRequired,
                                         kKeyLength,
@@ -110,22 +123,25 @@
                                           kOptional,
                                           kNonEmpty,
                                           "path of the question for readiness"),
-  field<&RelayDaemonSettings::processorShare_>("processor_share",
-                                               kOptional,
-                                               kProcessor,
-                                               "part of a core that the daemon "
-                                               "has"),
-  field<&RelayDaemonSettings::newsLimit_>("news_limit_ms",
-                                          kOptional,
-                                          kMilliseconds,
-                                          "after which a change in the store "
-                                          "must be in force everywhere"),
-  field<&RelayDaemonSettings::linkMbps_>("link_mbps",
-                                         kOptional,
-                                         kBandwidth,
-                                         "bandwidth of the VM's link, in "
-                                         "megabits a second"),
-  field<&RelayDaemonSettings::firstStart_>(
+  field<&RelayDaemonSettings::processorShare_, RatioFigure>(
+    "processor_share",
+    kOptional,
+    kProcessor,
+    "part of a core that the daemon "
+    "has"),
+  field<&RelayDaemonSettings::newsLimit_, PromiseMs>(
+    "news_limit_ms",
+    kOptional,
+    kMilliseconds,
+    "after which a change in the store "
+    "must be in force everywhere"),
+  field<&RelayDaemonSettings::linkMbps_, RatioFigure>(
+    "link_mbps",
+    kOptional,
+    kBandwidth,
+    "bandwidth of the VM's link, in "
+    "megabits a second"),
+  field<&RelayDaemonSettings::firstStart_, FlagFigure>(
     "first_start",
     kOptional,
     kNonEmpty,
@@ -136,15 +152,17 @@
     kOptional,
     kMilliseconds,
     "after a first start: time before callers come"),
-  field<&RelayDaemonSettings::stallLimit_>("stall_limit_ms",
-                                           kOptional,
-                                           kMilliseconds,
-                                           "after which a copy without one of "
-                                           "its members is broken"),
-  field<&RelayDaemonSettings::stopLimit_>("stop_limit_ms",
-                                          kOptional,
-                                          kMilliseconds,
-                                          "longest time of a graceful stop"),
+  field<&RelayDaemonSettings::stallLimit_, PatienceMs>(
+    "stall_limit_ms",
+    kOptional,
+    kMilliseconds,
+    "after which a copy without one of "
+    "its members is broken"),
+  field<&RelayDaemonSettings::stopLimit_, PromiseSeconds>(
+    "stop_limit_s",
+    kOptional,
+    kSeconds,
+    "longest time of a graceful stop"),
   field<&RelayDaemonSettings::balancerLag_>(
     "balancer_lag_ms",
     kOptional,
@@ -166,7 +184,7 @@
   return kFields;
 }
 
-state::leaf::result<RelayDaemonSettings>
+state::leaf::result<RelaySettingsFile>
 parseRelaySettings(const std::string& aText, const std::string& aSource)
 {
   FaultList faults(aSource);
@@ -178,10 +196,10 @@
   if (!faults.empty()) {
     return state::leaf::new_error(state::InputErrors{ faults.sorted() });
   }
-  return settings;
+  return RelaySettingsFile{ std::move(settings), faults.notes() };
 }
 
-state::leaf::result<RelayDaemonSettings>
+state::leaf::result<RelaySettingsFile>
 readRelaySettings(const std::string& aPath)
 {
   BOOST_LEAF_AUTO(text, readFile(aPath));
--- a/src/app/relay_settings_file.h
+++ b/src/app/relay_settings_file.h
@@ -9,12 +9,13 @@
 namespace auburnhaven::app {
 
 /**
- * Reads settings from TOML. Thread-safe.
+ * Reads settings from TOML. The daemon cannot refuse what the platform fills
+ * in: a figure that cannot be used is replaced, with a note. Thread-safe.
  * @param aText The text.
  * @param aSource Where it comes from, for messages.
  * @return The settings, or state::InputErrors.
  */
-state::leaf::result<RelayDaemonSettings>
+state::leaf::result<RelaySettingsFile>
 parseRelaySettings(const std::string& aText, const std::string& aSource);
 
 /**
@@ -22,7 +23,7 @@
  * @param aPath The file.
  * @return The settings, or state::InputErrors.
  */
-state::leaf::result<RelayDaemonSettings>
+state::leaf::result<RelaySettingsFile>
 readRelaySettings(const std::string& aPath);
 
 /** @return Reference of all settings as a table in Markdown. */
--- a/src/app/relay_settings_type.h
+++ b/src/app/relay_settings_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "state/endpoint_type.h"
+#include "state/error_type.h"
 #include "state/id_type.h"
 
 #include <chrono>
@@ -27,7 +28,7 @@
 {
   double ratio_ = 0.2;        ///< Repeated sends for each request.
   std::uint32_t extra_ = 300; ///< Repeated sends beyond that in a window.
-  std::chrono::seconds window_{ 10 }; ///< The window.
+  std::chrono::milliseconds window_{ 10000 }; ///< The window.
   bool operator==(const RelayRetryLimits&) const = default;
 };
 
@@ -65,4 +66,13 @@
   bool operator==(const RelayDaemonSettings&) const = default;
 };
 
+/** Settings, and what of their file is not used as it stands. */
+struct RelaySettingsFile
+{
+  RelayDaemonSettings settings_;         ///< The settings.
+  std::vector<state::InputError> notes_; ///< Values that another one replaces,
+                                         ///< or that are left out.
+  bool operator==(const RelaySettingsFile&) const = default;
+};
+
 } // namespace auburnhaven::app
--- a/src/app/settings_reference.h
+++ b/src/app/settings_reference.h
@@ -34,7 +34,7 @@
     }
     aText += "| `" + aPrefix + std::string(row.key_) + "` | ";
     aText += std::string(row.type_) + " | ";
-    const bool ranged = row.type_ == "integer";
+    const bool ranged = row.type_ == "integer" || row.type_ == "number";
     aText += ranged ? std::to_string(row.range_.least_) + " to " +
                         std::to_string(row.range_.greatest_)
                     : "";
--- a/src/app/toml_reader.cpp
+++ b/src/app/toml_reader.cpp
@@ -32,6 +32,13 @@
   errors_.push_back({ source_, aLine, std::move(aKey), std::move(aMessage) });
 }
 
+void
+FaultList::note(const toml::node& aNode, std::string aMessage)
+{
+  const auto line = static_cast<int>(aNode.source().begin.line);
+  notes_.push_back({ source_, line, pathTo(""), std::move(aMessage) });
+}
+
 void
 FaultList::enter(const std::string& aKey)
 {
@@ -170,29 +177,6 @@
   }
 }
 
-void
-FieldCodec<double>::read(const toml::node& aNode,
-                         const FieldRange& aRange,
-                         double& aValue,
-                         FaultList& aFaults)
-{
-  const std::optional<double> value = aNode.value<double>();
-  if (!expectType(aNode, aNode.is_number() && value, kType, aFaults)) {
-    return;
-  }
-  aValue = *value;
-  checkRange(
-    aNode, static_cast<std::int64_t>(aValue), aRange, "value", aFaults);
-}
-
-std::string
-FieldCodec<double>::show(double aValue)
-{
-  std::ostringstream text;
-  text << aValue;
-  return text.str();
-}
-
 void
 FieldCodec<state::Endpoint>::read(const toml::node& aNode,
                                   const FieldRange& aRange,
--- a/src/app/toml_reader.h
+++ b/src/app/toml_reader.h
@@ -61,6 +61,12 @@
    * @param aMessage What is wrong.
    */
   void addAt(int aLine, std::string aKey, std::string aMessage);
+  /**
+   * Adds a note: a value that is not used as it stands, which is no fault.
+   * @param aNode The value.
+   * @param aMessage What is wrong, and what is used instead.
+   */
+  void note(const toml::node& aNode, std::string aMessage);
   /** @param aKey Key that the path goes down to. */
   void enter(const std::string& aKey);
   /** Goes back up by one key. */
@@ -71,11 +77,14 @@
   std::vector<state::InputError> sorted() const;
   /** @return Whether there is no fault. */
   bool empty() const { return errors_.empty(); }
+  /** @return All notes, in order of discovery. */
+  const std::vector<state::InputError>& notes() const { return notes_; }
 
 private:
   std::string source_;                    ///< Name of the file.
   std::vector<std::string> path_;         ///< Keys down to the current table.
   std::vector<state::InputError> errors_; ///< Faults in order of discovery.
+  std::vector<state::InputError> notes_;  ///< Notes in order of discovery.
 };
 
 /**
@@ -162,18 +171,6 @@
   static std::string show(bool aValue) { return aValue ? "true" : "false"; }
 };
 
-/** Numbers with fractions; the range holds for the whole part. */
-template<>
-struct FieldCodec<double>
-{
-  static constexpr std::string_view kType = "number";
-  static void read(const toml::node& aNode,
-                   const FieldRange& aRange,
-                   double& aValue,
-                   FaultList& aFaults);
-  static std::string show(double aValue);
-};
-
 /** Endpoints. */
 template<>
 struct FieldCodec<state::Endpoint>
