Stop: a grace shorter than the balancer's lag leaves time for requests

What callers would see: with a grace of 1.5 s a stopping daemon waits 2.2 s for the balancer before it looks at its requests, so SIGKILL cuts them all without an answer. Not seen on a deployment; the grace is a figure of the platform, and the wait assumed that it is long.

Cause: the phases of a stop were two settings that nothing compared; the time to give up was the limit less half a second, below the first phase or negative for short limits.

StopTimerTest::shortLimitStillLeavesTimeForRequests goes through limits of 0 to 10 s; the formulas before gave 2.2 s and 1.0 s for 1.5 s.

Now planStop() decides: new requests are refused after the balancer's lag, or half way to the time at which open requests are given up; of a short limit a quarter is kept for the end. Limits from 5 s on: as before.

--- a/src/app/relay_daemon_stop.cpp
+++ b/src/app/relay_daemon_stop.cpp
@@ -14,7 +14,6 @@
 using std::chrono::milliseconds;
 
 constexpr std::string_view kPart = "daemon"; ///< Part of the program in logs.
-constexpr milliseconds kStopMargin(500);     ///< Kept of the stop limit.
 constexpr milliseconds kReleaseTimeout(
   100); ///< Longest wait for the store to end the registration.
 constexpr milliseconds kAbandonWait(
@@ -40,13 +39,14 @@
       handBack(*duty);
     }
   });
-  stop.sleepUntil(settings_.balancerLag_);
+  const StopTimes times =
+    planStop(settings_.balancerLag_, settings_.stopLimit_);
+  stop.sleepUntil(times.refuseAt_);
   endStopPhase(stop, "balancer wait");
   // Late requests on kept connections could not be finished in time.
   relay_.refuseAll();
   callers_->drain();
-  stop.waitFor([this] { return callers_->inFlight() == 0; },
-               settings_.stopLimit_ - kStopMargin);
+  stop.waitFor([this] { return callers_->inFlight() == 0; }, times.giveUpAt_);
   endStopPhase(stop, "requests");
   logOpenRequests();
   // Better an error now than a connection that closes without an answer.
--- a/src/app/stop_timer.cpp
+++ b/src/app/stop_timer.cpp
@@ -10,9 +10,20 @@
 namespace {
 
 constexpr std::chrono::milliseconds kPoll(20); ///< Between two checks.
+constexpr state::Duration kEndTime =
+  std::chrono::milliseconds(500); ///< For the errors and the end of threads.
+constexpr int kEndPart = 4; ///< Of a short limit, a quarter serves for this.
 
 } // namespace
 
+StopTimes
+planStop(state::Duration aBalancerLag, state::Duration aLimit)
+{
+  const state::Duration giveUpAt =
+    aLimit - std::min(kEndTime, aLimit / kEndPart);
+  return { std::min(aBalancerLag, giveUpAt / 2), giveUpAt };
+}
+
 StopTimer::StopTimer(const state::Clock& aClock, Sleep aSleep)
   : clock_(aClock)
   , sleep_(std::move(aSleep))
--- a/src/app/stop_timer.h
+++ b/src/app/stop_timer.h
@@ -8,6 +8,24 @@
 
 namespace auburnhaven::app {
 
+/** When the phases of a planned stop end, from its signal. */
+struct StopTimes
+{
+  state::Duration refuseAt_; ///< New requests are refused from then on.
+  state::Duration giveUpAt_; ///< Requests still in flight get an error.
+  bool operator==(const StopTimes&) const = default;
+};
+
+/**
+ * Plans a stop. However short its limit is, requests that were accepted last
+ * have half of the time to end. Thread-safe.
+ * @param aBalancerLag How long callers still come after readiness fails.
+ * @param aLimit Time from the signal to the end of the process; not negative.
+ * @return The times.
+ */
+StopTimes
+planStop(state::Duration aBalancerLag, state::Duration aLimit);
+
 /**
  * Waits until times that count from the signal of a planned stop, however long
  * each sleep takes, and records the real duration of each phase. Used by one
--- a/tests/app/stop_timer_test.cpp
+++ b/tests/app/stop_timer_test.cpp
@@ -31,6 +31,8 @@
   CPPUNIT_TEST(conditionMustHold);
   CPPUNIT_TEST(conditionIsAskedOnceAfterTheTime);
   CPPUNIT_TEST(phasesTakeWhatTheyTook);
+  CPPUNIT_TEST(usualLimitLeavesTheBalancerItsLag);
+  CPPUNIT_TEST(shortLimitStillLeavesTimeForRequests);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -89,6 +91,27 @@
     stop.clock_.advance(milliseconds(50));
     CPPUNIT_ASSERT(stop.timer_.endPhase() == milliseconds(50));
   }
+
+  void usualLimitLeavesTheBalancerItsLag()
+  {
+    const app::StopTimes usual = { milliseconds(2200), milliseconds(7500) };
+    CPPUNIT_ASSERT(app::planStop(milliseconds(2200), milliseconds(8000)) ==
+                   usual);
+  }
+
+  /** With a limit below the balancer's lag all requests in flight were cut. */
+  void shortLimitStillLeavesTimeForRequests()
+  {
+    for (int limit = 0; limit <= 10000; limit += 100) {
+      const app::StopTimes times =
+        app::planStop(milliseconds(2200), milliseconds(limit));
+      CPPUNIT_ASSERT(times.refuseAt_ >= milliseconds(0));
+      CPPUNIT_ASSERT(times.refuseAt_ <= milliseconds(2200));
+      CPPUNIT_ASSERT(times.refuseAt_ * 2 <= times.giveUpAt_);
+      CPPUNIT_ASSERT(times.giveUpAt_ * 4 >= milliseconds(limit) * 3);
+      CPPUNIT_ASSERT(limit == 0 || times.giveUpAt_ < milliseconds(limit));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StopTimerTest);
