Retries: a limit of nothing allows no second send

Not seen on a deployment; a 0 is a figure like any other and need not be the one that the code assumed.

Cause: the most that a daemon may save up was at least 1 whatever the limit says, so that small limits still allow some.

Evidence: RetryShareTest::limitOfNothingAllowsNoRetry; the budget before (one at the start, at least one saved) fails it at its first assertion. The other cases compare with the values before (160 per mille, 9, 0.628 a second for 0.2, 302, 10 s and 20 daemons).

Now shareOfRetries() divides the limit, apart from the daemon's wiring, and gives 0 where neither the ratio nor the extra grants anything.

--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -3,6 +3,7 @@
 #include "app/relay_daemon.h"
 
 #include "app/command_line.h"
+#include "app/retry_share_func.h"
 #include "protocol/placement_codec.h"
 #include "protocol/zone_digest_codec.h"
 #include "state/endpoint_func.h"
@@ -51,17 +52,9 @@
 constexpr milliseconds kDigestPeriod(300); ///< Between two digests of a zone.
 constexpr std::chrono::seconds kUsagePeriod(
   5); ///< Between two records of the calls to the store.
-constexpr double kUsedBudget = 0.8; ///< Part of the limit of repeated sends.
-constexpr double kBudgetSlack =
-  1.3; ///< How much more than its even part of the extra sends a daemon may
-       ///< save, since they are not needed evenly.
-constexpr double kSavedBudget =
-  0.6; ///< Part of its extra sends of a window that a daemon may save up; the
-       ///< rest comes with time.
 constexpr std::size_t kMaxResponsesBytes =
   std::size_t{ 24 } * 1024 * 1024; ///< Responses that arrive at the same time,
                                    ///< a fifth of a small machine's memory.
-constexpr std::uint32_t kPermille = 1000;     ///< Thousandths.
 constexpr double kBytesPerMegabit = 125'000;  ///< Bytes in a megabit.
 constexpr char kOwnPrefix[] = "auburnhaven/"; ///< Of the daemons' keys.
 constexpr char kDutyPrefix[] = "auburnhaven/coordinator/"; ///< Of the duties.
@@ -176,18 +169,6 @@
   return signals;
 }
 
-/** @return Budget of repeated sends, before the other daemons are known. */
-coordination::RetryBudgetSettings
-budgetSettings(const RelayRetryLimits& aLimits)
-{
-  coordination::RetryBudgetSettings budget;
-  budget.ratioPermille_ =
-    static_cast<std::uint32_t>(aLimits.ratio_ * kUsedBudget * kPermille);
-  budget.initialRetries_ = 1;
-  budget.maxRetries_ = 1;
-  return budget;
-}
-
 /** @return Settings of the choice of targets. */
 coordination::TargetPoolSettings
 poolSettings(const RelayDaemonSettings& aSettings)
@@ -253,7 +234,7 @@
                   });
                 })
   , extender_(clock_, digests_, duties_, registration_, log_)
-  , budget_(budgetSettings(settings_.retries_))
+  , budget_(firstRetryBudget(settings_.retries_))
   , responses_(kMaxResponsesBytes)
   , relay_({ clock_,
              targets_,
@@ -695,14 +676,10 @@
 void
 RelayDaemon::setRetryLimits()
 {
-  const double daemons = std::max(1.0, static_cast<double>(registry_.size()));
-  const double extra =
-    settings_.retries_.extra_ * kUsedBudget * kBudgetSlack / daemons;
-  budget_.setMaximum(std::max(
-    1U, static_cast<std::uint32_t>(std::lround(extra * kSavedBudget))));
-  earnedEachTick_ = extra * (1 - kSavedBudget) *
-                    (std::chrono::duration<double>(kControlTick) /
-                     std::chrono::duration<double>(settings_.retries_.window_));
+  const RetryShare share = shareOfRetries(settings_.retries_, registry_.size());
+  budget_.setMaximum(share.maximum_);
+  earnedEachTick_ =
+    share.perSecond_ * std::chrono::duration<double>(kControlTick).count();
 }
 
 void
