Entries and reports: counts may be written as fractions, loads may be means

What callers would see: a worker whose entry or report writes 26.0 in place of 26, or a mean of its load (11.5 requests), is not used at all: its entry names no worker, its reports tell nothing, so a replica with it is not formed.

Cause: the library's question for a whole number asks how it is written.

Identities (born, sequence, epoch, rank) stay whole.

--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -108,6 +108,8 @@
   CPPUNIT_TEST(oddEntryInAListHidesNoOther);
   CPPUNIT_TEST(entryThatTurnsOddIsGoneUntilItIsGoodAgain);
   CPPUNIT_TEST(oddReportIsNone);
+  CPPUNIT_TEST(wholeCountsMayBeWrittenAsFractions);
+  CPPUNIT_TEST(fractionalLoadsOfAReportAreRoundedUp);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,6 +172,43 @@
     CPPUNIT_ASSERT(slow->slowness_ < 1e6);
   }
 
+  /** An entry with 26.0 in place of 26 named no worker. */
+  void wholeCountsMayBeWrittenAsFractions()
+  {
+    const auto slots =
+      platform::decodeInstance(vm_, entryWith("batch_slots", "26.0"));
+    CPPUNIT_ASSERT(slots);
+    CPPUNIT_ASSERT_EQUAL(26U, slots->slots_);
+    const auto born =
+      platform::decodeInstance(vm_, entryWith("born", "1.77314115e12"));
+    CPPUNIT_ASSERT(born);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1773141150000 }, born->bornAtMs_);
+    const auto report = platform::decodeReport(
+      R"({"sequence":2.0,"queued":1.0,"active":12.0,
+          "group":{"name":"g","epoch":12.0,"rank":1.0,"state":"open"}})");
+    CPPUNIT_ASSERT(report);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 2 }, report->state_.orders_);
+    CPPUNIT_ASSERT_EQUAL(12U, report->load_.running_);
+    CPPUNIT_ASSERT_EQUAL(1U, report->state_.place_->rank_);
+  }
+
+  /** A report with a mean in place of a count hid its worker. */
+  void fractionalLoadsOfAReportAreRoundedUp()
+  {
+    const auto report =
+      platform::decodeReport(R"({"sequence":2,"queued":0.2,"active":11.5})");
+    CPPUNIT_ASSERT(report);
+    CPPUNIT_ASSERT_EQUAL(12U, report->load_.running_);
+    CPPUNIT_ASSERT_EQUAL(1U, report->load_.waiting_);
+    for (const char* odd : { R"({"sequence":2.5})",
+                             R"({"born":2.5})",
+                             R"({"queued":-0.5})",
+                             R"({"queued":null})",
+                             R"({"active":1000000000.5})" }) {
+      CPPUNIT_ASSERT_MESSAGE(odd, !platform::decodeReport(odd));
+    }
+  }
+
 private:
   void start()
   {
