Configuration: an odd figure costs itself alone, weights may be fractions

Other forms were read, as something else: weights of 0.7 and 0.3 became 0 and 0, and all of 10,000 choices fell on the first service; -1 attempts were 4,294,967,295; a version of -1 was the largest number there is, so that no later one was newer; a timeout of 1e300 ms overflowed.

Cause: figures were converted, not checked, and the library's conversion either throws, which ended the whole document, or changes the value.

Now: a figure that cannot be used leaves its default, one out of range the nearest allowed value, with a line in the log each (eight at most). Names, hosts and prefixes refuse the document as before.

Left: a number beyond the largest double is no JSON for the library and refuses the document.

--- a/src/coordination/routing/store_follower.cpp
+++ b/src/coordination/routing/store_follower.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::string_view kPart = "store"; ///< Component name in logs.
+constexpr std::size_t kMaxLoggedNotes =
+  8; ///< Most odd values of a configuration that are logged.
 
 } // namespace
 
@@ -224,8 +226,8 @@
   if (aText == configText_) {
     return;
   }
-  std::optional<state::RoutingConfig> config = codec_.decodeConfig(aText);
-  if (!config) {
+  std::optional<state::DecodedRouting> decoded = codec_.decodeConfig(aText);
+  if (!decoded) {
     log_.write(state::LogWeight::kChange,
                kPart,
                "cannot decode configuration",
@@ -233,13 +235,14 @@
                  state::logField("bytes", aText.size()) });
     return;
   }
-  if (config_ && config->version_ <= config_->version_) {
+  state::RoutingConfig& config = decoded->config_;
+  if (config_ && config.version_ <= config_->version_) {
     return;
   }
   if (config_ && replacedHandler_) {
-    replacedHandler_(config_->version_, configText_, config->version_, aText);
+    replacedHandler_(config_->version_, configText_, config.version_, aText);
   }
-  config_ = std::make_shared<const state::RoutingConfig>(std::move(*config));
+  config_ = std::make_shared<const state::RoutingConfig>(std::move(config));
   configText_ = aText;
   log_.write(state::LogWeight::kChange,
              kPart,
@@ -247,11 +250,27 @@
              { state::logField("version", config_->version_.value()),
                state::logField("source", aSource),
                state::logField("routes", config_->routes_.size()) });
+  logNotes(decoded->notes_);
   if (configHandler_) {
     configHandler_(config_);
   }
 }
 
+void
+StoreFollower::logNotes(const std::vector<state::InputError>& aNotes)
+{
+  const std::size_t shown = std::min(aNotes.size(), kMaxLoggedNotes);
+  for (std::size_t index = 0; index < shown; ++index) {
+    const state::InputError& note = aNotes[index];
+    log_.write(state::LogWeight::kChange,
+               kPart,
+               "configured value is not used as it stands",
+               { state::logField("field", std::string_view(note.key_)),
+                 state::logField("why", std::string_view(note.message_)),
+                 state::logField("of", aNotes.size()) });
+  }
+}
+
 void
 StoreFollower::putInstance(const state::VmId& aVm, const std::string& aText)
 {
--- a/src/coordination/routing/store_follower.h
+++ b/src/coordination/routing/store_follower.h
@@ -27,7 +27,7 @@
    * @param aText Value of the configuration key.
    * @return The configuration, or nothing when it cannot be decoded.
    */
-  virtual std::optional<state::RoutingConfig> decodeConfig(
+  virtual std::optional<state::DecodedRouting> decodeConfig(
     const std::string& aText) const = 0;
   /**
    * @param aVm VM that the entry belongs to.
@@ -299,6 +299,7 @@
              const std::optional<std::string>& aValue,
              state::Revision aRevision);
   void adoptConfig(const std::string& aText, std::string_view aSource);
+  void logNotes(const std::vector<state::InputError>& aNotes);
   void putInstance(const state::VmId& aVm, const std::string& aText);
   void removeInstance(const state::VmId& aVm);
   void eraseInstance(const state::VmId& aVm);
--- a/src/state/routing_func.cpp
+++ b/src/state/routing_func.cpp
@@ -46,4 +46,19 @@
                            });
 }
 
+std::vector<double>
+serviceWeights(const Route& aRoute)
+{
+  std::vector<double> weights;
+  double sum = 0;
+  for (const WeightedService& service : aRoute.services_) {
+    weights.push_back(std::max(0.0, service.weight_));
+    sum += weights.back();
+  }
+  if (sum == 0) {
+    weights.assign(weights.size(), 1);
+  }
+  return weights;
+}
+
 } // namespace auburnhaven::state
--- a/src/state/routing_func.h
+++ b/src/state/routing_func.h
@@ -28,4 +28,12 @@
 const ModelSpec&
 largestModel(const std::vector<ModelSpec>& aModels);
 
+/**
+ * @param aRoute A route.
+ * @return Weights of its services, in their order; equal ones when no service
+ * has any. Thread-safe.
+ */
+std::vector<double>
+serviceWeights(const Route& aRoute);
+
 } // namespace auburnhaven::state
--- a/src/state/routing_type.h
+++ b/src/state/routing_type.h
@@ -1,6 +1,7 @@
 // Configuration of routed services: routes, services, models and accounts.
 #pragma once
 
+#include "state/error_type.h"
 #include "state/id_type.h"
 
 #include <chrono>
@@ -31,8 +32,8 @@
 /** A service of a route and its share of the route's requests. */
 struct WeightedService
 {
-  ServiceId service_;        ///< The service.
-  std::uint32_t weight_ = 1; ///< Share, relative to the others' weights.
+  ServiceId service_; ///< The service.
+  double weight_ = 1; ///< Share, relative to the others' weights.
   bool operator==(const WeightedService&) const = default;
 };
 
@@ -130,6 +131,15 @@
   bool operator==(const RoutingConfig&) const = default;
 };
 
+/** A configuration as decoded. */
+struct DecodedRouting
+{
+  RoutingConfig config_;          ///< The configuration.
+  std::vector<InputError> notes_; ///< Its values that another one replaces, or
+                                  ///< that are left out.
+  bool operator==(const DecodedRouting&) const = default;
+};
+
 using RoutingConfigPtr =
   std::shared_ptr<const RoutingConfig>; ///< Shared between threads.
 
--- a/src/transport/relay/relay_exchange.cpp
+++ b/src/transport/relay/relay_exchange.cpp
@@ -46,10 +46,7 @@
     return aRoute.services_.front().service_;
   }
   static thread_local std::mt19937_64 random{ std::random_device{}() };
-  std::vector<double> weights;
-  for (const state::WeightedService& service : aRoute.services_) {
-    weights.push_back(service.weight_);
-  }
+  const std::vector<double> weights = state::serviceWeights(aRoute);
   std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
   return aRoute.services_[pick(random)].service_;
 }
--- a/tests/fakes/follower_world.h
+++ b/tests/fakes/follower_world.h
@@ -17,7 +17,7 @@
 class FakeRoutingCodec : public coordination::RoutingCodec
 {
 public:
-  std::optional<state::RoutingConfig> decodeConfig(
+  std::optional<state::DecodedRouting> decodeConfig(
     const std::string& aText) const override
   {
     const auto version = std::strtoull(aText.c_str(), nullptr, 10);
@@ -26,7 +26,7 @@
     }
     state::RoutingConfig config;
     config.version_ = state::Generation(version);
-    return config;
+    return state::DecodedRouting{ std::move(config), {} };
   }
   std::optional<state::Instance> decodeInstance(
     const state::VmId& aVm,
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -53,14 +53,16 @@
 public:
   void configurationIsRead()
   {
-    const auto config = platform::decodeConfig(kConfig);
-    CPPUNIT_ASSERT(config.has_value());
+    const auto decoded = platform::decodeConfig(kConfig);
+    CPPUNIT_ASSERT(decoded.has_value());
+    CPPUNIT_ASSERT(decoded->notes_.empty());
+    const state::RoutingConfig* config = &decoded->config_;
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 7 }, config->version_.value());
     const state::Route& stream = config->routes_.at(0);
     CPPUNIT_ASSERT(stream.kind_ == state::RouteKind::kStreaming);
     CPPUNIT_ASSERT(stream.resumable_ && !stream.public_);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, stream.services_.size());
-    CPPUNIT_ASSERT_EQUAL(10U, stream.services_.at(1).weight_);
+    CPPUNIT_ASSERT_EQUAL(10.0, stream.services_.at(1).weight_);
     CPPUNIT_ASSERT(stream.latencyTarget_ == 500ms);
     const state::EngineSpec& engine = *config->services_.at(0).engine_;
     CPPUNIT_ASSERT_DOUBLES_EQUAL(46.0, engine.promptTokensPerMs_, 1e-9);
--- a/tests/protocol/zone_digest_test.cpp
+++ b/tests/protocol/zone_digest_test.cpp
@@ -49,12 +49,12 @@
 class AnyCodec : public coordination::RoutingCodec
 {
 public:
-  std::optional<state::RoutingConfig> decodeConfig(
+  std::optional<state::DecodedRouting> decodeConfig(
     const std::string& aText) const override
   {
     state::RoutingConfig config;
     config.version_ = state::Generation(aText.size());
-    return config;
+    return state::DecodedRouting{ std::move(config), {} };
   }
   std::optional<state::Instance> decodeInstance(
     const state::VmId& aVm,
