Store: a revision that is not a whole number is no answer

An answer with another is none, as a whole: a list without one of its items would hide a change, and the daemon asks again.

--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -52,6 +52,8 @@
   CPPUNIT_TEST(listAcrossARestoreIsReadAgain);
   CPPUNIT_TEST(watchFromAnEarlierEraIsRestored);
   CPPUNIT_TEST(writeOnARevisionOfAnEarlierEraIsConflict);
+  CPPUNIT_TEST(oddNumbersOfTheStoreAreNoAnswer);
+  CPPUNIT_TEST(wholeNumbersMayBeWrittenAsFractions);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -278,6 +280,84 @@
     CPPUNIT_ASSERT(scripted.swapKey(state::Revision(41, state::StoreEra(2))) ==
                    StoreStatus::kOk);
   }
+
+  /** A revision of -1 became the largest number there is, so that no later
+   * change was newer. */
+  void oddNumbersOfTheStoreAreNoAnswer()
+  {
+    const std::vector<std::string> odds = {
+      "-1", "12.5", "1e300", "18446744073709551616", "null", "true", "\"12\""
+    };
+    for (const std::string& odd : odds) {
+      CPPUNIT_ASSERT_MESSAGE(odd, !isListed(itemAt(odd), "13"));
+      CPPUNIT_ASSERT_MESSAGE(odd, !isListed(itemAt("12"), odd));
+      CPPUNIT_ASSERT_MESSAGE(odd, !isWatched(itemAt(odd), "13"));
+      CPPUNIT_ASSERT_MESSAGE(odd, !isWatched(itemAt("12"), odd));
+      ScriptedStore swap({ { "200 OK", "{\"mod_revision\":" + odd + "}" } });
+      CPPUNIT_ASSERT_MESSAGE(
+        odd, swap.swapKey(state::Revision(4)) == StoreStatus::kUnknown);
+      ScriptedStore lease({ { "200 OK", "{\"lease_id\":" + odd + "}" },
+                            { "200 OK", R"({"mod_revision":41})" } });
+      CPPUNIT_ASSERT_MESSAGE(odd, lease.acquire().status_ != StoreStatus::kOk);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        odd, std::size_t{ 1 }, lease.requests_.size());
+    }
+  }
+
+  void wholeNumbersMayBeWrittenAsFractions()
+  {
+    CPPUNIT_ASSERT(isListed(itemAt("12.0"), "13.0"));
+    CPPUNIT_ASSERT(isWatched(itemAt("12.0"), "1.3e1"));
+    ScriptedStore lease({ { "200 OK", R"({"lease_id":77.0,"ttl_ms":1500.0})" },
+                          { "200 OK", R"({"mod_revision":41.0})" },
+                          { "200 OK", R"({"ttl_ms":1500.0})" } });
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 41 }, lease.acquire().number_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 41 }, lease.acquire().number_);
+    CPPUNIT_ASSERT(lease.requests_.at(2).starts_with("POST /v1/kv-keep/77 "));
+  }
+
+private:
+  /** @return An item whose last change has a revision. */
+  static std::string itemAt(const std::string& aRevision)
+  {
+    return R"([{"key":"a","data":"MQ==","created_revision":3,"lease_id":0,)"
+           R"("mod_revision":)" +
+           aRevision + "}]";
+  }
+
+  /** @return Whether a list with such entries and revision succeeds. */
+  static bool isListed(const std::string& aEntries, const std::string& aAt)
+  {
+    ScriptedStore scripted({ { "200 OK",
+                               "{\"entries\":" + aEntries + ",\"at\":" + aAt +
+                                 ",\"has_more\":false}" } });
+    bool done = false;
+    bool listed = false;
+    scripted.store_.list("",
+                         coordination::ListConsistency::kLinearizable,
+                         [&](const coordination::ListReply& aReply) {
+                           listed = aReply.status_ == StoreStatus::kOk;
+                           done = true;
+                         });
+    scripted.await(done);
+    return listed;
+  }
+
+  /** @return Whether a watch with such events and revision tells changes. */
+  static bool isWatched(const std::string& aEvents, const std::string& aAt)
+  {
+    ScriptedStore scripted(
+      { { "200 OK", "{\"events\":" + aEvents + ",\"at\":" + aAt + "}" } });
+    bool done = false;
+    bool told = false;
+    scripted.store_.watchPrefix(
+      "", state::Revision(9), 100ms, [&](const auto& aReply) {
+        told = aReply.status_ == coordination::WatchStatus::kChanges;
+        done = true;
+      });
+    scripted.await(done);
+    return told;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(KvStoreTest);
