Datagrams: a number that is not a count makes the datagram unreadable

What callers would see: nothing seen. Daemons send whole numbers; the datagrams are not signed.

Now the datagrams read counts with the function that the platform's codecs use; an odd one costs that datagram. Slowdown factors are bounded as those of reports are. Negative ages of crash notices, which wrapped to an hour, make the notice unreadable.

--- a/src/protocol/activity_codec.cpp
+++ b/src/protocol/activity_codec.cpp
@@ -30,7 +30,7 @@
 {
   return decodeMarked(aDatagram, kQuestionMark, [](const Json& aMessage) {
     ActivityQuestion question;
-    question.number_ = aMessage.at(1).get<std::uint64_t>();
+    question.number_ = state::readCount<std::uint64_t>(aMessage.at(1));
     for (const Json& head : aMessage.at(2)) {
       question.heads_.emplace_back(head.get<std::string>());
     }
@@ -55,12 +55,13 @@
 {
   return decodeMarked(aDatagram, kNoticeMark, [](const Json& aMessage) {
     ActivityNotice notice;
-    notice.number_ = aMessage.at(1).get<std::uint64_t>();
+    notice.number_ = state::readCount<std::uint64_t>(aMessage.at(1));
     for (const Json& replica : aMessage.at(2)) {
       notice.replicas_.push_back(
         { state::VmId(replica.at(0).get<std::string>()),
-          std::chrono::milliseconds(replica.at(1).get<std::uint32_t>()),
-          replica.at(2).get<std::uint32_t>() });
+          std::chrono::milliseconds(
+            state::readCount<std::uint32_t>(replica.at(1))),
+          state::readCount<std::uint32_t>(replica.at(2)) });
     }
     return notice;
   });
--- a/src/protocol/datagram_func.h
+++ b/src/protocol/datagram_func.h
@@ -1,6 +1,7 @@
 // Bytes of datagrams between daemons.
 #pragma once
 
+#include "state/json_count_func.h"
 #include "state/revision_type.h"
 
 #include <nlohmann/json.hpp>
@@ -36,8 +37,9 @@
                std::size_t aEra)
 {
   const std::uint64_t era =
-    aMessage.size() > aEra ? aMessage.at(aEra).get<std::uint64_t>() : 0;
-  return state::Revision(aMessage.at(aNumber).get<std::uint64_t>(),
+    aMessage.size() > aEra ? state::readCount<std::uint64_t>(aMessage.at(aEra))
+                           : 0;
+  return state::Revision(state::readCount<std::uint64_t>(aMessage.at(aNumber)),
                          state::StoreEra(era));
 }
 
@@ -54,8 +56,9 @@
 {
   constexpr std::int64_t kMaxMs = 1000LL * 86400 * 365;
   constexpr int kBadTime = 503; // error number of the exception
-  const auto count = aValue.get<std::int64_t>();
-  if (!aValue.is_number_integer() || count > kMaxMs || count < -kMaxMs) {
+  const std::int64_t count =
+    aValue.is_number_integer() ? aValue.get<std::int64_t>() : kMaxMs + 1;
+  if (count > kMaxMs || count < -kMaxMs) {
     throw nlohmann::json::other_error::create(
       kBadTime, "no time in range", &aValue);
   }
--- a/src/protocol/extension_codec.cpp
+++ b/src/protocol/extension_codec.cpp
@@ -30,10 +30,11 @@
 decodeExtensionRequest(const std::string& aDatagram)
 {
   return decodeMarked(aDatagram, kRequestMark, [](const Json& aMessage) {
-    return ExtensionRequestMessage{ aMessage.at(1).get<std::uint64_t>(),
-                                    state::ZoneId(
-                                      aMessage.at(2).get<std::string>()),
-                                    aMessage.at(3).get<std::uint64_t>() };
+    return ExtensionRequestMessage{
+      state::readCount<std::uint64_t>(aMessage.at(1)),
+      state::ZoneId(aMessage.at(2).get<std::string>()),
+      state::readCount<std::uint64_t>(aMessage.at(3))
+    };
   });
 }
 
@@ -50,14 +51,10 @@
 decodeHandover(const std::string& aDatagram)
 {
   return decodeMarked(aDatagram, kHandoverMark, [](const Json& aMessage) {
-    constexpr int kBadCount = 504; // error number of the exception
-    const auto epochs = aMessage.at(3).get<std::uint64_t>();
-    if (epochs >= coordination::kEpochsPerTerm) {
-      throw Json::other_error::create(
-        kBadCount, "more epochs than a term has", &aMessage);
-    }
+    const auto epochs = state::readCount<std::uint64_t>(
+      aMessage.at(3), coordination::kEpochsPerTerm - 1);
     return HandoverMessage{ state::ZoneId(aMessage.at(1).get<std::string>()),
-                            aMessage.at(2).get<std::uint64_t>(),
+                            state::readCount<std::uint64_t>(aMessage.at(2)),
                             epochs };
   });
 }
@@ -76,7 +73,7 @@
 {
   return decodeMarked(aDatagram, kReplyMark, [](const Json& aMessage) {
     return ExtensionReplyMessage{
-      aMessage.at(1).get<std::uint64_t>(),
+      state::readCount<std::uint64_t>(aMessage.at(1)),
       state::ZoneId(aMessage.at(2).get<std::string>()),
       aMessage.at(3).get<bool>() ? coordination::ExtensionReply::kPromised
                                  : coordination::ExtensionReply::kRefused
--- a/src/protocol/news_codec.cpp
+++ b/src/protocol/news_codec.cpp
@@ -33,7 +33,7 @@
 NewsQuestion
 readQuestion(const nlohmann::json& aMessage)
 {
-  return { state::Generation(aMessage.at(0).get<std::uint64_t>()),
+  return { state::Generation(state::readCount<std::uint64_t>(aMessage.at(0))),
            decodeRevision(aMessage, 1, 2) };
 }
 
@@ -63,8 +63,10 @@
 readAnswer(const nlohmann::json& aMessage)
 {
   NewsAnswer answer;
-  answer.version_ = state::Generation(aMessage.at(0).get<std::uint64_t>());
-  answer.way_.from_ = state::Generation(aMessage.at(1).get<std::uint64_t>());
+  answer.version_ =
+    state::Generation(state::readCount<std::uint64_t>(aMessage.at(0)));
+  answer.way_.from_ =
+    state::Generation(state::readCount<std::uint64_t>(aMessage.at(1)));
   answer.way_.patches_ = decodePatches(aMessage.at(2));
   answer.at_ = decodeRevision(aMessage, 3, 5);
   for (const nlohmann::json& plain : aMessage.at(4)) {
@@ -102,7 +104,7 @@
 {
   return decodeAs(aMessage, kReferral, [](const nlohmann::json& aContent) {
     return NewsReferral{ { aContent.at(0).get<std::string>(),
-                           aContent.at(1).get<std::uint16_t>() } };
+                           state::readCount<std::uint16_t>(aContent.at(1)) } };
   });
 }
 
--- a/src/protocol/placement_codec.cpp
+++ b/src/protocol/placement_codec.cpp
@@ -39,7 +39,8 @@
     if (perSecond >= 0) {
       limit.perSecond_ = perSecond;
     }
-    limit.age_ = std::chrono::milliseconds(row.at(2).get<std::uint32_t>());
+    limit.age_ =
+      std::chrono::milliseconds(state::readCount<std::uint32_t>(row.at(2)));
     limits.push_back(std::move(limit));
   }
   return limits;
@@ -72,12 +73,12 @@
 {
   return decodeMarked(aDatagram, kQuestionMark, [](const Json& aMessage) {
     PlacementQuestion question;
-    question.number_ = aMessage.at(1).get<std::uint64_t>();
+    question.number_ = state::readCount<std::uint64_t>(aMessage.at(1));
     coordination::TargetNeed& need = question.need_;
     need.service_ = state::ServiceId(aMessage.at(2).get<std::string>());
     need.model_ = state::ModelId(aMessage.at(3).get<std::string>());
-    need.tokens_.prompt_ = aMessage.at(4).get<std::uint32_t>();
-    need.tokens_.answer_ = aMessage.at(5).get<std::uint32_t>();
+    need.tokens_.prompt_ = state::readCount<std::uint32_t>(aMessage.at(4));
+    need.tokens_.answer_ = state::readCount<std::uint32_t>(aMessage.at(5));
     need.latencyTarget_ = decodeMs(aMessage.at(6));
     need.timeLeft_ = decodeMs(aMessage.at(7));
     for (const Json& vm : aMessage.at(8)) {
@@ -108,15 +109,15 @@
 {
   return decodeMarked(aDatagram, kAnswerMark, [](const Json& aMessage) {
     PlacementAnswer answer;
-    answer.number_ = aMessage.at(1).get<std::uint64_t>();
-    const auto reason = aMessage.at(2).get<unsigned>();
+    answer.number_ = state::readCount<std::uint64_t>(aMessage.at(1));
+    const auto reason = state::readCount<unsigned>(aMessage.at(2));
     answer.reason_ = reason <= static_cast<unsigned>(RefusalReason::kLimited)
                        ? static_cast<RefusalReason>(reason)
                        : RefusalReason::kNoTarget;
     answer.vm_ = state::VmId(aMessage.at(3).get<std::string>());
     answer.expected_ = decodeMs(aMessage.at(4));
     answer.retryAfter_ = decodeMs(aMessage.at(5));
-    answer.candidates_ = aMessage.at(6).get<std::uint32_t>();
+    answer.candidates_ = state::readCount<std::uint32_t>(aMessage.at(6));
     return answer;
   });
 }
--- a/src/protocol/quarantine_codec.cpp
+++ b/src/protocol/quarantine_codec.cpp
@@ -43,7 +43,7 @@
   state::PromptParts parts;
   for (const Json& part : aParts) {
     if (parts.size() < kMaxRequestParts) {
-      parts.emplace_back(part.get<std::uint64_t>());
+      parts.emplace_back(state::readCount<std::uint64_t>(part));
     }
   }
   return parts;
@@ -94,7 +94,7 @@
 {
   constexpr std::chrono::hours kMaxTime(1);
   const auto count = static_cast<std::int64_t>(std::min<std::uint64_t>(
-    aCount.get<std::uint64_t>(), Unit(kMaxTime).count()));
+    state::readCount<std::uint64_t>(aCount), Unit(kMaxTime).count()));
   return Unit(count);
 }
 
@@ -112,7 +112,8 @@
                                   ? decodeTime<milliseconds>(ages.at(index))
                                   : state::Duration{};
     sound.push_back(
-      { state::PromptPartId(parts.at(index).get<std::uint64_t>()), age });
+      { state::PromptPartId(state::readCount<std::uint64_t>(parts.at(index))),
+        age });
   }
   return sound;
 }
@@ -248,7 +249,7 @@
     }
     for (const Json& row : aMessage.at(3)) {
       notice.suspects_.push_back(
-        { state::PromptPartId(row.at(0).get<std::uint64_t>()),
+        { state::PromptPartId(state::readCount<std::uint64_t>(row.at(0))),
           decodeTime<milliseconds>(row.at(1)) });
     }
     // Daemons of earlier versions send one piece only.
--- a/src/protocol/zone_digest_codec.cpp
+++ b/src/protocol/zone_digest_codec.cpp
@@ -3,6 +3,7 @@
 #include "protocol/zone_digest_codec.h"
 
 #include "protocol/datagram_func.h"
+#include "state/figure_func.h"
 
 namespace auburnhaven::protocol {
 
@@ -16,17 +17,32 @@
 constexpr std::size_t kKnownField =
   9; ///< Field with the age of what the coordinator knows of the store.
 
+/** @return A slowdown factor; a bounded one, so that sums of times stay finite.
+ */
+double
+decodeSlowness(const Json& aValue)
+{
+  constexpr state::FigureRange kSlowness{ 0.01, 10000 };
+  constexpr int kBadFactor = 505; // error number of the exception
+  const auto slowness =
+    state::checkFigure(aValue.get<double>(), kSlowness).value_;
+  if (!slowness) {
+    throw Json::other_error::create(kBadFactor, "no slowdown factor", &aValue);
+  }
+  return *slowness;
+}
+
 coordination::CopyLoad
 decodeCopy(const Json& aCopy, state::TimePoint aNow)
 {
   coordination::CopyLoad copy;
   copy.head_ = state::VmId(aCopy.at(0).get<std::string>());
   copy.endpoint_ = { aCopy.at(1).get<std::string>(),
-                     aCopy.at(2).get<std::uint16_t>() };
+                     state::readCount<std::uint16_t>(aCopy.at(2)) };
   copy.model_ = state::ModelId(aCopy.at(3).get<std::string>());
-  copy.running_ = aCopy.at(4).get<std::uint32_t>();
-  copy.waiting_ = aCopy.at(5).get<std::uint32_t>();
-  copy.slowness_ = aCopy.at(6).get<double>();
+  copy.running_ = state::readCount<std::uint32_t>(aCopy.at(4));
+  copy.waiting_ = state::readCount<std::uint32_t>(aCopy.at(5));
+  copy.slowness_ = decodeSlowness(aCopy.at(6));
   copy.draining_ = aCopy.at(7).get<bool>();
   copy.asOf_ = aNow - decodeMs(aCopy.at(kCopyFields - 1));
   return copy;
@@ -75,8 +91,8 @@
     coordination::ZoneDigest result;
     result.zone_ = state::ZoneId(aMessage.at(0).get<std::string>());
     result.service_ = state::ServiceId(aMessage.at(1).get<std::string>());
-    result.authority_ = aMessage.at(2).get<std::uint64_t>();
-    result.count_ = aMessage.at(3).get<std::uint64_t>();
+    result.authority_ = state::readCount<std::uint64_t>(aMessage.at(2));
+    result.count_ = state::readCount<std::uint64_t>(aMessage.at(3));
     result.sharedRevision_ = decodeRevision(aMessage, 4, kEraField);
     for (const Json& copy : aMessage.at(5)) {
       result.copies_.push_back(decodeCopy(copy, aNow));
