Gateway: the timeout that a caller names may be any decimal number

Evidence: RequestTimeoutTest; the parsing before took the digits before the point (1 for "1.5e3", 5 for "5s").

Now requestTimeout() reads it as the relay reads deadlines; what is no positive number is ignored, as before.

--- a/src/transport/gateway/gateway.cpp
+++ b/src/transport/gateway/gateway.cpp
@@ -3,11 +3,11 @@
 #include "transport/gateway/gateway.h"
 
 #include "protocol/chat_codec.h"
+#include "transport/gateway/request_timeout_func.h"
 #include "transport/scoped_count.h"
 #include "transport/table/refusal_table.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <utility>
 
@@ -225,15 +225,9 @@
   coordination::RequestInfo info;
   info.id_ = state::RequestId(aExchange.internalId_);
   info.account_ = aAccount;
-  std::chrono::milliseconds timeout = settings_.requestTimeout_;
-  const std::string_view wanted =
-    aExchange.request_.header("X-Request-Timeout-Ms");
-  std::int64_t milliseconds = 0;
-  const auto parsed =
-    std::from_chars(wanted.data(), wanted.data() + wanted.size(), milliseconds);
-  if (parsed.ec == std::errc() && milliseconds > 0) {
-    timeout = std::min(timeout, std::chrono::milliseconds(milliseconds));
-  }
+  const std::chrono::milliseconds timeout =
+    requestTimeout(aExchange.request_.header("X-Request-Timeout-Ms"),
+                   settings_.requestTimeout_);
   info.deadline_ = dependencies_.clock_.now() + timeout;
   return info;
 }
