--- a/src/app/figure_reader.cpp
+++ b/src/app/figure_reader.cpp
@@ -59,22 +59,22 @@
     noteInstead(aNode, "is no number from 0 up", aDefault, aFaults);
   } else if (figure.fault_ == state::FigureFault::kOutOfRange) {
     noteInstead(
-      aNode, "is out of range", RatioFigure::show(*figure.value_), aFaults);
+      aNode, "is out of range", DecimalFigure::show(*figure.value_), aFaults);
   }
   return figure.value_;
 }
 
 void
-RatioFigure::read(const toml::node& aNode,
-                  const FieldRange& aRange,
-                  double& aValue,
-                  FaultList& aFaults)
+DecimalFigure::read(const toml::node& aNode,
+                    const FieldRange& aRange,
+                    double& aValue,
+                    FaultList& aFaults)
 {
   aValue = readFigure(aNode, aRange, show(aValue), aFaults).value_or(aValue);
 }
 
 std::string
-RatioFigure::show(double aValue)
+DecimalFigure::show(double aValue)
 {
   std::ostringstream text;
   text << std::setprecision(std::numeric_limits<double>::digits10) << aValue;
--- a/src/app/figure_reader.h
+++ b/src/app/figure_reader.h
@@ -29,8 +29,8 @@
            const std::string& aDefault,
            FaultList& aFaults);
 
-/** Fractional figures. */
-struct RatioFigure
+/** Figures that keep their fraction. */
+struct DecimalFigure
 {
   static constexpr std::string_view kType = "number";
   static void read(const toml::node& aNode,
@@ -77,7 +77,7 @@
   }
   static std::string show(std::chrono::milliseconds aValue)
   {
-    return RatioFigure::show(FigureTime(aValue).count());
+    return DecimalFigure::show(FigureTime(aValue).count());
   }
 };
 
--- a/src/app/relay_daemon.cpp
+++ b/src/app/relay_daemon.cpp
@@ -3,6 +3,7 @@
 #include "app/relay_daemon.h"
 
 #include "app/command_line.h"
+#include "app/relay_parts_func.h"
 #include "app/retry_share_func.h"
 #include "protocol/placement_codec.h"
 #include "protocol/zone_digest_codec.h"
@@ -11,7 +12,6 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <csignal>
 #include <unistd.h>
 #include <utility>
@@ -23,30 +23,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kControlTick(40); ///< Period of the control work.
-constexpr milliseconds kOwnZonePatience(
-  150); ///< Longest random wait before a daemon of the zone tries for the
-        ///< vacant duty.
-constexpr double kPatienceOfACore =
-  30; ///< Milliseconds that a daemon with a whole core waits before; one with
-      ///< half a core twice as long.
-constexpr double kLongestPatience = 200; ///< Most milliseconds of that wait.
-constexpr milliseconds kOtherZonePatience(
-  2500); ///< Wait before a daemon of another zone does.
-constexpr milliseconds kLeaseTimeToLive(1500); ///< Of a zone's duty.
-constexpr milliseconds kLeaseRenewal(400);     ///< Between two renewals.
-constexpr milliseconds kLeaseMargin(400); ///< End of the own authority before
-                                          ///< the store's lease.
-constexpr milliseconds kLeaseRetry(150);  ///< After a renewal that failed.
-constexpr std::chrono::seconds kProbeAfter(1); ///< Silence before TCP probes.
-constexpr milliseconds kRegistrationTimeToLive(30000); ///< Of a daemon's entry.
-constexpr milliseconds kRegistrationRetry(2000); ///< After a call that failed.
-constexpr milliseconds kRegistrationRenewal(10000); ///< Between two renewals.
 constexpr milliseconds kCoordinatorSilence(
   1000); ///< Silence of a zone's coordinator after which a daemon follows the
          ///< store by itself.
-constexpr milliseconds kNewsPatience(
-  800); ///< How long a daemon waits for announced news from its coordinator
-        ///< before it asks the store.
 constexpr milliseconds kAnnounceTime(
   1000); ///< Longest time from a change in the store to its announcement.
 constexpr milliseconds kDigestPeriod(300); ///< Between two digests of a zone.
@@ -55,108 +34,12 @@
 constexpr std::size_t kMaxResponsesBytes =
   std::size_t{ 24 } * 1024 * 1024; ///< Responses that arrive at the same time,
                                    ///< a fifth of a small machine's memory.
-constexpr double kBytesPerMegabit = 125'000;  ///< Bytes in a megabit.
-constexpr char kOwnPrefix[] = "auburnhaven/"; ///< Of the daemons' keys.
-constexpr char kDutyPrefix[] = "auburnhaven/coordinator/"; ///< Of the duties.
+constexpr double kBytesPerMegabit = 125'000;            ///< Bytes in a megabit.
 constexpr char kDaemonPrefix[] = "auburnhaven/daemon/"; ///< Of registrations.
 constexpr char kQuarantinePrefix[] =
   "auburnhaven/quarantine/";                 ///< Of prompt parts in quarantine.
 constexpr std::string_view kPart = "daemon"; ///< Part of the program in logs.
 
-/** @return Times of a lease. */
-coordination::LeaseTiming
-leaseLimits(milliseconds aTimeToLive,
-            milliseconds aRenewal,
-            milliseconds aRetryPause)
-{
-  coordination::LeaseTiming limits;
-  limits.timeToLive_ = aTimeToLive;
-  limits.renewal_ = aRenewal;
-  limits.margin_ = kLeaseMargin;
-  limits.retryPause_ = aRetryPause;
-  return limits;
-}
-
-/** @return What a coordinator is told about its zone. */
-coordination::ReplicaZoneSettings
-replicaZone(const RelayDaemonSettings& aSettings, const state::ZoneId& aZone)
-{
-  coordination::ReplicaZoneSettings zone;
-  zone.zone_ = aZone;
-  zone.zones_ = static_cast<std::uint32_t>(
-    std::max<std::size_t>(1, aSettings.zones_.size()));
-  zone.firstStart_ = aSettings.firstStart_;
-  zone.formationTime_ = aSettings.formationTime_;
-  return zone;
-}
-
-/** @return Limits of the copies. */
-coordination::ReplicaLimits
-replicaLimits(const RelayDaemonSettings& aSettings)
-{
-  coordination::ReplicaLimits limits;
-  limits.stallLimit_ = aSettings.stallLimit_;
-  return limits;
-}
-
-/** @return Settings of the coordination of a zone. */
-coordination::ZoneLeadershipSettings
-dutySettings(const RelayDaemonSettings& aSettings,
-             const state::Clock& aClock,
-             const state::ZoneId& aZone)
-{
-  std::mt19937_64 random{ std::random_device{}() };
-  const auto jitter = milliseconds(
-    random() % static_cast<std::uint64_t>(kOwnZonePatience.count()));
-  coordination::ZoneLeadershipSettings duty;
-  duty.key_ = kDutyPrefix + aZone.value();
-  duty.holderName_ =
-    state::textOf(aSettings.listeners_.peers_) + ' ' +
-    std::to_string(aClock.wallNow().time_since_epoch().count());
-  const auto rank = milliseconds(std::lround(
-    std::min(kLongestPatience,
-             kPatienceOfACore / std::max(0.001, aSettings.processorShare_))));
-  duty.takeoverDelay_ =
-    rank +
-    (aZone == aSettings.zone_ ? jitter : kOtherZonePatience + jitter * 3);
-  duty.lease_ = leaseLimits(kLeaseTimeToLive, kLeaseRenewal, kLeaseRetry);
-  duty.zone_ = replicaZone(aSettings, aZone);
-  duty.limits_ = replicaLimits(aSettings);
-  return duty;
-}
-
-/** @return Settings of the follower. */
-coordination::FollowerSettings
-followerSettings()
-{
-  coordination::FollowerSettings settings;
-  settings.configKey_ = platform::kConfigKey;
-  settings.instancePrefix_ = platform::kInstancePrefix;
-  settings.daemonPrefix_ = kOwnPrefix;
-  settings.peerFetchTimeout_ = kNewsPatience;
-  return settings;
-}
-
-/** @return Settings of the links to other daemons. */
-transport::PeerLinksSettings
-linkSettings(const RelayDaemonSettings& aSettings, std::uint64_t aSeed)
-{
-  transport::PeerLinksSettings links;
-  links.listen_ = aSettings.listeners_.peers_;
-  links.key_ = aSettings.peerKey_;
-  links.seed_ = aSeed;
-  return links;
-}
-
-/** @return Limits of the connections that clients keep. */
-transport::HttpClientLimits
-clientLimits()
-{
-  transport::HttpClientLimits limits;
-  limits.probeAfter_ = kProbeAfter;
-  return limits;
-}
-
 /** @return Signals that end the daemon, and the one that announces settings. */
 sigset_t
 awaitedSignals()
@@ -169,15 +52,6 @@
   return signals;
 }
 
-/** @return Settings of the choice of targets. */
-coordination::TargetPoolSettings
-poolSettings(const RelayDaemonSettings& aSettings)
-{
-  coordination::TargetPoolSettings pool;
-  pool.zone_ = aSettings.zone_;
-  return pool;
-}
-
 } // namespace
 
 RelayDaemon::RelayDaemon(const RelaySettingsFile& aFile)
@@ -195,9 +69,7 @@
                   store_,
                   registry_.keyOf(settings_.daemon_.value()),
                   state::textOf(settings_.listeners_.peers_),
-                  leaseLimits(kRegistrationTimeToLive,
-                              kRegistrationRenewal,
-                              kRegistrationRetry))
+                  registrationTiming())
   , hearing_(settings_.zone_, kCoordinatorSilence)
   , digests_(control_.context())
   , links_(control_.context(), linkSettings(settings_, seed_))
@@ -414,9 +286,9 @@
   follower_.noteConfirmed(hearing_.knownAsOf());
   checkLack();
   const bool mayRegister = !stopping_ && !follower_.hasOutage();
-  registration_.tick(mayRegister
-                       ? std::optional<state::Duration>(kRegistrationRetry)
-                       : std::nullopt);
+  registration_.tick(mayRegister ? std::optional<state::Duration>(
+                                     registrationTiming().retryPause_)
+                                 : std::nullopt);
   activities_.tick();
   askForActivity();
   std::vector<state::Endpoint> others = otherDaemons();
--- a/src/app/relay_settings_file.cpp
+++ b/src/app/relay_settings_file.cpp
@@ -27,10 +27,12 @@
 constexpr auto kRequired = FieldNeed::kRequired;
 constexpr auto kOptional = FieldNeed::kOptional;
 
-using PromiseMs = TimeFigure<std::milli, state::Rounding::kDown>;
-using PromiseSeconds = TimeFigure<std::ratio<1>, state::Rounding::kDown>;
-using PatienceMs = TimeFigure<std::milli, state::Rounding::kUp>;
-using PatienceSeconds = TimeFigure<std::ratio<1>, state::Rounding::kUp>;
+// Times within which the daemon must act, in the unit of the name.
+using LimitMs = TimeFigure<std::milli, state::Rounding::kDown>;
+using LimitSeconds = TimeFigure<std::ratio<1>, state::Rounding::kDown>;
+// Times that must have passed before it acts.
+using WaitMs = TimeFigure<std::milli, state::Rounding::kUp>;
+using WaitSeconds = TimeFigure<std::ratio<1>, state::Rounding::kUp>;
 
 constexpr std::array kListenerFields = {
   field<&RelayListeners::callers_>("callers",
@@ -53,7 +55,7 @@
 };
 
 constexpr std::array kRetryFields = {
-  field<&RelayRetryLimits::ratio_, RatioFigure>(
+  field<&RelayRetryLimits::ratio_, DecimalFigure>(
     "ratio",
     kOptional,
     kRatio,
@@ -63,10 +65,10 @@
     kOptional,
     kCount,
     "repeated sends beyond that in a window"),
-  field<&RelayRetryLimits::window_, PatienceSeconds>("window_s",
-                                                     kOptional,
-                                                     kWindow,
-                                                     "window of the limit"),
+  field<&RelayRetryLimits::window_, WaitSeconds>("window_s",
+                                                 kOptional,
+                                                 kWindow,
+                                                 "window of the limit"),
 };
 
 } // namespace
@@ -123,19 +125,19 @@
                                           kOptional,
                                           kNonEmpty,
                                           "path of the question for readiness"),
-  field<&RelayDaemonSettings::processorShare_, RatioFigure>(
+  field<&RelayDaemonSettings::processorShare_, DecimalFigure>(
     "processor_share",
     kOptional,
     kProcessor,
     "part of a core that the daemon "
     "has"),
-  field<&RelayDaemonSettings::newsLimit_, PromiseMs>(
+  field<&RelayDaemonSettings::newsLimit_, LimitMs>(
     "news_limit_ms",
     kOptional,
     kMilliseconds,
     "after which a change in the store "
     "must be in force everywhere"),
-  field<&RelayDaemonSettings::linkMbps_, RatioFigure>(
+  field<&RelayDaemonSettings::linkMbps_, DecimalFigure>(
     "link_mbps",
     kOptional,
     kBandwidth,
@@ -152,13 +154,13 @@
     kOptional,
     kMilliseconds,
     "after a first start: time before callers come"),
-  field<&RelayDaemonSettings::stallLimit_, PatienceMs>(
+  field<&RelayDaemonSettings::stallLimit_, WaitMs>(
     "stall_limit_ms",
     kOptional,
     kMilliseconds,
     "after which a copy without one of "
     "its members is broken"),
-  field<&RelayDaemonSettings::stopLimit_, PromiseSeconds>(
+  field<&RelayDaemonSettings::stopLimit_, LimitSeconds>(
     "stop_limit_s",
     kOptional,
     kSeconds,
