Figures: one function writes them, readers take over what they share

FlagFigure and EndpointHints repeated the type and the printing of the codecs whose values they read; they derive from them. No behaviour is changed.

--- a/src/app/figure_reader.cpp
+++ b/src/app/figure_reader.cpp
@@ -2,8 +2,6 @@
 
 #include "app/figure_reader.h"
 
-#include <iomanip>
-#include <limits>
 #include <sstream>
 
 namespace auburnhaven::app {
@@ -76,9 +74,7 @@
 std::string
 DecimalFigure::show(double aValue)
 {
-  std::ostringstream text;
-  text << std::setprecision(std::numeric_limits<double>::digits10) << aValue;
-  return text.str();
+  return state::figureText(aValue);
 }
 
 void
@@ -117,12 +113,6 @@
   }
 }
 
-std::string
-FlagFigure::show(bool aValue)
-{
-  return FieldCodec<bool>::show(aValue);
-}
-
 void
 EndpointHints::read(const toml::node& aNode,
                     const FieldRange& aRange,
@@ -145,10 +135,4 @@
   }
 }
 
-std::string
-EndpointHints::show(const std::vector<state::Endpoint>& aValue)
-{
-  return FieldCodec<std::vector<state::Endpoint>>::show(aValue);
-}
-
 } // namespace auburnhaven::app
--- a/src/app/figure_reader.h
+++ b/src/app/figure_reader.h
@@ -82,25 +82,21 @@
 };
 
 /** Truth values, also as the texts "true" and "false". */
-struct FlagFigure
+struct FlagFigure : FieldCodec<bool>
 {
-  static constexpr std::string_view kType = "boolean";
   static void read(const toml::node& aNode,
                    const FieldRange& aRange,
                    bool& aValue,
                    FaultList& aFaults);
-  static std::string show(bool aValue);
 };
 
 /** Endpoints of which any may be missing: an odd one is left out. */
-struct EndpointHints
+struct EndpointHints : FieldCodec<std::vector<state::Endpoint>>
 {
-  static constexpr std::string_view kType = "list";
   static void read(const toml::node& aNode,
                    const FieldRange& aRange,
                    std::vector<state::Endpoint>& aValue,
                    FaultList& aFaults);
-  static std::string show(const std::vector<state::Endpoint>& aValue);
 };
 
 } // namespace auburnhaven::app
--- a/src/state/figure_func.cpp
+++ b/src/state/figure_func.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <iomanip>
+#include <limits>
+#include <sstream>
 #include <system_error>
 
 namespace auburnhaven::state {
@@ -46,4 +49,12 @@
   return static_cast<std::int64_t>(rounded);
 }
 
+std::string
+figureText(double aFigure)
+{
+  std::ostringstream text;
+  text << std::setprecision(std::numeric_limits<double>::digits10) << aFigure;
+  return text.str();
+}
+
 } // namespace auburnhaven::state
--- a/src/state/figure_func.h
+++ b/src/state/figure_func.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace auburnhaven::state {
@@ -65,4 +66,8 @@
 std::int64_t
 roundFigure(double aFigure, Rounding aRounding);
 
+/** @param aFigure A number. @return It as people write it. Thread-safe. */
+std::string
+figureText(double aFigure);
+
 } // namespace auburnhaven::state
