--- a/src/protocol/zone_digest_codec.cpp
+++ b/src/protocol/zone_digest_codec.cpp
@@ -22,10 +22,9 @@
 double
 decodeSlowness(const Json& aValue)
 {
-  constexpr state::FigureRange kSlowness{ 0.01, 10000 };
   constexpr int kBadFactor = 505; // error number of the exception
   const auto slowness =
-    state::checkFigure(aValue.get<double>(), kSlowness).value_;
+    state::checkFigure(aValue.get<double>(), state::kTimeFactor).value_;
   if (!slowness) {
     throw Json::other_error::create(kBadFactor, "no slowdown factor", &aValue);
   }
--- a/src/state/figure_func.h
+++ b/src/state/figure_func.h
@@ -23,6 +23,11 @@
   bool operator==(const FigureRange&) const = default;
 };
 
+inline constexpr FigureRange kTimeFactor{
+  0.01,
+  10000
+}; ///< Factors on times, such as slowdowns, so that sums of times stay finite.
+
 /** Whether a figure can be used as it was told. */
 enum class FigureFault : std::uint8_t
 {
